--- /dev/null
+++ b/control/pkg/administrator/administrator.go
@@ -0,0 +1,126 @@
+// Package administrator serves the operators' interface.
+package administrator
+
+import (
+	"crypto/subtle"
+	"log/slog"
+	"net/http"
+	"strings"
+
+	"github.com/labstack/echo/v4"
+
+	"samphiremount.example/control/pkg/proposer"
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/synchronizer"
+	"samphiremount.example/core/tracker"
+)
+
+const maxBodyBytes = 64 << 20
+
+// Administrator answers operators.
+type Administrator struct {
+	token    []byte
+	proposer proposer.Proposer
+	hub      *synchronizer.Hub
+	server   *synchronizer.Server
+	log      *slog.Logger
+}
+
+// New returns an Administrator that admits holders of token.
+func New(
+	token []byte, proposer proposer.Proposer, hub *synchronizer.Hub, server *synchronizer.Server, log *slog.Logger,
+) *Administrator {
+	return &Administrator{token: token, proposer: proposer, hub: hub, server: server, log: log}
+}
+
+// Handler serves the operators' interface.
+func (a *Administrator) Handler() http.Handler {
+	server := echo.New()
+	server.HTTPErrorHandler = refuse
+	server.Use(a.authenticate)
+	server.POST("/changes", a.change)
+	server.GET("/configuration", a.configuration)
+	server.GET("/nodes", a.nodes)
+	server.GET("/version", a.version)
+	return server
+}
+
+func (a *Administrator) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		token := strings.TrimPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(token), a.token) != 1 {
+			return refuser.Refuse(refuser.OperatorUnknown, "")
+		}
+		return next(c)
+	}
+}
+
+type changeRequest struct {
+	Operation string              `json:"operation"`
+	Base      uint64              `json:"base"`
+	Changes   []configurer.Record `json:"changes"`
+}
+
+type changeReply struct {
+	Version uint64 `json:"version"`
+}
+
+func (a *Administrator) change(c echo.Context) error {
+	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
+	var request changeRequest
+	if err := c.Bind(&request); err != nil {
+		return refuser.Refuse(refuser.ChangeInvalid, "the body is malformed")
+	}
+	changes, err := configurer.Changes(request.Changes)
+	if err != nil {
+		return refuser.Refuse(refuser.ChangeInvalid, err.Error())
+	}
+	batch := configurer.Batch{Operation: request.Operation, Base: request.Base, Changes: changes}
+	receipt, err := a.proposer.Propose(c.Request().Context(), batch)
+	if err != nil {
+		return err
+	}
+	a.log.Info("change accepted", "operation", request.Operation, "version", receipt.Version, "changes", len(changes))
+	return c.JSON(http.StatusOK, changeReply{receipt.Version})
+}
+
+type configurationReply struct {
+	Version uint64              `json:"version"`
+	Records []configurer.Record `json:"records"`
+}
+
+func (a *Administrator) configuration(c echo.Context) error {
+	configuration := a.hub.Configuration()
+	return c.JSON(http.StatusOK, configurationReply{configuration.Version(), configuration.Records()})
+}
+
+type nodesReply struct {
+	Nodes []tracker.Node `json:"nodes"`
+}
+
+func (a *Administrator) nodes(c echo.Context) error {
+	return c.JSON(http.StatusOK, nodesReply{a.hub.Directory().Nodes()})
+}
+
+type versionReply struct {
+	Version uint64            `json:"version"`
+	Applied map[string]uint64 `json:"applied"`
+}
+
+func (a *Administrator) version(c echo.Context) error {
+	return c.JSON(http.StatusOK, versionReply{a.hub.Configuration().Version(), a.server.Applied()})
+}
+
+type refusalReply struct {
+	Error   string `json:"error"`
+	Message string `json:"message"`
+	Detail  string `json:"detail"`
+}
+
+// refuse answers with the row of the refusal's kind. Operators get the detail too.
+func refuse(err error, c echo.Context) {
+	refusal := refuser.From(err)
+	answer := refusal.Kind.Answer()
+	_ = c.JSON(answer.Status, refusalReply{string(refusal.Kind), answer.Message, refusal.Detail})
+}
--- /dev/null
+++ b/core/configurer/record.go
@@ -0,0 +1,119 @@
+package configurer
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/core/keyer"
+)
+
+// Record is the flat form of a Change, for the operators' interface (JSON) and for the fleet's own (CBOR).
+type Record struct {
+	Verb       string    `cbor:"1,keyasint" json:"verb"`
+	Kind       string    `cbor:"2,keyasint" json:"kind"`
+	Name       string    `cbor:"3,keyasint" json:"name"`
+	Workspace  string    `cbor:"4,keyasint,omitempty" json:"workspace,omitempty"`
+	Rate       PerSecond `cbor:"5,keyasint,omitempty" json:"rate,omitempty"`
+	Burst      int       `cbor:"6,keyasint,omitempty" json:"burst,omitempty"`
+	Weight     int       `cbor:"7,keyasint,omitempty" json:"weight,omitempty"`
+	Digest     []byte    `cbor:"8,keyasint,omitempty" json:"digest,omitempty"`
+	Withdrawn  bool      `cbor:"9,keyasint,omitempty" json:"withdrawn,omitempty"`
+	Host       string    `cbor:"10,keyasint,omitempty" json:"host,omitempty"`
+	Prefix     string    `cbor:"11,keyasint,omitempty" json:"prefix,omitempty"`
+	Service    string    `cbor:"12,keyasint,omitempty" json:"service,omitempty"`
+	Open       bool      `cbor:"13,keyasint,omitempty" json:"open,omitempty"`
+	Repeatable bool      `cbor:"14,keyasint,omitempty" json:"repeatable,omitempty"`
+	Limit      int64     `cbor:"15,keyasint,omitempty" json:"milliseconds,omitempty"`
+	Floor      int       `cbor:"16,keyasint,omitempty" json:"floor,omitempty"`
+}
+
+const (
+	verbPut    = "put"
+	verbRemove = "remove"
+
+	kindWorkspace = "workspace"
+	kindRoute     = "route"
+	kindService   = "service"
+	kindKey       = "key"
+)
+
+// NewRecord returns the flat form of change.
+func NewRecord(change Change) Record {
+	switch change := change.(type) {
+	case PutWorkspace:
+		w := change.Workspace
+		return Record{Verb: verbPut, Kind: kindWorkspace, Name: w.Name, Rate: w.Rate, Burst: w.Burst, Weight: w.Weight}
+	case RemoveWorkspace:
+		return Record{Verb: verbRemove, Kind: kindWorkspace, Name: change.Name}
+	case PutRoute:
+		r := change.Route
+		return Record{
+			Verb: verbPut, Kind: kindRoute, Name: r.Name, Host: r.Host, Prefix: r.Prefix, Service: r.Service,
+			Open: r.Open, Repeatable: r.Repeatable, Limit: r.Limit.Milliseconds(),
+		}
+	case RemoveRoute:
+		return Record{Verb: verbRemove, Kind: kindRoute, Name: change.Name}
+	case PutService:
+		return Record{Verb: verbPut, Kind: kindService, Name: change.Service.Name, Floor: change.Service.Floor}
+	case RemoveService:
+		return Record{Verb: verbRemove, Kind: kindService, Name: change.Name}
+	case IssueKey:
+		k := change.Key
+		return Record{
+			Verb: verbPut, Kind: kindKey, Name: k.ID, Workspace: k.Workspace, Digest: k.Digest[:], Withdrawn: k.Withdrawn,
+		}
+	case WithdrawKey:
+		return Record{Verb: verbRemove, Kind: kindKey, Name: change.ID}
+	}
+	return Record{}
+}
+
+// Change returns the change that the record describes. It fails on a verb, kind or digest that is not known.
+func (r Record) Change() (Change, error) {
+	switch r.Verb + " " + r.Kind {
+	case verbPut + " " + kindWorkspace:
+		return PutWorkspace{Workspace{Name: r.Name, Rate: r.Rate, Burst: r.Burst, Weight: r.Weight}}, nil
+	case verbRemove + " " + kindWorkspace:
+		return RemoveWorkspace{r.Name}, nil
+	case verbPut + " " + kindRoute:
+		limit := time.Duration(r.Limit) * time.Millisecond
+		return PutRoute{Route{r.Name, r.Host, r.Prefix, r.Service, r.Open, r.Repeatable, limit}}, nil
+	case verbRemove + " " + kindRoute:
+		return RemoveRoute{r.Name}, nil
+	case verbPut + " " + kindService:
+		return PutService{Service{Name: r.Name, Floor: r.Floor}}, nil
+	case verbRemove + " " + kindService:
+		return RemoveService{r.Name}, nil
+	case verbPut + " " + kindKey:
+		if len(r.Digest) != len(keyer.Digest{}) {
+			return nil, errors.Newf("key %s: digest has %d bytes", r.Name, len(r.Digest))
+		}
+		return IssueKey{Key{r.Name, r.Workspace, keyer.Digest(r.Digest), r.Withdrawn}}, nil
+	case verbRemove + " " + kindKey:
+		return WithdrawKey{r.Name}, nil
+	}
+	return nil, errors.Newf("no change is called %q %q", r.Verb, r.Kind)
+}
+
+// NewRecords returns the flat forms of changes.
+func NewRecords(changes []Change) []Record {
+	records := make([]Record, 0, len(changes))
+	for _, change := range changes {
+		records = append(records, NewRecord(change))
+	}
+	return records
+}
+
+// Changes returns the changes that records describe, or the first error.
+func Changes(records []Record) ([]Change, error) {
+	changes := make([]Change, 0, len(records))
+	for _, record := range records {
+		change, err := record.Change()
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, change)
+	}
+	return changes, nil
+}
--- /dev/null
+++ b/core/keyer/key.go
@@ -0,0 +1,74 @@
+// Package keyer issues and checks the keys that callers present. Only a key's identifier and digest are ever stored.
+package keyer
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base32"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	prefix      = "smk"
+	idBytes     = 10
+	secretBytes = 20
+	separator   = "_"
+)
+
+var alphabet = base32.NewEncoding("abcdefghijklmnopqrstuvwxyz234567").WithPadding(base32.NoPadding)
+
+// Digest is the SHA-256 of a whole key.
+type Digest [sha256.Size]byte
+
+// Key is one key in clear. It is shown to the operator once and must not be logged or stored.
+type Key struct {
+	ID   string
+	text string
+}
+
+// New draws a key from random, which must be cryptographically secure.
+func New(random io.Reader) (Key, error) {
+	raw := make([]byte, idBytes+secretBytes)
+	if _, err := io.ReadFull(random, raw); err != nil {
+		return Key{}, errors.Wrap(err, "draw key")
+	}
+	id := alphabet.EncodeToString(raw[:idBytes])
+	secret := alphabet.EncodeToString(raw[idBytes:])
+	return Key{ID: id, text: strings.Join([]string{prefix, id, secret}, separator)}, nil
+}
+
+// Parse reads a key as a caller presents it. The error never contains the text.
+func Parse(text string) (Key, error) {
+	parts := strings.Split(text, separator)
+	if len(parts) != 3 || parts[0] != prefix {
+		return Key{}, errors.New("key does not have the form smk_ID_SECRET")
+	}
+	if len(parts[1]) != alphabet.EncodedLen(idBytes) || len(parts[2]) != alphabet.EncodedLen(secretBytes) {
+		return Key{}, errors.New("key has a wrong length")
+	}
+	return Key{ID: parts[1], text: text}, nil
+}
+
+// Digest returns the digest under which the key is stored.
+func (k Key) Digest() Digest {
+	return sha256.Sum256([]byte(k.text))
+}
+
+// Reveal returns the key in clear, for the operator's eyes or for a caller's Authorization header.
+func (k Key) Reveal() string {
+	return k.text
+}
+
+// String hides the secret, so that a key that reaches a log shows only its identifier.
+func (k Key) String() string {
+	return prefix + separator + k.ID + separator + "hidden"
+}
+
+// Matches reports in constant time whether the key has the digest.
+func (k Key) Matches(digest Digest) bool {
+	own := k.Digest()
+	return subtle.ConstantTimeCompare(own[:], digest[:]) == 1
+}
--- /dev/null
+++ b/core/messenger/encoding.go
@@ -0,0 +1,58 @@
+// Package messenger carries drpc calls between the fleet's own processes: the codec, the mutual greeting that admits
+// only processes which hold the fleet's secret, a server and pooled connections.
+package messenger
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+)
+
+const (
+	maxNesting  = 16
+	maxElements = 1 << 20
+)
+
+var (
+	encodeMode = must(cbor.CoreDetEncOptions().EncMode())
+	decodeMode = must(cbor.DecOptions{
+		MaxNestedLevels:   maxNesting,
+		MaxArrayElements:  maxElements,
+		MaxMapPairs:       maxElements,
+		ExtraReturnErrors: cbor.ExtraDecErrorNone,
+	}.DecMode())
+)
+
+// Encoding is the drpc encoding of the fleet: CBOR in its core deterministic form.
+type Encoding struct{}
+
+var _ drpc.Encoding = Encoding{}
+
+// Marshal returns the CBOR form of message.
+func (Encoding) Marshal(message drpc.Message) ([]byte, error) {
+	return Marshal(message)
+}
+
+// Unmarshal reads one CBOR item of buf into message.
+func (Encoding) Unmarshal(buf []byte, message drpc.Message) error {
+	return Unmarshal(buf, message)
+}
+
+// Marshal returns the CBOR form of value.
+func Marshal(value any) ([]byte, error) {
+	buf, err := encodeMode.Marshal(value)
+	return buf, errors.Wrap(err, "encode message")
+}
+
+// Unmarshal reads one CBOR item of buf into value. Its memory is bounded by the length of buf and by the limits on
+// nesting and elements; trailing bytes are an error.
+func Unmarshal(buf []byte, value any) error {
+	return errors.Wrap(decodeMode.Unmarshal(buf, value), "decode message")
+}
+
+func must[T any](value T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
--- /dev/null
+++ b/core/messenger/greeting.go
@@ -0,0 +1,104 @@
+package messenger
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// GreetingTimeout bounds how long a new connection may take to prove that it belongs to the fleet.
+const GreetingTimeout = 2 * time.Second
+
+const (
+	nonceBytes = 32
+	magic      = "samphire/1"
+)
+
+// ErrStranger is returned when the other side does not hold the same secret or belongs to another cluster.
+var ErrStranger = errors.New("the other side is not of this fleet")
+
+// Credentials prove that a process belongs to the fleet. The zero value proves nothing and matches nothing.
+type Credentials struct {
+	cluster string
+	secret  []byte
+}
+
+// NewCredentials returns the credentials for cluster. Secret is the shared secret of all its processes.
+func NewCredentials(cluster string, secret []byte) Credentials {
+	return Credentials{cluster: cluster, secret: secret}
+}
+
+// greetServer proves this side to a client and checks the client's proof. It reads a fixed number of bytes, so that a
+// stranger costs bounded memory and time.
+func (c Credentials) greetServer(conn net.Conn) error {
+	return c.greet(conn, "server", "client", func(send, receive func() error) error {
+		if err := receive(); err != nil {
+			return err
+		}
+		return send()
+	})
+}
+
+func (c Credentials) greetClient(conn net.Conn) error {
+	return c.greet(conn, "client", "server", func(send, receive func() error) error {
+		if err := send(); err != nil {
+			return err
+		}
+		return receive()
+	})
+}
+
+// greet exchanges nonces, then proofs over both nonces in the order that the side needs: the client proves first, so
+// that a server tells nothing to a stranger.
+func (c Credentials) greet(conn net.Conn, own, other string, order func(send, receive func() error) error) error {
+	if err := conn.SetDeadline(time.Now().Add(GreetingTimeout)); err != nil {
+		return errors.Wrap(err, "set greeting deadline")
+	}
+	ownNonce := make([]byte, nonceBytes)
+	if _, err := rand.Read(ownNonce); err != nil {
+		return errors.Wrap(err, "draw nonce")
+	}
+	if _, err := conn.Write(append([]byte(magic), ownNonce...)); err != nil {
+		return errors.Wrap(err, "send nonce")
+	}
+	otherNonce := make([]byte, len(magic)+nonceBytes)
+	if _, err := io.ReadFull(conn, otherNonce); err != nil {
+		return errors.Wrap(err, "receive nonce")
+	}
+	if string(otherNonce[:len(magic)]) != magic {
+		return ErrStranger
+	}
+	otherNonce = otherNonce[len(magic):]
+	send := func() error {
+		_, err := conn.Write(c.proof(own, ownNonce, otherNonce))
+		return errors.Wrap(err, "send proof")
+	}
+	receive := func() error {
+		proof := make([]byte, sha256.Size)
+		if _, err := io.ReadFull(conn, proof); err != nil {
+			return errors.CombineErrors(ErrStranger, err)
+		}
+		if len(c.secret) == 0 || !hmac.Equal(proof, c.proof(other, otherNonce, ownNonce)) {
+			return ErrStranger
+		}
+		return nil
+	}
+	if err := order(send, receive); err != nil {
+		return err
+	}
+	return errors.Wrap(conn.SetDeadline(time.Time{}), "clear greeting deadline")
+}
+
+func (c Credentials) proof(role string, prover, verifier []byte) []byte {
+	mac := hmac.New(sha256.New, c.secret)
+	for _, part := range [][]byte{[]byte(role), []byte(c.cluster), prover, verifier} {
+		mac.Write([]byte{byte(len(part))})
+		mac.Write(part)
+	}
+	return mac.Sum(nil)
+}
--- /dev/null
+++ b/core/messenger/pool.go
@@ -0,0 +1,59 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+)
+
+const (
+	idleExpiration  = 30 * time.Second
+	idlePerAddress  = 64
+	idleConnections = 1024
+	keepAlivePeriod = 5 * time.Second
+)
+
+// Pool keeps connections to other processes of the fleet, one call at a time on each.
+type Pool struct {
+	credentials Credentials
+	pool        *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewPool returns an empty pool whose connections prove credentials.
+func NewPool(credentials Credentials) *Pool {
+	return &Pool{
+		credentials: credentials,
+		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+			Expiration: idleExpiration, Capacity: idleConnections, KeyCapacity: idlePerAddress,
+		}),
+	}
+}
+
+// Get returns a connection to address that is dialled, or taken from the idle ones, when a call starts on it.
+func (p *Pool) Get(ctx context.Context, address string) drpcpool.Conn {
+	return p.pool.Get(ctx, address, p.Dial)
+}
+
+// Dial opens a new connection to address and exchanges greetings. It returns ErrStranger if the other side is not of
+// the fleet.
+func (p *Pool) Dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	dialer := net.Dialer{KeepAlive: keepAlivePeriod}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	if err := p.credentials.greetClient(conn); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() error {
+	return errors.Wrap(p.pool.Close(), "close pool")
+}
--- /dev/null
+++ b/core/messenger/server.go
@@ -0,0 +1,93 @@
+package messenger
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+)
+
+const (
+	maxMessageBytes = 4 << 20
+	acceptPause     = 50 * time.Millisecond
+)
+
+// Mux dispatches calls by name.
+type Mux map[string]func(stream drpc.Stream) error
+
+var _ drpc.Handler = Mux(nil)
+
+// HandleRPC implements drpc.Handler.
+func (m Mux) HandleRPC(stream drpc.Stream, rpc string) error {
+	handle, ok := m[rpc]
+	if !ok {
+		return errors.Newf("no call is named %q", rpc)
+	}
+	return handle(stream)
+}
+
+// Server serves drpc calls to processes of the fleet.
+type Server struct {
+	credentials Credentials
+	handler     drpc.Handler
+	log         *slog.Logger
+}
+
+// NewServer returns a server that admits holders of credentials and passes their calls to handler.
+func NewServer(credentials Credentials, handler drpc.Handler, log *slog.Logger) *Server {
+	return &Server{credentials: credentials, handler: handler, log: log}
+}
+
+// Serve accepts connections until ctx ends, then closes listener and waits for the calls in progress to return.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	server := drpcserver.NewWithOptions(s.handler, drpcserver.Options{Manager: managerOptions()})
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		<-ctx.Done()
+		return listener.Close()
+	})
+	group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if ctx.Err() != nil {
+				return nil
+			}
+			if err != nil {
+				s.log.Warn("accept failed", "error", err)
+				time.Sleep(acceptPause)
+				continue
+			}
+			group.Go(func() error {
+				s.serveConn(ctx, server, conn)
+				return nil
+			})
+		}
+	})
+	err := group.Wait()
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve fleet connections")
+}
+
+func (s *Server) serveConn(ctx context.Context, server *drpcserver.Server, conn net.Conn) {
+	if err := s.credentials.greetServer(conn); err != nil {
+		s.log.Warn("connection refused", "remote", conn.RemoteAddr(), "reason", err)
+		_ = conn.Close()
+		return
+	}
+	if err := server.ServeOne(ctx, conn); err != nil {
+		s.log.Debug("connection ended", "remote", conn.RemoteAddr(), "reason", err)
+	}
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
+}
--- /dev/null
+++ b/core/refuser/kind.go
@@ -0,0 +1,44 @@
+// Package refuser holds the closed list of error kinds and the table that maps each kind to the answer a caller gets.
+package refuser
+
+// Kind names one reason for which the fleet refuses or fails a request. The list is closed: every Kind has a row
+// in the table of answers.
+type Kind string
+
+// The kinds, in the order in which a request can meet them.
+const (
+	RequestInvalid     Kind = "request-invalid"
+	HeadTooLarge       Kind = "head-too-large"
+	UpgradeUnsupported Kind = "upgrade-unsupported"
+	RouteUnknown       Kind = "route-unknown"
+	KeyMissing         Kind = "key-missing"
+	KeyRepeated        Kind = "key-repeated"
+	KeyUnknown         Kind = "key-unknown"
+	KeyWithdrawn       Kind = "key-withdrawn"
+	ConfigurationStale Kind = "configuration-stale"
+	RateExceeded       Kind = "rate-exceeded"
+	Quarantined        Kind = "quarantined"
+	InProgress         Kind = "in-progress"
+	CapacityShort      Kind = "capacity-short"
+	TargetUnknown      Kind = "target-unknown"
+	TargetUnreachable  Kind = "target-unreachable"
+	NodeUnreachable    Kind = "node-unreachable"
+	NodeStopping       Kind = "node-stopping"
+	BodyCut            Kind = "body-cut"
+	DeadlinePassed     Kind = "deadline-passed"
+	AnswerCut          Kind = "answer-cut"
+	OutcomeUnknown     Kind = "outcome-unknown"
+	ChangeInvalid      Kind = "change-invalid"
+	ChangeConflict     Kind = "change-conflict"
+	LeaderUnknown      Kind = "leader-unknown"
+	OperatorUnknown    Kind = "operator-unknown"
+	Internal           Kind = "internal"
+)
+
+// Answer is what a caller gets for a Kind: the HTTP status, a sentence, and whether sending the same request again
+// later can help.
+type Answer struct {
+	Status  int
+	Message string
+	Again   bool
+}
--- /dev/null
+++ b/core/refuser/table.go
@@ -0,0 +1,50 @@
+package refuser
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+)
+
+var table = map[Kind]Answer{
+	RequestInvalid:     {http.StatusBadRequest, "the request is malformed", false},
+	HeadTooLarge:       {http.StatusRequestHeaderFieldsTooLarge, "the request head is too large", false},
+	UpgradeUnsupported: {http.StatusNotImplemented, "connection upgrades are not supported", false},
+	RouteUnknown:       {http.StatusNotFound, "no route matches the request", false},
+	KeyMissing:         {http.StatusUnauthorized, "the route needs a key", false},
+	KeyRepeated:        {http.StatusBadRequest, "the request carries more than one Authorization header", false},
+	KeyUnknown:         {http.StatusUnauthorized, "the key is not known", false},
+	KeyWithdrawn:       {http.StatusUnauthorized, "the key is withdrawn", false},
+	ConfigurationStale: {http.StatusServiceUnavailable, "the node cannot confirm that the key is still valid", true},
+	RateExceeded:       {http.StatusTooManyRequests, "the workspace is past its rate", true},
+	Quarantined:        {http.StatusUnprocessableEntity, "requests with this content crashed targets", false},
+	InProgress:         {http.StatusConflict, "a request with this idempotency key is in progress", true},
+	CapacityShort:      {http.StatusServiceUnavailable, "no target has capacity", true},
+	TargetUnknown:      {http.StatusServiceUnavailable, "the chosen target is not known to its node", true},
+	TargetUnreachable:  {http.StatusBadGateway, "the target accepts no connection", true},
+	NodeUnreachable:    {http.StatusBadGateway, "the node beside the target cannot be reached", true},
+	NodeStopping:       {http.StatusServiceUnavailable, "the node is stopping", true},
+	BodyCut:            {http.StatusBadRequest, "the request body ended early", false},
+	DeadlinePassed:     {http.StatusGatewayTimeout, "the deadline passed", true},
+	AnswerCut:          {http.StatusBadGateway, "the answer ended early", true},
+	OutcomeUnknown:     {http.StatusGatewayTimeout, "whether the request ran is not known", false},
+	ChangeInvalid:      {http.StatusUnprocessableEntity, "the change is not valid", false},
+	ChangeConflict:     {http.StatusConflict, "the change builds on a version that is no longer current", false},
+	LeaderUnknown:      {http.StatusServiceUnavailable, "no leader can accept the change now", true},
+	OperatorUnknown:    {http.StatusUnauthorized, "the operator token is not valid", false},
+	Internal:           {http.StatusInternalServerError, "the fleet failed to handle the request", true},
+}
+
+// Kinds returns every kind in alphabetical order.
+func Kinds() []Kind {
+	return slices.Sorted(maps.Keys(table))
+}
+
+// Answer returns the row of kind. A kind outside the list, as an older process may meet it, answers as Internal.
+func (k Kind) Answer() Answer {
+	answer, ok := table[k]
+	if !ok {
+		return table[Internal]
+	}
+	return answer
+}
--- /dev/null
+++ b/core/starter/run.go
@@ -0,0 +1,63 @@
+package starter
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const headTimeout = 5 * time.Second
+
+// Main runs a program and returns its exit code. Errors of settings are printed in full.
+func Main(parse func() error, run func(ctx context.Context) error) int {
+	err := parse()
+	if errors.Is(err, ErrHelp) {
+		return ExitOK
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return ExitSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		return ExitFailed
+	}
+	return ExitOK
+}
+
+// ServeHTTP serves handler on listener until ctx ends, then lets the requests in progress finish for at most grace.
+func ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler, grace time.Duration) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headTimeout}
+	group, running := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve HTTP")
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-running.Done()
+		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+		defer cancel()
+		return errors.Wrap(server.Shutdown(ending), "shut HTTP down")
+	})
+	return group.Wait()
+}
+
+// ServeMetrics serves expvar's variables until ctx ends.
+func ServeMetrics(ctx context.Context, listener net.Listener) error {
+	mux := http.NewServeMux()
+	mux.Handle("/debug/vars", expvar.Handler())
+	return ServeHTTP(ctx, listener, mux, time.Second)
+}
--- /dev/null
+++ b/core/synchronizer/client.go
@@ -0,0 +1,215 @@
+package synchronizer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/tracker"
+)
+
+const (
+	minPause = 100 * time.Millisecond
+	maxPause = 2 * time.Second
+)
+
+// Sink takes what a publisher sends, if it is newer than what it holds.
+type Sink interface {
+	Configuration() configurer.Configuration
+	Install(configuration configurer.Configuration) bool
+	Merge(records ...tracker.Node) []tracker.Node
+}
+
+// Reporter supplies the record that a subscriber reports about itself. Reports delivers a value after each change.
+// Connected is called at each new connection, before the first report on it.
+type Reporter interface {
+	Node() *tracker.Node
+	Reports() <-chan struct{}
+	Connected()
+}
+
+// Client subscribes to one of several publishers at a time.
+type Client struct {
+	pool      *messenger.Pool
+	addresses []string
+	sink      Sink
+	reporter  Reporter
+	log       *slog.Logger
+}
+
+// NewClient returns a client that tries addresses in turn. Reporter may be nil for a process that is not a node.
+func NewClient(pool *messenger.Pool, addresses []string, sink Sink, reporter Reporter, log *slog.Logger) *Client {
+	return &Client{pool: pool, addresses: addresses, sink: sink, reporter: reporter, log: log}
+}
+
+// Run keeps a subscription until ctx ends. Pauses between tries grow, and are drawn at random so that many clients
+// that lost the same publisher do not return at the same moment.
+func (c *Client) Run(ctx context.Context) error {
+	pause := minPause
+	for turn := 0; ctx.Err() == nil; turn++ {
+		address := c.addresses[turn%len(c.addresses)]
+		started := time.Now()
+		err := c.follow(ctx, address)
+		if ctx.Err() != nil {
+			return nil
+		}
+		c.log.Warn("subscription lost", "address", address, "reason", err)
+		if time.Since(started) > SilenceLimit {
+			pause = minPause
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause/2 + rand.N(pause)):
+		}
+		pause = min(2*pause, maxPause)
+	}
+	return nil
+}
+
+func (c *Client) follow(ctx context.Context, address string) error {
+	group, ctx := errgroup.WithContext(ctx)
+	conn, err := c.pool.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := conn.NewStream(ctx, callSubscribe, messenger.Encoding{})
+	if err != nil {
+		return errors.Wrap(err, "open subscription")
+	}
+	if c.reporter != nil {
+		c.reporter.Connected()
+	}
+	if err := c.report(stream); err != nil {
+		return err
+	}
+	c.log.Info("subscribed", "address", address, "version", c.sink.Configuration().Version())
+	heard := make(chan struct{}, 1)
+	group.Go(func() error { return c.receive(stream, heard) })
+	group.Go(func() error { return c.reportChanges(ctx, stream) })
+	group.Go(func() error {
+		// A connection that went silent never fails by itself, so it is closed here.
+		err := watchSilence(ctx, heard)
+		_ = conn.Close()
+		return err
+	})
+	return group.Wait()
+}
+
+func watchSilence(ctx context.Context, heard <-chan struct{}) error {
+	timer := time.NewTimer(SilenceLimit)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-heard:
+			timer.Reset(SilenceLimit)
+		case <-timer.C:
+			return errors.New("the publisher is silent")
+		}
+	}
+}
+
+func (c *Client) reportChanges(ctx context.Context, stream drpc.Stream) error {
+	ticker := time.NewTicker(HeartbeatPeriod)
+	defer ticker.Stop()
+	var changed <-chan struct{}
+	if c.reporter != nil {
+		changed = c.reporter.Reports()
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-changed:
+		}
+		if err := c.report(stream); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Client) report(stream drpc.Stream) error {
+	report := reportMessage{Version: c.sink.Configuration().Version()}
+	if c.reporter != nil {
+		report.Node = c.reporter.Node()
+	}
+	return errors.Wrap(stream.MsgSend(&report, messenger.Encoding{}), "send report")
+}
+
+func (c *Client) receive(stream drpc.Stream, heard chan<- struct{}) error {
+	var snapshot []configurer.Record
+	for {
+		var update updateMessage
+		if err := stream.MsgRecv(&update, messenger.Encoding{}); err != nil {
+			return errors.Wrap(err, "receive update")
+		}
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
+		c.sink.Merge(update.Nodes...)
+		if update.Snapshot {
+			snapshot = append(snapshot, update.Records...)
+		}
+		if err := c.install(update, snapshot); err != nil {
+			return err
+		}
+		if update.Last {
+			snapshot = nil
+		}
+	}
+}
+
+func (c *Client) install(update updateMessage, snapshot []configurer.Record) error {
+	switch {
+	case update.Snapshot && update.Last:
+		return c.installSnapshot(update.Version, snapshot)
+	case !update.Snapshot && update.Operation != "":
+		return c.installBatch(update)
+	default:
+		return nil
+	}
+}
+
+func (c *Client) installSnapshot(version uint64, records []configurer.Record) error {
+	configuration, err := configurer.FromRecords(version, records)
+	if err != nil {
+		return err
+	}
+	if c.sink.Install(configuration) {
+		c.log.Info("configuration in force", "version", version, "reason", "snapshot")
+	}
+	return nil
+}
+
+func (c *Client) installBatch(update updateMessage) error {
+	current := c.sink.Configuration()
+	if update.Version <= current.Version() {
+		return nil
+	}
+	if update.Version != current.Version()+1 {
+		return errors.Newf("version %d does not follow version %d", update.Version, current.Version())
+	}
+	changes, err := configurer.Changes(update.Records)
+	if err != nil {
+		return err
+	}
+	next, _, err := current.With(configurer.Batch{Operation: update.Operation, Changes: changes})
+	if err != nil {
+		return err
+	}
+	if c.sink.Install(next) {
+		c.log.Info("configuration in force", "version", update.Version, "reason", "change")
+	}
+	return nil
+}
--- /dev/null
+++ b/core/synchronizer/server.go
@@ -0,0 +1,144 @@
+package synchronizer
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/tracker"
+)
+
+// NodeLifetime is how long a node stays in the directory after its last connection was lost.
+const NodeLifetime = 3 * time.Second
+
+// Server publishes a Hub.
+type Server struct {
+	hub *Hub
+	log *slog.Logger
+
+	mu       sync.Mutex
+	applied  map[string]uint64
+	deadline map[string]time.Time
+}
+
+// NewServer returns a server that publishes hub.
+func NewServer(hub *Hub, log *slog.Logger) *Server {
+	return &Server{hub: hub, log: log, applied: make(map[string]uint64), deadline: make(map[string]time.Time)}
+}
+
+// Register adds the server's calls to mux.
+func (s *Server) Register(mux messenger.Mux) {
+	mux[callSubscribe] = s.subscribe
+}
+
+// Applied returns the version in force on each node that reports to this process.
+func (s *Server) Applied() map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	applied := make(map[string]uint64, len(s.applied))
+	for name, version := range s.applied {
+		applied[name] = version
+	}
+	return applied
+}
+
+// Run marks nodes that stopped reporting as gone, until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	ticker := time.NewTicker(HeartbeatPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			s.expire(now)
+		}
+	}
+}
+
+func (s *Server) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, deadline := range s.deadline {
+		if now.Before(deadline) {
+			continue
+		}
+		delete(s.deadline, name)
+		delete(s.applied, name)
+		node, _ := s.hub.Directory().Node(name)
+		node.Gone = true
+		if len(s.hub.Merge(node)) > 0 {
+			s.log.Info("node lost", "node", name, "reason", "no report before the deadline")
+		}
+	}
+}
+
+func (s *Server) subscribe(stream drpc.Stream) error {
+	var hello reportMessage
+	if err := stream.MsgRecv(&hello, messenger.Encoding{}); err != nil {
+		return errors.Wrap(err, "receive hello")
+	}
+	s.take(hello)
+	group, ctx := errgroup.WithContext(stream.Context())
+	group.Go(func() error { return s.publish(ctx, stream, hello.Version) })
+	group.Go(func() error {
+		for {
+			var report reportMessage
+			if err := stream.MsgRecv(&report, messenger.Encoding{}); err != nil {
+				return errors.Wrap(err, "receive report")
+			}
+			s.take(report)
+		}
+	})
+	return group.Wait()
+}
+
+func (s *Server) publish(ctx context.Context, stream drpc.Stream, version uint64) error {
+	subscription := s.hub.subscribe()
+	defer s.hub.unsubscribe(subscription)
+	ticker := time.NewTicker(HeartbeatPeriod)
+	defer ticker.Stop()
+	for {
+		messages := s.hub.next(subscription, version)
+		if len(messages) == 0 {
+			messages = []updateMessage{{Version: version}}
+		}
+		for _, message := range messages {
+			if err := stream.MsgSend(&message, messenger.Encoding{}); err != nil {
+				return errors.Wrap(err, "send update")
+			}
+			version = max(version, message.Version)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-subscription.wake:
+		}
+	}
+}
+
+func (s *Server) take(report reportMessage) {
+	if report.Node == nil {
+		return
+	}
+	node := *report.Node
+	s.mu.Lock()
+	s.applied[node.Name] = report.Version
+	s.deadline[node.Name] = time.Now().Add(NodeLifetime)
+	s.mu.Unlock()
+	s.merge(node)
+}
+
+func (s *Server) merge(node tracker.Node) {
+	if len(s.hub.Merge(node)) > 0 {
+		s.log.Info("node reported", "node", node.Name, "incarnation", node.Incarnation, "sequence", node.Sequence,
+			"targets", len(node.Targets), "leaving", node.Leaving)
+	}
+}
--- /dev/null
+++ b/core/synchronizer/wire.go
@@ -0,0 +1,39 @@
+// Package synchronizer keeps the configuration and the directory of many processes alike: one side publishes from a
+// Hub, the other takes what is newer into its Sink. A subscriber gets what changed, or the whole when that is smaller.
+package synchronizer
+
+import (
+	"time"
+
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/tracker"
+)
+
+const callSubscribe = "subscribe"
+
+const (
+	// HeartbeatPeriod is the longest silence of a side that has nothing to say.
+	HeartbeatPeriod = time.Second
+	// SilenceLimit is how long a side waits for the other before it gives the connection up.
+	SilenceLimit = 4 * time.Second
+
+	recordsPerMessage = 4096
+	nodesPerMessage   = 256
+)
+
+// reportMessage goes from the subscriber to the publisher. Version is that of the configuration in force.
+type reportMessage struct {
+	Version uint64        `cbor:"1,keyasint"`
+	Node    *tracker.Node `cbor:"2,keyasint,omitempty"`
+}
+
+// updateMessage goes from the publisher to the subscriber. Records belong to the batch that makes Version, or, if
+// Snapshot is set, to the whole configuration; Last closes a snapshot. A message without either is a heartbeat.
+type updateMessage struct {
+	Version   uint64              `cbor:"1,keyasint"`
+	Snapshot  bool                `cbor:"2,keyasint,omitempty"`
+	Last      bool                `cbor:"3,keyasint,omitempty"`
+	Operation string              `cbor:"4,keyasint,omitempty"`
+	Records   []configurer.Record `cbor:"5,keyasint,omitempty"`
+	Nodes     []tracker.Node      `cbor:"6,keyasint,omitempty"`
+}
--- /dev/null
+++ b/core/tracker/record.go
@@ -0,0 +1,37 @@
+// Package tracker keeps the directory of nodes and of the targets beside them.
+package tracker
+
+// Target is one back end as its node describes it. Slots is the number of requests that it can run at a time.
+type Target struct {
+	Name    string `cbor:"1,keyasint" json:"name"`
+	Service string `cbor:"2,keyasint" json:"service"`
+	Slots   int    `cbor:"3,keyasint" json:"slots"`
+	Leaving bool   `cbor:"4,keyasint,omitempty" json:"leaving,omitempty"`
+}
+
+// Node is what one node says of itself. Incarnation grows with each start of the node, Sequence with each change of
+// the record. Gone is set by the control process that lost the node.
+type Node struct {
+	Name        string   `cbor:"1,keyasint" json:"name"`
+	Region      string   `cbor:"2,keyasint" json:"region"`
+	Centre      string   `cbor:"3,keyasint" json:"centre"`
+	Address     string   `cbor:"4,keyasint" json:"address"`
+	Entry       string   `cbor:"5,keyasint" json:"entry"`
+	Incarnation uint64   `cbor:"6,keyasint" json:"incarnation"`
+	Sequence    uint64   `cbor:"7,keyasint" json:"sequence"`
+	Leaving     bool     `cbor:"8,keyasint,omitempty" json:"leaving,omitempty"`
+	Gone        bool     `cbor:"9,keyasint,omitempty" json:"gone,omitempty"`
+	Targets     []Target `cbor:"10,keyasint,omitempty" json:"targets,omitempty"`
+}
+
+// Newer reports whether n replaces old. Equal records do not replace each other, except that a loss replaces the
+// record that it is about.
+func (n Node) Newer(old Node) bool {
+	if n.Incarnation != old.Incarnation {
+		return n.Incarnation > old.Incarnation
+	}
+	if n.Sequence != old.Sequence {
+		return n.Sequence > old.Sequence
+	}
+	return n.Gone && !old.Gone
+}
--- /dev/null
+++ b/ctl/main.go
@@ -0,0 +1,12 @@
+// Samphire is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"samphiremount.example/ctl/pkg/commander"
+)
+
+func main() {
+	os.Exit(commander.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/ctl/pkg/operator/operator.go
@@ -0,0 +1,147 @@
+// Package operator talks to the control processes on an operator's behalf.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/tracker"
+)
+
+const (
+	tryLimit  = 30 * time.Second
+	pause     = 200 * time.Millisecond
+	rounds    = 25
+	headerKey = "Authorization"
+)
+
+// Operator sends requests to control processes, trying their addresses in turn.
+type Operator struct {
+	addresses []string
+	token     string
+	client    http.Client
+}
+
+// New returns an Operator that presents token to the control processes at addresses.
+func New(addresses []string, token string) *Operator {
+	return &Operator{addresses: addresses, token: token, client: http.Client{Timeout: tryLimit}}
+}
+
+// Refusal is an answer that a control process gave and that another try cannot change.
+type Refusal struct {
+	Kind    refuser.Kind `json:"error"`
+	Message string       `json:"message"`
+	Detail  string       `json:"detail"`
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s: %s", r.Kind, r.Message, r.Detail)
+}
+
+// Batch is a set of changes under one operation identity. Sending it again is safe.
+type Batch struct {
+	Operation string              `json:"operation"`
+	Base      uint64              `json:"base"`
+	Changes   []configurer.Record `json:"changes"`
+}
+
+// Receipt tells the version that contains a batch.
+type Receipt struct {
+	Version uint64 `json:"version"`
+}
+
+// Configuration is the configuration as records.
+type Configuration struct {
+	Version uint64              `json:"version"`
+	Records []configurer.Record `json:"records"`
+}
+
+// Nodes is the directory.
+type Nodes struct {
+	Nodes []tracker.Node `json:"nodes"`
+}
+
+// Version tells the newest version and the one in force on each node that reports to the process asked.
+type Version struct {
+	Version uint64            `json:"version"`
+	Applied map[string]uint64 `json:"applied"`
+}
+
+// Change sends batch until it is accepted or refused for good.
+func (o *Operator) Change(ctx context.Context, batch Batch) (Receipt, error) {
+	var receipt Receipt
+	body, err := json.Marshal(batch)
+	if err != nil {
+		return receipt, errors.Wrap(err, "encode changes")
+	}
+	return receipt, o.call(ctx, http.MethodPost, "/changes", body, &receipt)
+}
+
+// Configuration returns the configuration as the first control process that answers knows it.
+func (o *Operator) Configuration(ctx context.Context) (Configuration, error) {
+	var reply Configuration
+	return reply, o.call(ctx, http.MethodGet, "/configuration", nil, &reply)
+}
+
+// Nodes returns the directory as the first control process that answers knows it.
+func (o *Operator) Nodes(ctx context.Context) (Nodes, error) {
+	var reply Nodes
+	return reply, o.call(ctx, http.MethodGet, "/nodes", nil, &reply)
+}
+
+// Version returns the versions as the first control process that answers knows them.
+func (o *Operator) Version(ctx context.Context) (Version, error) {
+	var reply Version
+	return reply, o.call(ctx, http.MethodGet, "/version", nil, &reply)
+}
+
+func (o *Operator) call(ctx context.Context, method, path string, body []byte, reply any) error {
+	var last error
+	for range rounds {
+		for _, address := range o.addresses {
+			last = o.try(ctx, method, address, path, body, reply)
+			var refusal *Refusal
+			if last == nil || errors.As(last, &refusal) && !refusal.Kind.Answer().Again {
+				return last
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.CombineErrors(last, ctx.Err())
+		case <-time.After(pause):
+		}
+	}
+	return last
+}
+
+func (o *Operator) try(ctx context.Context, method, address, path string, body []byte, reply any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	request.Header.Set(headerKey, "Bearer "+o.token)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := o.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "ask control process")
+	}
+	defer func() { _ = response.Body.Close() }()
+	decoder := json.NewDecoder(response.Body)
+	if response.StatusCode != http.StatusOK {
+		refusal := &Refusal{}
+		if err := decoder.Decode(refusal); err != nil {
+			return errors.Newf("control process answered with status %d", response.StatusCode)
+		}
+		return refusal
+	}
+	return errors.Wrap(decoder.Decode(reply), "read answer of control process")
+}
--- /dev/null
+++ b/node/pkg/acceptor/acceptor.go
@@ -0,0 +1,156 @@
+// Package acceptor takes callers' requests: it authenticates, admits, routes and forwards them and returns answers.
+package acceptor
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rs/xid"
+
+	"samphiremount.example/core/limiter"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/router"
+	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/viewer"
+)
+
+// Dependencies are what an Acceptor needs.
+type Dependencies struct {
+	Viewer  *viewer.Viewer
+	Client  *carrier.Client
+	Router  router.Router
+	Random  *rand.Rand
+	Route   *slog.Logger
+	Admit   *slog.Logger
+	Limiter *limiter.Limiter
+}
+
+// Acceptor serves callers.
+type Acceptor struct {
+	Dependencies
+
+	mu       sync.Mutex
+	inFlight map[string]int
+}
+
+// New returns an Acceptor without requests in flight.
+func New(dependencies Dependencies) *Acceptor {
+	return &Acceptor{Dependencies: dependencies, inFlight: make(map[string]int)}
+}
+
+// Handler serves every method and path for callers.
+func (a *Acceptor) Handler() http.Handler {
+	server := echo.New()
+	server.Any("/*", a.serve)
+	server.HTTPErrorHandler = func(err error, c echo.Context) { refuse(c, "", err) }
+	return server
+}
+
+func (a *Acceptor) serve(c echo.Context) error {
+	id := xid.New().String()
+	answer, err := a.answer(c.Request(), id)
+	if err != nil {
+		refusal := refuser.From(err)
+		a.Route.Info("request refused", "request", id, "kind", refusal.Kind, "outcome", refusal.Outcome,
+			"detail", refusal.Detail)
+		refuse(c, id, refusal)
+		return nil
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if err := relay(c.Response(), id, answer); err != nil {
+		a.Route.Warn("answer cut", "request", id, "reason", err)
+		// The caller must see that the answer is not whole, so the connection ends without its end mark.
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+func (a *Acceptor) answer(request *http.Request, id string) (carrier.Answer, error) {
+	if err := checkRequest(request); err != nil {
+		return carrier.Answer{}, err
+	}
+	view := a.Viewer.View()
+	admission, err := authenticate(view, request)
+	if err != nil {
+		return carrier.Answer{}, err
+	}
+	if err := a.admit(view, admission, id); err != nil {
+		return carrier.Answer{}, err
+	}
+	deadline := time.Now().Add(admission.route.Limit)
+	head := carrier.Head{
+		ID: id, Service: admission.route.Service, Workspace: admission.workspace.Name,
+		Repeatable: admission.route.Repeatable, Deadline: deadline, Method: request.Method,
+		URI: request.URL.RequestURI(), Host: request.Host, Header: forwardHeader(request, id, admission),
+		Length: request.ContentLength,
+	}
+	return a.forward(request.Context(), view, head, request)
+}
+
+func (a *Acceptor) admit(view *viewer.View, admission admission, id string) error {
+	if admission.route.Open {
+		return nil
+	}
+	nodes := 0
+	for _, node := range view.Directory.Nodes() {
+		if !node.Gone {
+			nodes++
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.Limiter.Draw(time.Now(), admission.workspace, max(nodes, 1)) {
+		return refuser.Refuse(refuser.RateExceeded, "")
+	}
+	a.Admit.Info("request admitted", "request", id, "workspace", admission.workspace.Name)
+	return nil
+}
+
+func (a *Acceptor) forward(
+	ctx context.Context, view *viewer.View, head carrier.Head, request *http.Request,
+) (carrier.Answer, error) {
+	choice, err := a.choose(view, head.Service)
+	if err != nil {
+		return carrier.Answer{}, err
+	}
+	target, node := choice.Placement.Target, choice.Placement.Node
+	head.Target, head.Incarnation = target.Name, node.Incarnation
+	a.Route.Info("target chosen", "request", head.ID, "workspace", head.Workspace, "service", head.Service,
+		"target", target.Name, "node", node.Name, "reason", choice.Reason)
+	answer, err := a.Client.Carry(ctx, node.Address, head, request.Body)
+	if err != nil {
+		a.leave(target.Name)
+		return carrier.Answer{}, err
+	}
+	answer.Body = countedBody{answer.Body, sync.OnceFunc(func() { a.leave(target.Name) })}
+	return answer, nil
+}
+
+func (a *Acceptor) choose(view *viewer.View, service string) (router.Choice, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var candidates []router.Candidate
+	for _, placement := range view.Directory.Placements(service) {
+		load := a.inFlight[placement.Target.Name]
+		candidates = append(candidates, router.Candidate{Placement: placement, Load: load})
+	}
+	choice, err := a.Router.Choose(a.Random, candidates)
+	if err == nil {
+		a.inFlight[choice.Placement.Target.Name]++
+	}
+	return choice, err
+}
+
+func (a *Acceptor) leave(target string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.inFlight[target]--
+	if a.inFlight[target] == 0 {
+		delete(a.inFlight, target)
+	}
+}
--- /dev/null
+++ b/node/pkg/acceptor/authenticate.go
@@ -0,0 +1,81 @@
+package acceptor
+
+import (
+	"net"
+	"net/http"
+	"strings"
+
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/keyer"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/node/pkg/viewer"
+)
+
+const bearer = "Bearer "
+
+// admission is what is known of a request after its key was checked. Presented is the key's text, to keep it from
+// targets; it must not be logged.
+type admission struct {
+	route     configurer.Route
+	workspace configurer.Workspace
+	presented string
+}
+
+// authenticate finds the route and the workspace that the request's key belongs to. An open route needs no key and
+// runs for no workspace.
+func authenticate(view *viewer.View, request *http.Request) (admission, error) {
+	route, ok := view.Matcher.Match(hostname(request.Host), request.URL.Path)
+	if !ok {
+		return admission{}, refuser.Refuse(refuser.RouteUnknown, "")
+	}
+	values := request.Header.Values("Authorization")
+	if len(values) > 1 {
+		return admission{}, refuser.Refuse(refuser.KeyRepeated, "")
+	}
+	if route.Open {
+		return admission{route: route, presented: presented(values)}, nil
+	}
+	if len(values) == 0 {
+		return admission{}, refuser.Refuse(refuser.KeyMissing, "")
+	}
+	workspace, err := owner(view.Configuration, presented(values))
+	return admission{route: route, workspace: workspace, presented: presented(values)}, err
+}
+
+func presented(values []string) string {
+	if len(values) == 0 {
+		return ""
+	}
+	value := values[0]
+	if len(value) > len(bearer) && strings.EqualFold(value[:len(bearer)], bearer) {
+		return strings.TrimSpace(value[len(bearer):])
+	}
+	return value
+}
+
+func owner(configuration configurer.Configuration, text string) (configurer.Workspace, error) {
+	key, err := keyer.Parse(text)
+	if err != nil {
+		return configurer.Workspace{}, refuser.Refuse(refuser.KeyUnknown, "")
+	}
+	stored, ok := configuration.Key(key.ID)
+	if !ok || !key.Matches(stored.Digest) {
+		return configurer.Workspace{}, refuser.Refuse(refuser.KeyUnknown, "")
+	}
+	if stored.Withdrawn {
+		return configurer.Workspace{}, refuser.Refuse(refuser.KeyWithdrawn, "")
+	}
+	workspace, ok := configuration.Workspace(stored.Workspace)
+	if !ok {
+		return configurer.Workspace{}, refuser.Refuse(refuser.KeyUnknown, "the workspace is gone")
+	}
+	return workspace, nil
+}
+
+func hostname(hostport string) string {
+	host, _, err := net.SplitHostPort(hostport)
+	if err != nil {
+		return hostport
+	}
+	return host
+}
--- /dev/null
+++ b/node/pkg/acceptor/reply.go
@@ -0,0 +1,80 @@
+package acceptor
+
+import (
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/node/pkg/carrier"
+)
+
+const relayBytes = 32 << 10
+
+type refusalReply struct {
+	Error   string `json:"error"`
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+	Request string `json:"request"`
+}
+
+// refuse answers with the row of the refusal's kind. The detail stays in the log.
+func refuse(c echo.Context, id string, err error) {
+	if c.Response().Committed {
+		return
+	}
+	refusal := refuser.From(err)
+	answer := refusal.Kind.Answer()
+	header := c.Response().Header()
+	header.Set(headerRequest, id)
+	header.Set(headerOutcome, refusal.Outcome.String())
+	if answer.Again {
+		header.Set("Retry-After", "1")
+	}
+	_ = c.JSON(answer.Status, refusalReply{string(refusal.Kind), answer.Message, refusal.Outcome.String(), id})
+}
+
+// relay writes a target's answer to the caller, flushing each part so that a slow answer streams.
+func relay(response *echo.Response, id string, answer carrier.Answer) error {
+	header := response.Header()
+	for name, values := range endToEnd(answer.Header) {
+		if !strings.HasPrefix(name, headerPrefix) {
+			header[name] = values
+		}
+	}
+	header.Set(headerRequest, id)
+	header.Set(headerOutcome, refuser.Ran{}.String())
+	response.WriteHeader(answer.Status)
+	buf := make([]byte, relayBytes)
+	for {
+		n, err := answer.Body.Read(buf)
+		if n > 0 {
+			if _, err := response.Write(buf[:n]); err != nil {
+				return errors.Wrap(err, "write to caller")
+			}
+			_ = http.NewResponseController(response.Writer).Flush()
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// countedBody reports when the answer was read or given up.
+type countedBody struct {
+	io.ReadCloser
+
+	done func()
+}
+
+// Close implements io.Closer.
+func (b countedBody) Close() error {
+	defer b.done()
+	return errors.Wrap(b.ReadCloser.Close(), "close answer")
+}
--- /dev/null
+++ b/node/pkg/carrier/frame.go
@@ -0,0 +1,94 @@
+// Package carrier takes requests from the node where they enter to the node beside the target, and answers back, each
+// on a stream of its own.
+package carrier
+
+import (
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/messenger"
+)
+
+const callCarry = "carry"
+
+// frameKind is the first byte of each message.
+type frameKind byte
+
+const (
+	frameHead frameKind = iota + 1
+	framePart
+	frameEnd
+	frameRefused
+	frameAnswer
+)
+
+// frame is one message: a part's bytes as they are, or the CBOR form of what its kind says.
+type frame struct {
+	kind frameKind
+	data []byte
+}
+
+// endBody closes a body with its length in bytes and its xxHash64. A body without an end is not whole.
+type endBody struct {
+	Length uint64 `cbor:"1,keyasint"`
+	Sum    uint64 `cbor:"2,keyasint"`
+}
+
+type refusedBody struct {
+	Kind    string `cbor:"1,keyasint"`
+	Outcome string `cbor:"2,keyasint"`
+	Detail  string `cbor:"3,keyasint,omitempty"`
+}
+
+// headBody is the wire form of Head. Remaining is in milliseconds: clocks of two VMs are not compared.
+type headBody struct {
+	ID          string              `cbor:"1,keyasint"`
+	Incarnation uint64              `cbor:"2,keyasint"`
+	Target      string              `cbor:"3,keyasint"`
+	Service     string              `cbor:"4,keyasint"`
+	Workspace   string              `cbor:"5,keyasint,omitempty"`
+	Repeatable  bool                `cbor:"6,keyasint,omitempty"`
+	Remaining   int64               `cbor:"7,keyasint"`
+	Method      string              `cbor:"8,keyasint"`
+	URI         string              `cbor:"9,keyasint"`
+	Host        string              `cbor:"10,keyasint,omitempty"`
+	Header      map[string][]string `cbor:"11,keyasint,omitempty"`
+	Length      int64               `cbor:"12,keyasint"`
+}
+
+type answerBody struct {
+	ID     string              `cbor:"1,keyasint"`
+	Status int                 `cbor:"2,keyasint"`
+	Header map[string][]string `cbor:"3,keyasint,omitempty"`
+}
+
+// frameEncoding writes a frame as its kind and data.
+type frameEncoding struct{}
+
+var errFrame = errors.New("message is not a frame")
+
+func (frameEncoding) Marshal(message drpc.Message) ([]byte, error) {
+	f, ok := message.(*frame)
+	if !ok {
+		return nil, errFrame
+	}
+	return append([]byte{byte(f.kind)}, f.data...), nil
+}
+
+func (frameEncoding) Unmarshal(buf []byte, message drpc.Message) error {
+	f, ok := message.(*frame)
+	if !ok || len(buf) == 0 {
+		return errFrame
+	}
+	f.kind = frameKind(buf[0])
+	f.data = append(f.data[:0], buf[1:]...)
+	return nil
+}
+
+func send(stream drpc.Stream, kind frameKind, body any) error {
+	data, err := messenger.Marshal(body)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(stream.MsgSend(&frame{kind, data}, frameEncoding{}), "send frame")
+}
--- /dev/null
+++ b/node/pkg/enroller/enroller.go
@@ -0,0 +1,120 @@
+// Package enroller takes the announcements of the targets on this VM.
+package enroller
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/tracker"
+)
+
+const (
+	sweepPeriod  = 250 * time.Millisecond
+	maxBodyBytes = 64 << 10
+)
+
+// Enroller holds the announced targets and tells subscribers when they change.
+type Enroller struct {
+	log     *slog.Logger
+	changed func([]tracker.Target)
+
+	mu        sync.Mutex
+	registrar registrar.Registrar
+}
+
+// New returns an Enroller without targets. It calls changed with all targets after each change; changed must not block.
+func New(log *slog.Logger, changed func([]tracker.Target)) *Enroller {
+	return &Enroller{log: log, changed: changed}
+}
+
+// Handler serves the interface for targets: POST /targets takes an announcement.
+func (e *Enroller) Handler() http.Handler {
+	server := echo.New()
+	server.POST("/targets", e.announce)
+	return server
+}
+
+func (e *Enroller) announce(c echo.Context) error {
+	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
+	var announcement registrar.Announcement
+	if err := c.Bind(&announcement); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, "the announcement is malformed")
+	}
+	if err := check(announcement); err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	e.merge(announcement)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func check(announcement registrar.Announcement) error {
+	if announcement.Name == "" || announcement.Service == "" || announcement.Slots < 1 {
+		return errors.New("an announcement needs a name, a service and at least one slot")
+	}
+	if _, err := netip.ParseAddrPort(announcement.Address); err != nil {
+		return errors.New("an announcement needs an IP address and a port")
+	}
+	return nil
+}
+
+func (e *Enroller) merge(announcement registrar.Announcement) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next, changed := e.registrar.With(time.Now(), announcement)
+	e.registrar = next
+	if changed {
+		e.log.Info("target announced", "target", announcement.Name, "service", announcement.Service,
+			"slots", announcement.Slots, "leaving", announcement.Leaving)
+		e.changed(e.targets())
+	}
+}
+
+// Run removes targets whose deadline has passed until ctx ends.
+func (e *Enroller) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.sweep()
+		}
+	}
+}
+
+func (e *Enroller) sweep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next, expired := e.registrar.Without(time.Now())
+	e.registrar = next
+	for _, name := range expired {
+		e.log.Info("target removed", "target", name, "reason", "announcement expired")
+	}
+	if len(expired) > 0 {
+		e.changed(e.targets())
+	}
+}
+
+// Announcement returns what the target called name last said of itself.
+func (e *Enroller) Announcement(name string) (registrar.Announcement, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.registrar.Announcement(name)
+}
+
+func (e *Enroller) targets() []tracker.Target {
+	var targets []tracker.Target
+	for _, a := range e.registrar.Announcements() {
+		targets = append(targets, tracker.Target{Name: a.Name, Service: a.Service, Slots: a.Slots, Leaving: a.Leaving})
+	}
+	return targets
+}
--- /dev/null
+++ b/node/pkg/starter/run.go
@@ -0,0 +1,162 @@
+package starter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"samphiremount.example/core/limiter"
+	"samphiremount.example/core/logger"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/router"
+	core "samphiremount.example/core/starter"
+	"samphiremount.example/core/synchronizer"
+	"samphiremount.example/core/tracker"
+	"samphiremount.example/node/pkg/acceptor"
+	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/enroller"
+	"samphiremount.example/node/pkg/gatekeeper"
+	"samphiremount.example/node/pkg/reporter"
+	"samphiremount.example/node/pkg/viewer"
+)
+
+const (
+	stopGrace    = 30 * time.Second
+	leaveDelay   = time.Second
+	headTimeout  = 10 * time.Second
+	idleTimeout  = 2 * time.Minute
+	maxHeadBytes = 64 << 10
+)
+
+// Run runs a node until ctx ends. Then the node announces that it leaves, finishes what it has and stops.
+func Run(ctx context.Context, settings Settings) error {
+	listeners, err := listen(settings)
+	if err != nil {
+		return err
+	}
+	credentials, err := settings.Credentials()
+	if err != nil {
+		return err
+	}
+	parts := assemble(settings, listeners, credentials)
+	parts.log.Part("node").Info("node started", "node", settings.Name, "entry", listeners.entry.Addr(),
+		"fleet", listeners.fleet.Addr(), "metrics", listeners.metrics.Addr())
+	return parts.run(ctx, listeners)
+}
+
+type listeners struct {
+	entry, fleet, local, metrics net.Listener
+}
+
+func listen(settings Settings) (listeners, error) {
+	var opened listeners
+	var wrong []error
+	open := func(listener *net.Listener, flag, address string) {
+		var err error
+		*listener, err = core.Listen(flag, address)
+		if err != nil {
+			wrong = append(wrong, err)
+		}
+	}
+	open(&opened.entry, "--entry", settings.Entry)
+	open(&opened.fleet, "--fleet", settings.Fleet)
+	open(&opened.local, "--local", settings.Local)
+	open(&opened.metrics, "--metrics", settings.Metrics)
+	return opened, core.Join(wrong)
+}
+
+// parts are the long-lived pieces of a node.
+type parts struct {
+	log      logger.Logger
+	reporter *reporter.Reporter
+	enroller *enroller.Enroller
+	client   *synchronizer.Client
+	acceptor *acceptor.Acceptor
+	server   *messenger.Server
+}
+
+func assemble(settings Settings, listeners listeners, credentials messenger.Credentials) parts {
+	log := logger.New(os.Stderr, settings.LogLevel())
+	pool := messenger.NewPool(credentials)
+	incarnation := uint64(time.Now().UnixNano())
+	view := viewer.New()
+	own := reporter.New(tracker.Node{
+		Name: settings.Name, Region: settings.Region, Centre: settings.Centre, Incarnation: incarnation,
+		Address: listeners.fleet.Addr().String(), Entry: listeners.entry.Addr().String(),
+	})
+	targets := enroller.New(log.Part("enroll"), own.SetTargets)
+	mux := messenger.Mux{}
+	carrier.NewServer(gatekeeper.New(incarnation, targets, log.Part("gate"))).Register(mux)
+	return parts{
+		log:      log,
+		reporter: own,
+		enroller: targets,
+		client:   synchronizer.NewClient(pool, settings.Controls, view, own, log.Part("subscribe")),
+		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
+		acceptor: acceptor.New(acceptor.Dependencies{
+			Viewer: view, Client: carrier.NewClient(pool), Limiter: limiter.New(),
+			Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
+			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
+			Route:  log.Part("route"), Admit: log.Part("admit"),
+		}),
+	}
+}
+
+// run stops the parts in order: the node leaves the directory first, then callers' connections finish, then the gate
+// closes, and the stream to control last.
+func (p parts) run(ctx context.Context, listeners listeners) error {
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { return core.ServeMetrics(background, listeners.metrics) })
+	group.Go(func() error { return core.ServeHTTP(background, listeners.local, p.enroller.Handler(), time.Second) })
+	group.Go(func() error { return p.enroller.Run(background) })
+	group.Go(func() error { return p.client.Run(background) })
+	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
+	group.Go(func() error {
+		defer stopBackground()
+		return p.serveCallers(ctx, background, listeners.entry)
+	})
+	return group.Wait()
+}
+
+func (p parts) serveCallers(ctx, background context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler: p.acceptor.Handler(), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeadBytes,
+	}
+	group, running := errgroup.WithContext(background)
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve callers")
+		}
+		return nil
+	})
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-running.Done():
+		}
+		p.reporter.Leave()
+		server.SetKeepAlivesEnabled(false)
+		p.log.Part("node").Info("node leaving", "reason", "stop was asked for")
+		wait(running, leaveDelay)
+		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
+		defer cancel()
+		return errors.Wrap(server.Shutdown(ending), "finish callers' requests")
+	})
+	return group.Wait()
+}
+
+func wait(ctx context.Context, delay time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
+	}
+}
--- /dev/null
+++ b/scripts/run.sh
@@ -0,0 +1,109 @@
+#!/usr/bin/env bash
+# Brings up an example fleet on the loopback address: 2 data centres, 3 control processes, 4 nodes and 4 targets of 2
+# services. Sends the requests of examples/plan.csv through it and prints what came of them. With ONCE=1 it then ends,
+# with exit code 0 only if every request got the outcome that it should; otherwise it stays up until Ctrl-C.
+set -euo pipefail
+
+root=$(cd "$(dirname "$0")/.." && pwd)
+bin=$root/bin
+data=$(mktemp -d)
+pids=()
+
+stop() {
+  trap - EXIT INT TERM
+  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do kill -TERM "${pids[i]}" 2>/dev/null || true; done
+  wait || true
+  rm -rf "$data"
+}
+trap stop EXIT
+trap 'exit 130' INT TERM
+
+start() {
+  local name=$1
+  shift
+  "$@" >"$data/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+until_ready() {
+  local what=$1
+  shift
+  for _ in $(seq 150); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.1
+  done
+  echo "not ready: $what" >&2
+  tail -n 5 "$data"/*.log >&2
+  exit 1
+}
+
+mapfile -t port < <("$bin/samphire-standin" ports 22)
+(umask 077 && head -c 32 /dev/urandom | base64 >"$data/secret" && head -c 32 /dev/urandom | base64 >"$data/token")
+export SAMPHIRE_SECRET_FILE=$data/secret SAMPHIRE_TOKEN_FILE=$data/token
+
+fleet=(127.0.0.1:"${port[0]}" 127.0.0.1:"${port[1]}" 127.0.0.1:"${port[2]}")
+operators=(127.0.0.1:"${port[3]}" 127.0.0.1:"${port[4]}" 127.0.0.1:"${port[5]}")
+for i in 0 1 2; do
+  peers=()
+  for j in 0 1 2; do [ "$i" = "$j" ] || peers+=(--peer "${fleet[j]}"); done
+  primary=()
+  [ "$i" != 0 ] || primary=(--primary)
+  start "control$i" "$bin/samphire-control" --name "control$i" --fleet "${fleet[i]}" --operators "${operators[i]}" \
+    "${peers[@]}" "${primary[@]}"
+done
+
+entries=()
+direct=()
+for i in 0 1 2 3; do
+  centre=auckland
+  [ "$i" -lt 2 ] || centre=hamilton
+  entry=127.0.0.1:${port[6 + i]} local=127.0.0.1:${port[14 + i]} target=127.0.0.1:${port[18 + i]}
+  entries+=(--entry "$entry")
+  start "node$i" "$bin/samphire-node" --name "node$i" --region north --centre "$centre" --entry "$entry" \
+    --fleet "127.0.0.1:${port[10 + i]}" --local "$local" \
+    --control "${fleet[i % 3]}" --control "${fleet[(i + 1) % 3]}" --control "${fleet[(i + 2) % 3]}"
+  service=bookings
+  [ $((i % 2)) = 0 ] || service=catalogue
+  [ "$service" = bookings ] || direct+=(--direct "$target")
+  start "target$i" "$bin/samphire-standin" target --name "$service$i" --service "$service" --listen "$target" \
+    --local "$local" --slots 50
+done
+
+export SAMPHIRE_OPERATORS
+SAMPHIRE_OPERATORS=$(IFS=, && echo "${operators[*]}")
+until_ready "control processes" "$bin/samphire" version
+"$bin/samphire" sheet apply "$root/examples/showbook.csv"
+
+issue() {
+  (umask 077 && "$bin/samphire" keys issue --workspace "$1" | tail -n 1 >"$data/$2.key")
+}
+issue kowhai kowhai
+issue caroni caroni
+issue tui tui
+issue tui withdrawn
+"$bin/samphire" keys withdraw "$(cut -d _ -f 2 "$data/withdrawn.key")"
+echo smk_aaaaaaaaaaaaaaaa_aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa >"$data/unknown.key"
+
+in_force() {
+  local newest
+  newest=$("$bin/samphire" version | head -n 1 | cut -d ' ' -f 2)
+  for i in 0 1 2; do
+    "$bin/samphire" version --control "${operators[i]}"
+  done | grep '^node' | sort -u | awk -v newest="$newest" '$3 == newest { n++ } END { exit n == 4 ? 0 : 1 }'
+}
+four_targets() { [ "$("$bin/samphire" nodes | grep -c '^target')" = 4 ]; }
+until_ready "targets" four_targets
+until_ready "configuration on all nodes" in_force
+
+cp "$root/examples/plan.csv" "$data/"
+status=0
+(cd "$data" && "$bin/samphire-standin" load "${entries[@]}" "${direct[@]}" plan.csv) || status=$?
+
+if [ "${ONCE:-}" = 1 ]; then exit "$status"; fi
+echo
+echo "Try, through any node:"
+for ((i = 1; i < ${#entries[@]}; i += 2)); do
+  echo "  curl -H \"Authorization: Bearer \$(cat $data/kowhai.key)\" http://${entries[i]}/catalogue/2026"
+done
+echo "Logs are in $data. Ctrl-C stops the fleet."
+wait
--- /dev/null
+++ b/scripts/scenarios.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Scenarios with real processes, one at a time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+skip=$(./scripts/known_names.sh)
+cd standin && go test -count=1 -timeout 15m ${skip:+-skip "$skip"} ./scenarios/...
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,3 @@
+#!/usr/bin/env bash
+set -euo pipefail
+echo "no measurements yet"
--- /dev/null
+++ b/standin/pkg/commander/commander.go
@@ -0,0 +1,157 @@
+// Package commander holds the commands of the stand-in program.
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
+
+	"samphiremount.example/core/logger"
+	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/starter"
+	"samphiremount.example/standin/pkg/allocator"
+	"samphiremount.example/standin/pkg/loader"
+	"samphiremount.example/standin/pkg/responder"
+)
+
+const stopGrace = 30 * time.Second
+
+// Main runs the command line and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parser := flags.NewNamedParser("samphire-standin", flags.HelpFlag|flags.PassDoubleDash)
+	err := addCommands(ctx, parser, out)
+	if err == nil {
+		_, err = parser.ParseArgs(args)
+	}
+	var flagsError *flags.Error
+	switch {
+	case err == nil:
+		return starter.ExitOK
+	case errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(out, flagsError.Message)
+		return starter.ExitOK
+	case errors.As(err, &flagsError):
+		_, _ = fmt.Fprintln(errOut, err)
+		return starter.ExitSettings
+	default:
+		_, _ = fmt.Fprintln(errOut, err)
+		return starter.ExitFailed
+	}
+}
+
+func addCommands(ctx context.Context, parser *flags.Parser, out io.Writer) error {
+	var err error
+	add := func(name, short string, command any) {
+		if err == nil {
+			_, err = parser.AddCommand(name, short, "", command)
+		}
+	}
+	add("target", "Serve requests as a target", &target{ctx: ctx, out: out})
+	add("load", "Send the requests of a plan and check their outcomes", &load{ctx: ctx, out: out})
+	add("ports", "Print free ports of the loopback address", &ports{out: out})
+	return errors.Wrap(err, "commands")
+}
+
+type target struct {
+	ctx context.Context
+	out io.Writer
+
+	Name    string        `long:"name" required:"yes" description:"Name of the target"`
+	Service string        `long:"service" required:"yes" description:"Service that the target belongs to"`
+	Listen  string        `long:"listen" required:"yes" description:"IP address and port of the target's listener"`
+	Local   string        `long:"local" required:"yes" description:"IP address and port of the node's listener for announcements"`
+	Slots   int           `long:"slots" default:"5" description:"Requests that the target can run at a time"`
+	Work    time.Duration `long:"work" default:"0s" description:"Time that each request takes"`
+}
+
+// Execute implements flags.Commander.
+func (c *target) Execute([]string) error {
+	listener, err := starter.Listen("--listen", c.Listen)
+	if err != nil {
+		return err
+	}
+	announcement := registrar.Announcement{
+		Name: c.Name, Service: c.Service, Address: listener.Addr().String(), Slots: c.Slots,
+	}
+	log := logger.New(os.Stderr, (starter.Settings{}).LogLevel())
+	server := responder.New(announcement, c.Local, c.Work, log.Part("target"))
+	group, ctx := errgroup.WithContext(c.ctx)
+	group.Go(func() error { return server.Announce(ctx) })
+	group.Go(func() error { return starter.ServeHTTP(ctx, listener, server.Handler(), stopGrace) })
+	return group.Wait()
+}
+
+type load struct {
+	ctx context.Context
+	out io.Writer
+
+	Entries   []string `long:"entry" required:"yes" description:"IP address and port of a node's listener for callers; repeat it"`
+	Direct    []string `long:"direct" description:"IP address and port of a target to compare with; repeat it"`
+	Arguments struct {
+		Plan string `positional-arg-name:"PLAN" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *load) Execute([]string) error {
+	file, err := os.Open(c.Arguments.Plan)
+	if err != nil {
+		return errors.Wrap(err, "open plan")
+	}
+	defer func() { _ = file.Close() }()
+	steps, err := loader.ParsePlan(file)
+	if err != nil {
+		return err
+	}
+	sender := loader.New(c.Entries, c.Direct)
+	var results []loader.Result
+	ok := true
+	for _, step := range steps {
+		result, err := sender.Run(c.ctx, step)
+		if err != nil {
+			return err
+		}
+		results = append(results, result)
+		ok = ok && result.OK()
+		for _, detail := range result.Errors[:min(len(result.Errors), 3)] {
+			_, _ = fmt.Fprintf(c.out, "%s: not expected: %s\n", step.Name, detail)
+		}
+	}
+	if err := loader.Print(c.out, results); err != nil {
+		return err
+	}
+	if !ok {
+		return errors.New("not every request got the outcome that it should")
+	}
+	return nil
+}
+
+type ports struct {
+	out io.Writer
+
+	Arguments struct {
+		Count int `positional-arg-name:"COUNT" required:"yes"`
+	} `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *ports) Execute([]string) error {
+	free, err := allocator.Ports(c.Arguments.Count)
+	if err != nil {
+		return err
+	}
+	for _, port := range free {
+		_, _ = fmt.Fprintln(c.out, port)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/pkg/loader/table.go
@@ -0,0 +1,52 @@
+package loader
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Print writes a table of results: outcomes of each step, and the times in milliseconds of served requests straight
+// and through the fleet.
+func Print(out io.Writer, results []Result) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "step\tsent\tserved\trefused or failed\tok\tdirect p50/p99 ms\tthrough p50/p99 ms\tadded p50/p99 ms")
+	for _, result := range results {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%t", result.Step.Name, result.Step.Count, result.Counts[served],
+			refused(result.Counts), result.OK())
+		if result.Direct.TotalCount() == 0 {
+			_, _ = fmt.Fprintln(table, "\t-\t-\t-")
+			continue
+		}
+		for _, histogram := range []interface{ ValueAtQuantile(q float64) int64 }{
+			result.Direct, result.Through, result.Added,
+		} {
+			_, _ = fmt.Fprintf(table, "\t%.2f/%.2f", millis(histogram.ValueAtQuantile(50)),
+				millis(histogram.ValueAtQuantile(99)))
+		}
+		_, _ = fmt.Fprintln(table)
+	}
+	return errors.Wrap(table.Flush(), "print table")
+}
+
+func refused(counts map[string]int) string {
+	var parts []string
+	for _, outcome := range slices.Sorted(maps.Keys(counts)) {
+		if outcome != served {
+			parts = append(parts, fmt.Sprintf("%s %d", outcome, counts[outcome]))
+		}
+	}
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, ", ")
+}
+
+func millis(micros int64) float64 {
+	return float64(micros) / 1000
+}
--- /dev/null
+++ b/standin/pkg/responder/responder.go
@@ -0,0 +1,127 @@
+// Package responder is a stand-in target: it echoes requests and announces itself to the node on its VM.
+package responder
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"samphiremount.example/core/registrar"
+)
+
+const announcePeriod = 500 * time.Millisecond
+
+// Responder answers requests and counts them.
+type Responder struct {
+	announcement registrar.Announcement
+	local        string
+	work         time.Duration
+	log          *slog.Logger
+	requests     atomic.Int64
+	leaving      atomic.Bool
+}
+
+// New returns a Responder that announces itself to the node at local and takes work for each request.
+func New(announcement registrar.Announcement, local string, work time.Duration, log *slog.Logger) *Responder {
+	return &Responder{announcement: announcement, local: local, work: work, log: log}
+}
+
+// Echo is the answer to a request. Keyed tells that a header held something that looks like a key, which a target
+// must never see.
+type Echo struct {
+	Target    string `json:"target"`
+	Workspace string `json:"workspace"`
+	Request   string `json:"request"`
+	Nonce     string `json:"nonce"`
+	Path      string `json:"path"`
+	Bytes     int64  `json:"bytes"`
+	Keyed     bool   `json:"keyed"`
+}
+
+// Handler serves every method and path.
+func (r *Responder) Handler() http.Handler {
+	server := echo.New()
+	server.Any("/*", r.answer)
+	return server
+}
+
+func (r *Responder) answer(c echo.Context) error {
+	r.requests.Add(1)
+	request := c.Request()
+	length, err := io.Copy(io.Discard, request.Body)
+	if err != nil {
+		return errors.Wrap(err, "read body")
+	}
+	select {
+	case <-request.Context().Done():
+		return errors.Wrap(request.Context().Err(), "work")
+	case <-time.After(r.work):
+	}
+	return c.JSON(http.StatusOK, Echo{
+		Target:    r.announcement.Name,
+		Workspace: request.Header.Get("Samphire-Workspace"),
+		Request:   request.Header.Get("Samphire-Request"),
+		Nonce:     request.Header.Get("Nonce"),
+		Path:      request.URL.Path,
+		Bytes:     length,
+		Keyed:     keyed(request.Header),
+	})
+}
+
+func keyed(header http.Header) bool {
+	for _, values := range header {
+		for _, value := range values {
+			if bytes.Contains([]byte(value), []byte("smk_")) {
+				return true
+			}
+		}
+	}
+	return header.Get("Authorization") != ""
+}
+
+// Announce repeats the announcement until ctx ends, then announces that the target leaves.
+func (r *Responder) Announce(ctx context.Context) error {
+	ticker := time.NewTicker(announcePeriod)
+	defer ticker.Stop()
+	for {
+		if err := r.announce(ctx); err != nil {
+			r.log.Debug("announcement failed", "reason", err)
+		}
+		select {
+		case <-ctx.Done():
+			r.leaving.Store(true)
+			ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+			defer cancel()
+			return r.announce(ending)
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Responder) announce(ctx context.Context) error {
+	announcement := r.announcement
+	announcement.Leaving = r.leaving.Load()
+	body, err := json.Marshal(announcement)
+	if err != nil {
+		return errors.Wrap(err, "encode announcement")
+	}
+	url := "http://" + r.local + "/targets"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build announcement")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "announce")
+	}
+	return errors.Wrap(response.Body.Close(), "close reply")
+}
--- /dev/null
+++ b/standin/scenarios/commands_test.go
@@ -0,0 +1,147 @@
+package scenarios_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// startCommand starts processes again: start NAME...
+func startCommand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		fleetOf(ts).start(ts, name)
+	}
+}
+
+var signals = map[string]syscall.Signal{
+	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+// signalCommand sends a signal: signal TERM|KILL|STOP|CONT NAME...
+func signalCommand(ts *testscript.TestScript, _ bool, args []string) {
+	signal, ok := signals[args[0]]
+	if !ok {
+		ts.Fatalf("no signal is called %s", args[0])
+	}
+	for _, name := range args[1:] {
+		ts.Check(fleetOf(ts).process(ts, name).command.Process.Signal(signal))
+	}
+}
+
+// endedCommand waits until processes have ended: ended NAME...
+func endedCommand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		select {
+		case <-fleetOf(ts).process(ts, name).done:
+		case <-time.After(limit):
+			ts.Fatalf("%s did not end within %s", name, limit)
+		}
+	}
+}
+
+// untilCommand runs a command until its output matches: until PATTERN COMMAND...
+func untilCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		ts.Fatalf("until cannot be negated")
+	}
+	fleetOf(ts).until(ts, args[0], args[1:]...)
+}
+
+func (f *fleet) until(ts *testscript.TestScript, pattern string, command ...string) {
+	wanted := regexp.MustCompile(pattern)
+	deadline := time.Now().Add(limit)
+	for {
+		err := ts.Exec(command[0], command[1:]...)
+		output := ts.ReadFile("stdout")
+		if err == nil && wanted.MatchString(output) {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s did not print %q within %s: %v\n%s", strings.Join(command, " "), pattern, limit, err, output)
+		}
+		time.Sleep(pause)
+	}
+}
+
+// askCommand sends requests until one gets the wanted outcome: ask OUTCOME METHOD ADDRESS PATH [HEADER=VALUE...].
+// The outcome is "served" or the name of an error kind. A value @FILE is read from the last line of FILE. With "!" it
+// is one try, which must not get the outcome.
+func askCommand(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 4 {
+		ts.Fatalf("usage: ask OUTCOME METHOD ADDRESS PATH [HEADER=VALUE...]")
+	}
+	deadline := time.Now().Add(limit)
+	for {
+		outcome, detail := ask(ts, args[1], args[2], args[3], args[4:])
+		if neg && outcome == args[0] {
+			ts.Fatalf("the outcome is %s: %s", outcome, detail)
+		}
+		if neg || outcome == args[0] {
+			ts.Logf("%s: %s", outcome, detail)
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("the outcome is %s, not %s: %s", outcome, args[0], detail)
+		}
+		time.Sleep(pause)
+	}
+}
+
+func ask(ts *testscript.TestScript, method, address, path string, headers []string) (outcome, detail string) {
+	request, err := http.NewRequest(method, "http://"+address+path, http.NoBody)
+	ts.Check(err)
+	for _, header := range headers {
+		name, value, _ := strings.Cut(header, "=")
+		if file, ok := strings.CutPrefix(value, "@"); ok {
+			lines := strings.Split(strings.TrimSpace(ts.ReadFile(file)), "\n")
+			value = "Bearer " + lines[len(lines)-1]
+		}
+		request.Header.Add(name, value)
+	}
+	client := http.Client{Timeout: limit, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return "no-answer", err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "answer-cut", err.Error()
+	}
+	if response.StatusCode == http.StatusOK {
+		return "served", string(content)
+	}
+	var refusal struct {
+		Error string `json:"error"`
+	}
+	if err := json.Unmarshal(content, &refusal); err != nil {
+		return "wrong", string(content)
+	}
+	return refusal.Error, string(content)
+}
+
+// loggedCommand waits until a process's log matches, or with "!" checks that it does not: logged NAME PATTERN.
+func loggedCommand(ts *testscript.TestScript, neg bool, args []string) {
+	wanted := regexp.MustCompile(args[1])
+	deadline := time.Now().Add(limit)
+	for {
+		content, err := os.ReadFile(filepath.Join(fleetOf(ts).dir, args[0]+".log"))
+		ts.Check(err)
+		matches := wanted.Match(content)
+		if matches != neg {
+			return
+		}
+		if neg || time.Now().After(deadline) {
+			ts.Fatalf("log of %s: match of %q is %t", args[0], args[1], matches)
+		}
+		time.Sleep(pause)
+	}
+}
--- /dev/null
+++ b/standin/scenarios/fleet_test.go
@@ -0,0 +1,199 @@
+package scenarios_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"samphiremount.example/standin/pkg/allocator"
+)
+
+const (
+	controls = 3
+	nodes    = 4
+	limit    = 20 * time.Second
+	pause    = 50 * time.Millisecond
+)
+
+type fleetKey struct{}
+
+// fleet is the set of processes that one scenario started.
+type fleet struct {
+	dir      string
+	commands map[string][]string
+
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+type process struct {
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+func setUp(env *testscript.Env) error {
+	f := &fleet{dir: env.WorkDir, commands: make(map[string][]string), processes: make(map[string]*process)}
+	env.Values[fleetKey{}] = f
+	env.Defer(f.killAll)
+	free, err := allocator.Ports(2*controls + 4*nodes)
+	if err != nil {
+		return err
+	}
+	address := func() string {
+		port := free[0]
+		free = free[1:]
+		return "127.0.0.1:" + strconv.Itoa(port)
+	}
+	var operators []string
+	for i := range controls {
+		env.Setenv(fmt.Sprintf("CONTROL%d", i), address())
+		env.Setenv(fmt.Sprintf("OPERATORS%d", i), address())
+		operators = append(operators, env.Getenv(fmt.Sprintf("OPERATORS%d", i)))
+	}
+	for i := range nodes {
+		for _, kind := range []string{"ENTRY", "FLEET", "LOCAL", "TARGET"} {
+			env.Setenv(fmt.Sprintf("%s%d", kind, i), address())
+		}
+	}
+	for name, content := range map[string]string{"secret": "a-secret-of-a-test-fleet", "token": "a-token-of-test-operators"} {
+		if err := os.WriteFile(filepath.Join(env.WorkDir, name), []byte(content), 0o600); err != nil {
+			return errors.Wrap(err, "write secret")
+		}
+	}
+	env.Setenv("SAMPHIRE_SECRET_FILE", filepath.Join(env.WorkDir, "secret"))
+	env.Setenv("SAMPHIRE_TOKEN_FILE", filepath.Join(env.WorkDir, "token"))
+	env.Setenv("SAMPHIRE_OPERATORS", strings.Join(operators, ","))
+	return nil
+}
+
+// fleetCommand starts 3 control processes, 4 nodes in 2 data centres and 4 targets of 2 services, applies the example
+// sheet and waits until all of it is in force. With an argument it only defines the processes for start.
+func fleetCommand(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	for i := range controls {
+		f.defineControl(ts, i)
+	}
+	for i := range nodes {
+		f.defineNode(ts, i)
+	}
+	if len(args) > 0 {
+		return
+	}
+	for i := range controls {
+		f.start(ts, fmt.Sprintf("control%d", i))
+	}
+	for i := range nodes {
+		f.start(ts, fmt.Sprintf("node%d", i))
+		f.start(ts, fmt.Sprintf("target%d", i))
+	}
+	f.until(ts, "version", "samphire", "version")
+	ts.Check(ts.Exec("samphire", "sheet", "apply", ts.Getenv("ROOT")+"/examples/showbook.csv"))
+	for i := range nodes {
+		f.until(ts, fmt.Sprintf("(?s)node node%d.*target [a-z]+%d ", i, i), "samphire", "nodes")
+		for j := range controls {
+			address := ts.Getenv(fmt.Sprintf("OPERATORS%d", j))
+			if j == i%controls {
+				f.until(ts, fmt.Sprintf("node node%d [1-9]", i), "samphire", "version", "--control", address)
+			}
+		}
+	}
+}
+
+func (f *fleet) defineControl(ts *testscript.TestScript, i int) {
+	args := []string{
+		"samphire-control", "--name", fmt.Sprintf("control%d", i),
+		"--fleet", ts.Getenv(fmt.Sprintf("CONTROL%d", i)), "--operators", ts.Getenv(fmt.Sprintf("OPERATORS%d", i)),
+	}
+	for j := range controls {
+		if j != i {
+			args = append(args, "--peer", ts.Getenv(fmt.Sprintf("CONTROL%d", j)))
+		}
+	}
+	if i == 0 {
+		args = append(args, "--primary")
+	}
+	f.commands[fmt.Sprintf("control%d", i)] = args
+}
+
+func (f *fleet) defineNode(ts *testscript.TestScript, i int) {
+	centre := []string{"auckland", "auckland", "hamilton", "hamilton"}[i]
+	service := []string{"bookings", "catalogue"}[i%2]
+	args := []string{
+		"samphire-node", "--name", fmt.Sprintf("node%d", i), "--region", "north", "--centre", centre,
+		"--entry", ts.Getenv(fmt.Sprintf("ENTRY%d", i)), "--fleet", ts.Getenv(fmt.Sprintf("FLEET%d", i)),
+		"--local", ts.Getenv(fmt.Sprintf("LOCAL%d", i)),
+	}
+	for j := range controls {
+		args = append(args, "--control", ts.Getenv(fmt.Sprintf("CONTROL%d", (i+j)%controls)))
+	}
+	f.commands[fmt.Sprintf("node%d", i)] = args
+	f.commands[fmt.Sprintf("target%d", i)] = []string{
+		"samphire-standin", "target", "--name", fmt.Sprintf("%s%d", service, i), "--service", service,
+		"--listen", ts.Getenv(fmt.Sprintf("TARGET%d", i)), "--local", ts.Getenv(fmt.Sprintf("LOCAL%d", i)),
+	}
+}
+
+func fleetOf(ts *testscript.TestScript) *fleet {
+	f, ok := ts.Value(fleetKey{}).(*fleet)
+	if !ok {
+		ts.Fatalf("no fleet")
+	}
+	return f
+}
+
+// start runs a defined process; its log is appended to NAME.log.
+func (f *fleet) start(ts *testscript.TestScript, name string) {
+	args, ok := f.commands[name]
+	if !ok {
+		ts.Fatalf("no process is called %s", name)
+	}
+	log, err := os.OpenFile(filepath.Join(f.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	program := filepath.Join(ts.Getenv("ROOT"), "bin", args[0])
+	command := exec.Command(program, args[1:]...)
+	command.Stdout, command.Stderr = log, log
+	command.Env = append(
+		os.Environ(),
+		"SAMPHIRE_SECRET_FILE="+ts.Getenv("SAMPHIRE_SECRET_FILE"),
+		"SAMPHIRE_TOKEN_FILE="+ts.Getenv("SAMPHIRE_TOKEN_FILE"),
+	)
+	ts.Check(command.Start())
+	started := &process{command: command, done: make(chan struct{})}
+	f.mu.Lock()
+	f.processes[name] = started
+	f.mu.Unlock()
+	go func() {
+		defer close(started.done)
+		_ = command.Wait()
+		_ = log.Close()
+	}()
+}
+
+func (f *fleet) process(ts *testscript.TestScript, name string) *process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	found, ok := f.processes[name]
+	if !ok {
+		ts.Fatalf("process %s was not started", name)
+	}
+	return found
+}
+
+func (f *fleet) killAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.processes {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
+		<-p.done
+	}
+}
--- /dev/null
+++ b/standin/scenarios/scenarios_test.go
@@ -0,0 +1,35 @@
+package scenarios_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestScenarios runs each file of testdata against a fleet of real processes. The programs are those in bin at the
+// root, which make builds first.
+func TestScenarios(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("ROOT", root)
+			env.Setenv("PATH", filepath.Join(root, "bin")+string(os.PathListSeparator)+os.Getenv("PATH"))
+			return setUp(env)
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"fleet":  fleetCommand,
+			"start":  startCommand,
+			"signal": signalCommand,
+			"ended":  endedCommand,
+			"until":  untilCommand,
+			"ask":    askCommand,
+			"logged": loggedCommand,
+		},
+	})
+}
