Add relays with one-way cuts to the scenario language

Cause: most of what must always hold is asked for under asymmetric partitions, and no scenario could make one.

Ruled out: packet filters, which need rights that a test should not ask for.

--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -2,7 +2,6 @@
 package acceptor
 
 import (
-	"context"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -91,66 +90,3 @@
 	}
 	return a.forward(request.Context(), view, head, request)
 }
-
-func (a *Acceptor) admit(view *viewer.View, admission admission, id string) error {
-	if admission.route.Open {
-		return nil
-	}
-	nodes := 0
-	for _, node := range view.Directory.Nodes() {
-		if !node.Gone {
-			nodes++
-		}
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.Limiter.Draw(time.Now(), admission.workspace, max(nodes, 1)) {
-		return refuser.Refuse(refuser.RateExceeded, "")
-	}
-	a.Admit.Info("request admitted", "request", id, "workspace", admission.workspace.Name)
-	return nil
-}
-
-func (a *Acceptor) forward(
-	ctx context.Context, view *viewer.View, head carrier.Head, request *http.Request,
-) (carrier.Answer, error) {
-	choice, err := a.choose(view, head.Service)
-	if err != nil {
-		return carrier.Answer{}, err
-	}
-	target, node := choice.Placement.Target, choice.Placement.Node
-	head.Target, head.Incarnation = target.Name, node.Incarnation
-	a.Route.Info("target chosen", "request", head.ID, "workspace", head.Workspace, "service", head.Service,
-		"target", target.Name, "node", node.Name, "reason", choice.Reason)
-	answer, err := a.Client.Carry(ctx, node.Address, head, request.Body)
-	if err != nil {
-		a.leave(target.Name)
-		return carrier.Answer{}, err
-	}
-	answer.Body = countedBody{answer.Body, sync.OnceFunc(func() { a.leave(target.Name) })}
-	return answer, nil
-}
-
-func (a *Acceptor) choose(view *viewer.View, service string) (router.Choice, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var candidates []router.Candidate
-	for _, placement := range view.Directory.Placements(service) {
-		load := a.inFlight[placement.Target.Name]
-		candidates = append(candidates, router.Candidate{Placement: placement, Load: load})
-	}
-	choice, err := a.Router.Choose(a.Random, candidates)
-	if err == nil {
-		a.inFlight[choice.Placement.Target.Name]++
-	}
-	return choice, err
-}
-
-func (a *Acceptor) leave(target string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.inFlight[target]--
-	if a.inFlight[target] == 0 {
-		delete(a.inFlight, target)
-	}
-}
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -1,6 +1,7 @@
 package starter
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -88,7 +89,7 @@
 	view := viewer.New()
 	own := reporter.New(tracker.Node{
 		Name: settings.Name, Region: settings.Region, Centre: settings.Centre, Incarnation: incarnation,
-		Address: listeners.fleet.Addr().String(), Entry: listeners.entry.Addr().String(),
+		Address: cmp.Or(settings.Advertise, listeners.fleet.Addr().String()), Entry: listeners.entry.Addr().String(),
 	})
 	targets := enroller.New(log.Part("enroll"), own.SetTargets)
 	mux := messenger.Mux{}
--- a/node/pkg/starter/settings.go
+++ b/node/pkg/starter/settings.go
@@ -11,13 +11,14 @@
 type Settings struct {
 	core.Settings
 
-	Name     string   `long:"name" env:"SAMPHIRE_NAME" description:"Name of this node, unique in the fleet"`
-	Region   string   `long:"region" env:"SAMPHIRE_REGION" description:"Region of this VM"`
-	Centre   string   `long:"centre" env:"SAMPHIRE_CENTRE" description:"Data centre of this VM"`
-	Entry    string   `long:"entry" env:"SAMPHIRE_ENTRY" default:"127.0.0.1:8080" description:"IP address and port of the listener for callers"`
-	Fleet    string   `long:"fleet" env:"SAMPHIRE_FLEET" default:"127.0.0.1:8081" description:"IP address and port of the listener for other nodes; it must be reachable from them"`
-	Local    string   `long:"local" env:"SAMPHIRE_LOCAL" default:"127.0.0.1:8082" description:"IP address and port of the listener for announcements of targets on this VM"`
-	Controls []string `long:"control" env:"SAMPHIRE_CONTROLS" env-delim:"," description:"IP address and port of a control process; repeat it, own data centre first"`
+	Name      string   `long:"name" env:"SAMPHIRE_NAME" description:"Name of this node, unique in the fleet"`
+	Region    string   `long:"region" env:"SAMPHIRE_REGION" description:"Region of this VM"`
+	Centre    string   `long:"centre" env:"SAMPHIRE_CENTRE" description:"Data centre of this VM"`
+	Entry     string   `long:"entry" env:"SAMPHIRE_ENTRY" default:"127.0.0.1:8080" description:"IP address and port of the listener for callers"`
+	Fleet     string   `long:"fleet" env:"SAMPHIRE_FLEET" default:"127.0.0.1:8081" description:"IP address and port of the listener for other nodes; it must be reachable from them"`
+	Advertise string   `long:"advertise" env:"SAMPHIRE_ADVERTISE" description:"IP address and port under which other nodes reach --fleet, if it differs"`
+	Local     string   `long:"local" env:"SAMPHIRE_LOCAL" default:"127.0.0.1:8082" description:"IP address and port of the listener for announcements of targets on this VM"`
+	Controls  []string `long:"control" env:"SAMPHIRE_CONTROLS" env-delim:"," description:"IP address and port of a control process; repeat it, own data centre first"`
 }
 
 // Check returns an error for each wrong setting.
@@ -31,6 +32,9 @@
 	wrong = append(wrong, core.CheckListener("--entry", s.Entry)...)
 	wrong = append(wrong, core.CheckListener("--fleet", s.Fleet)...)
 	wrong = append(wrong, core.CheckListener("--local", s.Local)...)
+	if s.Advertise != "" {
+		wrong = append(wrong, core.CheckPeer("--advertise", s.Advertise)...)
+	}
 	if len(s.Controls) == 0 {
 		wrong = append(wrong, errors.New("--control must be given at least once"))
 	}
--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,7 @@
 
 	mu        sync.Mutex
 	processes map[string]*process
+	relays    map[string]*relay
 }
 
 type process struct {
@@ -42,6 +44,7 @@
 
 func setUp(env *testscript.Env) error {
 	f := &fleet{dir: env.WorkDir, commands: make(map[string][]string), processes: make(map[string]*process)}
+	f.relays = make(map[string]*relay)
 	env.Values[fleetKey{}] = f
 	env.Defer(f.killAll)
 	free, err := allocator.Ports(2*controls + 4*nodes)
@@ -75,6 +78,17 @@
 	return nil
 }
 
+// processCommand defines a process, or replaces its definition: process NAME PROGRAM ARGUMENT...
+func processCommand(ts *testscript.TestScript, _ bool, args []string) {
+	fleetOf(ts).commands[args[0]] = args[1:]
+}
+
+// flagsCommand adds arguments to a defined process: flags NAME ARGUMENT...
+func flagsCommand(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	f.commands[args[0]] = append(slices.Clone(f.commands[args[0]]), args[1:]...)
+}
+
 // fleetCommand starts 3 control processes, 4 nodes in 2 data centres and 4 targets of 2 services, applies the example
 // sheet and waits until all of it is in force. With an argument it only defines the processes for start.
 func fleetCommand(ts *testscript.TestScript, _ bool, args []string) {
@@ -88,6 +102,15 @@
 	if len(args) > 0 {
 		return
 	}
+	f.startAll(ts)
+}
+
+// upCommand starts the processes that "fleet defined" defined, with what process and flags changed since.
+func upCommand(ts *testscript.TestScript, _ bool, _ []string) {
+	fleetOf(ts).startAll(ts)
+}
+
+func (f *fleet) startAll(ts *testscript.TestScript) {
 	for i := range controls {
 		f.start(ts, fmt.Sprintf("control%d", i))
 	}
@@ -196,4 +219,8 @@
 		_ = p.command.Process.Kill()
 		<-p.done
 	}
+	for _, r := range f.relays {
+		_ = r.listener.Close()
+		r.closeAll()
+	}
 }
--- /dev/null
+++ b/standin/scenarios/relay_test.go
@@ -0,0 +1,112 @@
+package scenarios_test
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// relay forwards TCP connections and can drop the bytes of one direction or both, as a network partition does: the
+// connections stay open and new ones are taken.
+type relay struct {
+	to       string
+	listener net.Listener
+	forward  atomic.Bool
+	backward atomic.Bool
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// relayCommand starts a relay to an address and puts its own into the environment: relay NAME ADDRESS. A process that
+// uses $NAME in place of ADDRESS can then be cut from it.
+func relayCommand(ts *testscript.TestScript, _ bool, args []string) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	ts.Check(err)
+	r := &relay{to: args[1], listener: listener}
+	f := fleetOf(ts)
+	f.mu.Lock()
+	f.relays[args[0]] = r
+	f.mu.Unlock()
+	ts.Setenv(args[0], listener.Addr().String())
+	go r.serve()
+}
+
+// cutCommand drops bytes from now on: cut NAME forward|backward|both. Forward is the direction in which the
+// connections were opened.
+func cutCommand(ts *testscript.TestScript, _ bool, args []string) {
+	r := relayOf(ts, args[0])
+	r.forward.Store(args[1] != "backward")
+	r.backward.Store(args[1] != "forward")
+}
+
+// healCommand ends a cut: heal NAME. Connections from before the cut are closed, since bytes of theirs are lost.
+func healCommand(ts *testscript.TestScript, _ bool, args []string) {
+	r := relayOf(ts, args[0])
+	r.forward.Store(false)
+	r.backward.Store(false)
+	r.closeAll()
+}
+
+func relayOf(ts *testscript.TestScript, name string) *relay {
+	f := fleetOf(ts)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.relays[name]
+	if !ok {
+		ts.Fatalf("no relay is called %s", name)
+	}
+	return r
+}
+
+func (r *relay) serve() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.DialTimeout("tcp", r.to, time.Second)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		r.mu.Lock()
+		r.conns = append(r.conns, near, far)
+		r.mu.Unlock()
+		go pipe(far, near, &r.forward)
+		go pipe(near, far, &r.backward)
+	}
+}
+
+func pipe(to io.WriteCloser, from io.ReadCloser, dropped *atomic.Bool) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !dropped.Load() {
+			if _, err := to.Write(buf[:n]); err != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	// A cut also hides that a side closed its connection.
+	if !dropped.Load() {
+		_ = to.Close()
+	}
+	_ = from.Close()
+}
+
+func (r *relay) closeAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range r.conns {
+		_ = conn.Close()
+	}
+	r.conns = nil
+}
--- a/standin/scenarios/scenarios_test.go
+++ b/standin/scenarios/scenarios_test.go
@@ -23,13 +23,19 @@
 			return setUp(env)
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"fleet":  fleetCommand,
-			"start":  startCommand,
-			"signal": signalCommand,
-			"ended":  endedCommand,
-			"until":  untilCommand,
-			"ask":    askCommand,
-			"logged": loggedCommand,
+			"fleet":   fleetCommand,
+			"up":      upCommand,
+			"process": processCommand,
+			"flags":   flagsCommand,
+			"relay":   relayCommand,
+			"cut":     cutCommand,
+			"heal":    healCommand,
+			"start":   startCommand,
+			"signal":  signalCommand,
+			"ended":   endedCommand,
+			"until":   untilCommand,
+			"ask":     askCommand,
+			"logged":  loggedCommand,
 		},
 	})
 }
