--- /dev/null
+++ b/core/tombstoner/machine_test.go
@@ -0,0 +1,186 @@
+package tombstoner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/tombstoner"
+)
+
+// attempt is one identity of a request on its way to a gate.
+type attempt struct {
+	request  int
+	gate     int
+	identity tombstoner.Identity
+	// replayed marks a copy of a head that was delivered before. An entry listens only on the stream of the first.
+	replayed bool
+}
+
+// gate is a gate with what runs on its target. Its clock starts again with each incarnation.
+type gate struct {
+	incarnation uint64
+	clock       tombstoner.Reading
+	tombstoner  *tombstoner.Tombstoner
+	running     []attempt
+}
+
+// world holds two gates, requests that may not be repeated, and the messages of a network that loses, delays,
+// duplicates and reorders. Entry says what each request's caller was told last: "" while it waits.
+type world struct {
+	gates    []gate
+	heads    []attempt
+	burials  []attempt
+	waiting  map[int]attempt
+	told     map[int]string
+	runs     map[int]int
+	attempts int
+}
+
+func (w *world) send(t *rapid.T, request int) {
+	to := rapid.IntRange(0, len(w.gates)-1).Draw(t, "gate")
+	g := &w.gates[to]
+	w.attempts++
+	// The entry's idea of the gate's clock and incarnation may be off either way.
+	before := g.clock + tombstoner.Reading(rapid.IntRange(-2_000, 9_000).Draw(t, "window"))
+	incarnation := g.incarnation - uint64(rapid.IntRange(0, 9).Draw(t, "stale")/9)
+	identity := tombstoner.Identity{ID: fmt.Sprint(w.attempts), Incarnation: incarnation, StartBefore: before}
+	a := attempt{request: request, gate: to, identity: identity}
+	w.waiting[request] = a
+	w.heads = append(w.heads, a)
+}
+
+// conclude tells the entry of request what came of the attempt it waits for: NotRun is answered or sent elsewhere.
+func (w *world) conclude(t *rapid.T, a attempt, outcome refuser.Outcome) {
+	if a.replayed || w.waiting[a.request].identity != a.identity || w.told[a.request] != "" {
+		return
+	}
+	delete(w.waiting, a.request)
+	switch outcome.(type) {
+	case refuser.NotRun:
+		if rapid.Bool().Draw(t, "again") {
+			w.send(t, a.request)
+			return
+		}
+		w.told[a.request] = "not-run"
+	case refuser.Ran, refuser.Unknown:
+		w.told[a.request] = outcome.String()
+	}
+}
+
+func take(t *rapid.T, messages *[]attempt) (attempt, bool) {
+	if len(*messages) == 0 {
+		return attempt{}, false
+	}
+	i := rapid.IntRange(0, len(*messages)-1).Draw(t, "message")
+	a := (*messages)[i]
+	if rapid.IntRange(0, 3).Draw(t, "duplicate") == 0 {
+		(*messages)[i].replayed = true
+		return a, true
+	}
+	*messages = slices.Delete(*messages, i, i+1)
+	return a, true
+}
+
+// reply reports whether the network brings a reply back.
+func reply(t *rapid.T) bool { return rapid.IntRange(0, 2).Draw(t, "reply") > 0 }
+
+func (w *world) arrive(t *rapid.T) {
+	a, ok := take(t, &w.heads)
+	if !ok || rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+		return
+	}
+	g := &w.gates[a.gate]
+	switch verdict := g.tombstoner.Start(g.clock, a.identity); verdict {
+	case tombstoner.Go:
+		if rapid.IntRange(0, 4).Draw(t, "unreachable") == 0 {
+			g.tombstoner.Finish(g.clock, a.identity.ID, false)
+			if reply(t) {
+				w.conclude(t, a, refuser.NotRun{})
+			}
+			return
+		}
+		w.runs[a.request]++
+		g.running = append(g.running, a)
+	default:
+		if reply(t) {
+			w.conclude(t, a, verdict.Outcome())
+		}
+	}
+}
+
+func (w *world) finish(t *rapid.T) {
+	g := &w.gates[rapid.IntRange(0, len(w.gates)-1).Draw(t, "gate")]
+	if len(g.running) == 0 {
+		return
+	}
+	a := g.running[0]
+	g.running = g.running[1:]
+	g.tombstoner.Finish(g.clock, a.identity.ID, true)
+	if reply(t) {
+		w.conclude(t, a, refuser.Ran{})
+	}
+}
+
+func (w *world) bury(t *rapid.T) {
+	a, ok := take(t, &w.burials)
+	if !ok {
+		return
+	}
+	g := &w.gates[a.gate]
+	state := g.tombstoner.Bury(g.clock, a.identity)
+	if reply(t) {
+		w.conclude(t, a, tombstoner.Outcome(state))
+	}
+}
+
+func (w *world) restart(t *rapid.T) {
+	g := &w.gates[rapid.IntRange(0, len(w.gates)-1).Draw(t, "gate")]
+	g.incarnation++
+	*g = gate{incarnation: g.incarnation, tombstoner: tombstoner.New(g.incarnation, 6)}
+}
+
+func (w *world) check(t *rapid.T) {
+	for request, runs := range w.runs {
+		if runs > 1 {
+			t.Fatalf("request %d ran %d times", request, runs)
+		}
+		if runs > 0 && w.told[request] == "not-run" {
+			t.Fatalf("request %d was answered with not-run and ran", request)
+		}
+	}
+}
+
+// TestNotRunIsTrueAndNothingRunsTwice drives real tombstoners of two gates against the oracle in check.
+func TestNotRunIsTrueAndNothingRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{waiting: map[int]attempt{}, told: map[int]string{}, runs: map[int]int{}}
+		for range 2 {
+			w.gates = append(w.gates, gate{incarnation: 1, tombstoner: tombstoner.New(1, 6)})
+		}
+		requests := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"request": func(t *rapid.T) { requests++; w.send(t, requests) },
+			"arrive":  w.arrive,
+			"finish":  w.finish,
+			"silence": func(t *rapid.T) {
+				if requests == 0 {
+					return
+				}
+				if a, ok := w.waiting[rapid.IntRange(1, requests).Draw(t, "request")]; ok {
+					w.burials = append(w.burials, a)
+				}
+			},
+			"bury":    w.bury,
+			"restart": w.restart,
+			"time": func(t *rapid.T) {
+				g := &w.gates[rapid.IntRange(0, len(w.gates)-1).Draw(t, "gate")]
+				g.clock += tombstoner.Reading(rapid.IntRange(1, 12_000).Draw(t, "passed"))
+			},
+			"": w.check,
+		})
+	})
+}
