Decide retries and hedges within one budget per service

Cause: nothing bounded what a failing service is sent. With all targets shedding, three attempts for each request would be three times the work asked for.

Change: core/retrier. A node counts requests and extra sends of each service over a sliding minute; an extra send is allowed while the extra sends of that minute stay within a tenth of its requests. Windows taken backwards from the last extra send cover the whole history, and budgets of nodes add up, so the bound of 1.1 holds fleet-wide without messages. A request that may not be repeated is sent again only when its refusal says that it was not run. One send after a target or node said that it left is free: it cannot multiply, since that target is no longer chosen.

Ruled out: a bank of credits without a window, which 860 nodes could all spend in the first second of an outage; a window of 10 s, in which a node at the target size sees 3 requests of a service and could never retry; a least number of retries that is always free, which doubles the work of services with little load.

Proof: TestAllShedding draws histories over three nodes and compares the sums after each send.

--- /dev/null
+++ b/core/retrier/retrier.go
@@ -0,0 +1,167 @@
+// Package retrier decides whether a request is sent once more, as a retry or as a hedge, within one budget for each
+// service.
+package retrier
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"samphiremount.example/core/refuser"
+)
+
+// MaxAttempts is the most sends of one request.
+const MaxAttempts = 3
+
+// Event is what became of an attempt. It is Refused, Answered or Slow.
+type Event interface {
+	event()
+}
+
+// Refused is an attempt that ended with a refusal of the gate or of the connection to it.
+type Refused struct {
+	Refusal *refuser.Refusal
+}
+
+// Answered is an attempt that a target answered with an HTTP status.
+type Answered struct {
+	Status int
+}
+
+// Slow is an attempt that still has no answer when a hedge is due.
+type Slow struct{}
+
+func (Refused) event()  {}
+func (Answered) event() {}
+func (Slow) event()     {}
+
+// Attempt describes one send of a request. Number is 1 for the first. Repeatable is the setting of the route.
+type Attempt struct {
+	Service    string
+	Number     int
+	Repeatable bool
+	Deadline   time.Time
+}
+
+// Decision is Send or Stop, each with the reason for the log.
+type Decision interface {
+	decision()
+}
+
+// Send allows one more send of the request, which is already charged to the budget.
+type Send struct {
+	Reason string
+}
+
+// Stop ends the request with what its last attempt got.
+type Stop struct {
+	Reason string
+}
+
+func (Send) decision() {}
+func (Stop) decision() {}
+
+// Retrier holds the budgets of all services on one node. It is safe for concurrent use.
+type Retrier struct {
+	mu      sync.Mutex
+	budgets map[string]Budget
+}
+
+// New returns a Retrier with empty budgets.
+func New() *Retrier {
+	return &Retrier{budgets: make(map[string]Budget)}
+}
+
+// Asked counts a new request of service at now. It is called once for each request, before its first attempt.
+func (r *Retrier) Asked(now time.Time, service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.budgets[service] = r.budgets[service].WithAsked(now)
+}
+
+// Decide returns whether the request of attempt is sent once more after event at now. A request that may not be
+// repeated is sent again only if its refusal says that it was not run. Every further send is charged to the budget
+// of the service, except one: the first attempt that reached a target or node which says that it left. Such a
+// target is no longer chosen within seconds, so that send cannot multiply load.
+//
+// Decide is called only for attempts that were sent: without a target to choose there is nothing to decide.
+func (r *Retrier) Decide(now time.Time, event Event, attempt Attempt) Decision {
+	if attempt.Number >= MaxAttempts {
+		return Stop{"all attempts are used"}
+	}
+	if !now.Before(attempt.Deadline) {
+		return Stop{"the deadline has passed"}
+	}
+	reason, ok := judge(event, attempt.Repeatable)
+	if !ok {
+		return Stop{reason}
+	}
+	if attempt.Number == 1 && left(event) {
+		return Send{reason}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	budget, ok := r.budgets[attempt.Service].WithExtra(now)
+	r.budgets[attempt.Service] = budget
+	if !ok {
+		return Stop{"the retry budget is used up"}
+	}
+	return Send{reason}
+}
+
+// judge returns whether sending again is safe and can help, with the reason.
+func judge(event Event, repeatable bool) (string, bool) {
+	switch event := event.(type) {
+	case Refused:
+		return judgeRefusal(event.Refusal, repeatable)
+	case Answered:
+		return judgeStatus(event.Status, repeatable)
+	case Slow:
+		return "the answer is late", repeatable
+	}
+	return "the event is not known", false
+}
+
+func judgeRefusal(refusal *refuser.Refusal, repeatable bool) (string, bool) {
+	if !helped(refusal.Kind) {
+		return "another target would refuse too", false
+	}
+	switch refusal.Outcome.(type) {
+	case refuser.NotRun:
+		return "the request was not run", true
+	case refuser.Ran, refuser.Unknown:
+		return "the request may have run", repeatable
+	}
+	return "the outcome is not known", false
+}
+
+// helped reports whether another target may serve a request that was refused with kind.
+func helped(kind refuser.Kind) bool {
+	switch kind {
+	case refuser.CapacityShort, refuser.TargetUnknown, refuser.TargetUnreachable, refuser.NodeUnreachable,
+		refuser.NodeStopping, refuser.DeadlinePassed, refuser.AnswerCut, refuser.OutcomeUnknown, refuser.Internal:
+		return true
+	default:
+		return false
+	}
+}
+
+func judgeStatus(status int, repeatable bool) (string, bool) {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return "the target failed the request", repeatable
+	default:
+		return "the target answered", false
+	}
+}
+
+func left(event Event) bool {
+	refused, ok := event.(Refused)
+	if !ok {
+		return false
+	}
+	if _, notRun := refused.Refusal.Outcome.(refuser.NotRun); !notRun {
+		return false
+	}
+	return refused.Refusal.Kind == refuser.TargetUnknown || refused.Refusal.Kind == refuser.NodeStopping
+}
--- /dev/null
+++ b/core/retrier/retrier_test.go
@@ -0,0 +1,114 @@
+package retrier_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/retrier"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+	sheds = []retrier.Event{
+		refused(refuser.CapacityShort, refuser.NotRun{}), refused(refuser.TargetUnreachable, refuser.NotRun{}),
+		refused(refuser.OutcomeUnknown, refuser.Unknown{}),
+		retrier.Answered{Status: 503},
+		retrier.Slow{},
+	}
+)
+
+func refused(kind refuser.Kind, outcome refuser.Outcome) retrier.Event {
+	return retrier.Refused{Refusal: &refuser.Refusal{Kind: kind, Outcome: outcome}}
+}
+
+func TestDecide(t *testing.T) {
+	cases := []struct {
+		name       string
+		event      retrier.Event
+		repeatable bool
+		number     int
+		remaining  time.Duration
+		send       bool
+	}{
+		{"not run", refused(refuser.CapacityShort, refuser.NotRun{}), false, 1, time.Second, true},
+		{"may have run", refused(refuser.OutcomeUnknown, refuser.Unknown{}), false, 1, time.Second, false},
+		{"may have run, repeatable", refused(refuser.OutcomeUnknown, refuser.Unknown{}), true, 1, time.Second, true},
+		{"failed", retrier.Answered{Status: 500}, false, 1, time.Second, false},
+		{"failed, repeatable", retrier.Answered{Status: 500}, true, 1, time.Second, true},
+		{"answered, repeatable", retrier.Answered{Status: 404}, true, 1, time.Second, false},
+		{"late", retrier.Slow{}, false, 1, time.Second, false},
+		{"late, repeatable", retrier.Slow{}, true, 2, time.Second, true},
+		{"invalid", refused(refuser.RequestInvalid, refuser.NotRun{}), true, 1, time.Second, false},
+		{"quarantined", refused(refuser.Quarantined, refuser.NotRun{}), true, 1, time.Second, false},
+		{"last attempt", refused(refuser.CapacityShort, refuser.NotRun{}), true, 3, time.Second, false},
+		{"deadline", refused(refuser.CapacityShort, refuser.NotRun{}), true, 1, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := retrier.New()
+			for range 10 {
+				r.Asked(start, "bookings")
+			}
+			decision := r.Decide(start, c.event, retrier.Attempt{
+				Service: "bookings", Number: c.number, Repeatable: c.repeatable, Deadline: start.Add(c.remaining),
+			})
+			_, send := decision.(retrier.Send)
+			assert.Equal(t, send, c.send, "%v", decision)
+		})
+	}
+}
+
+func TestTargetThatLeftIsFreeOnce(t *testing.T) {
+	r := retrier.New()
+	left := refused(refuser.TargetUnknown, refuser.NotRun{})
+	attempt := retrier.Attempt{Service: "bookings", Number: 1, Deadline: start.Add(time.Second)}
+	_, send := r.Decide(start, left, attempt).(retrier.Send)
+	assert.Assert(t, send)
+	attempt.Number = 2
+	_, send = r.Decide(start, left, attempt).(retrier.Send)
+	assert.Assert(t, !send)
+}
+
+// TestAllShedding checks, after each send of any history of requests that all targets shed, that the sends are at most
+// 1.1 times the requests, for the sum of several nodes.
+func TestAllShedding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := []*retrier.Retrier{retrier.New(), retrier.New(), retrier.New()}
+		now := start
+		asked, sent := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "pause")) * time.Millisecond / 4)
+			node := rapid.SampledFrom(nodes).Draw(t, "node")
+			node.Asked(now, "bookings")
+			asked++
+			attempt := retrier.Attempt{Service: "bookings", Repeatable: rapid.Bool().Draw(t, "repeatable")}
+			attempt.Deadline = now.Add(time.Second)
+			for again := true; again; {
+				attempt.Number++
+				sent++
+				_, again = node.Decide(now, rapid.SampledFrom(sheds).Draw(t, "event"), attempt).(retrier.Send)
+			}
+			if 10*sent > 11*asked {
+				t.Fatalf("%d sends for %d requests", sent, asked)
+			}
+		}
+	})
+}
+
+func TestSteadyLoadGetsItsBudget(t *testing.T) {
+	r := retrier.New()
+	now, extra := start, 0
+	for range 10_000 {
+		now = now.Add(3 * time.Second)
+		r.Asked(now, "bookings")
+		attempt := retrier.Attempt{Service: "bookings", Number: 1, Deadline: now.Add(time.Second)}
+		if _, send := r.Decide(now, sheds[0], attempt).(retrier.Send); send {
+			extra++
+		}
+	}
+	assert.Assert(t, extra >= 800, "%d extra sends", extra)
+}
