Ask the gate for a tombstone after silence, and send bookings to targets once

A lost answer left every booking on that connection unknown, and net/http's transport may send a request again by itself: on a scratch program a POST with Idempotency-Key and no body on a reused connection that the target closed reached the target twice (3 requests seen for 2 sent).

The entry reads the gate's clock once, names the latest start in each head, and after silence or a lost connection asks for a tombstone by a new connection, then through two other nodes, for 1.2 s at most. Gates tell of progress every 500 ms, so 2 s without a frame is a silent connection; requests that end within 500 ms cost no frame. node/pkg/connector replaces net/http's transport towards targets: one write of each request, a look at an idle connection before use, and "sent" is known from the socket. Ruled out: the transport with a counting connection, which still replays by its own rules.

Failures are tried again through core/retrier with a body of up to 64 KB kept. An earlier attempt that may have run makes the outcome unknown for good.

The gate now drains, and only whole exchanges give their connection back.

--- a/core/messenger/pool.go
+++ b/core/messenger/pool.go
@@ -46,9 +46,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	if err := p.credentials.greetClient(conn); err != nil {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err = p.credentials.greetClient(conn)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
 		_ = conn.Close()
-		return nil, err
+		return nil, errors.Wrap(err, "greet")
 	}
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
--- a/core/tombstoner/tombstoner.go
+++ b/core/tombstoner/tombstoner.go
@@ -165,3 +165,8 @@
 		delete(t.buckets, t.oldest)
 	}
 }
+
+// Running reports whether the identity called id was started and has not ended.
+func (t *Tombstoner) Running(id string) bool {
+	return t.records[id].state == (Started{})
+}
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -13,6 +13,7 @@
 
 	"samphiremount.example/core/limiter"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	"samphiremount.example/node/pkg/carrier"
 	"samphiremount.example/node/pkg/viewer"
@@ -20,6 +21,7 @@
 
 // Dependencies are what an Acceptor needs.
 type Dependencies struct {
+	Name    string
 	Viewer  *viewer.Viewer
 	Client  *carrier.Client
 	Router  router.Router
@@ -27,6 +29,7 @@
 	Route   *slog.Logger
 	Admit   *slog.Logger
 	Limiter *limiter.Limiter
+	Retrier *retrier.Retrier
 }
 
 // Acceptor serves callers.
@@ -88,5 +91,5 @@
 		URI: request.URL.RequestURI(), Host: request.Host, Header: forwardHeader(request, id, admission),
 		Length: request.ContentLength,
 	}
-	return a.forward(request.Context(), view, head, request)
+	return a.forward(request.Context(), head, request)
 }
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -5,11 +5,15 @@
 	"samphiremount.example/node/pkg/viewer"
 )
 
-func (a *Acceptor) choose(view *viewer.View, service string) (router.Choice, error) {
+// choose picks a target of service that is not among tried and counts the request against it until leave.
+func (a *Acceptor) choose(view *viewer.View, service string, tried map[string]bool) (router.Choice, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var candidates []router.Candidate
 	for _, placement := range view.Directory.Placements(service) {
+		if tried[placement.Target.Name] {
+			continue
+		}
 		load := a.inFlight[placement.Target.Name]
 		candidates = append(candidates, router.Candidate{Placement: placement, Load: load})
 	}
--- a/node/pkg/carrier/body.go
+++ b/node/pkg/carrier/body.go
@@ -17,6 +17,8 @@
 	ErrCut = errors.New("body ended before its end mark")
 	// ErrDamaged is returned by a body that differs from what its end mark says.
 	ErrDamaged = errors.New("body differs from its end mark")
+
+	errSource = errors.New("body can't be read at its source")
 )
 
 // sendBody sends body in parts and closes it with its end. An error of reading ends it without one.
@@ -37,23 +39,30 @@
 			return send(stream, frameEnd, endBody{Length: length, Sum: digest.Sum64()})
 		}
 		if err != nil {
-			return errors.Wrap(err, "read body")
+			return errors.CombineErrors(errSource, err)
 		}
 	}
 }
 
 // bodyReader reads the parts of a body from a stream and checks them against the end mark.
 type bodyReader struct {
-	stream drpc.Stream
-	digest *xxhash.Digest
-	length uint64
-	frame  frame
-	rest   []byte
-	err    error
+	receive func(into *frame) error
+	digest  *xxhash.Digest
+	length  uint64
+	frame   frame
+	rest    []byte
+	err     error
+}
+
+// newBodyReader reads the frames that receive delivers.
+func newBodyReader(receive func(into *frame) error) *bodyReader {
+	return &bodyReader{receive: receive, digest: xxhash.New()}
 }
 
-func newBodyReader(stream drpc.Stream) *bodyReader {
-	return &bodyReader{stream: stream, digest: xxhash.New()}
+func receiveFrom(stream drpc.Stream) func(into *frame) error {
+	return func(into *frame) error {
+		return errors.Wrap(stream.MsgRecv(into, frameEncoding{}), "receive frame")
+	}
 }
 
 // Read implements io.Reader. It returns io.EOF only for a whole body, and ErrCut or ErrDamaged for any other.
@@ -70,7 +79,7 @@
 }
 
 func (r *bodyReader) next() error {
-	if err := r.stream.MsgRecv(&r.frame, frameEncoding{}); err != nil {
+	if err := r.receive(&r.frame); err != nil {
 		return errors.CombineErrors(ErrCut, err)
 	}
 	switch r.frame.kind {
@@ -81,7 +90,7 @@
 		return nil
 	case frameEnd:
 		return r.checkEnd()
-	case frameHead, frameRefused, frameAnswer:
+	case frameHead, frameRefused, frameAnswer, frameProgress:
 	}
 	return errors.Newf("frame %d within a body", r.frame.kind)
 }
@@ -96,3 +105,10 @@
 	}
 	return io.EOF
 }
+
+// drain reads on to the end of the body, or of the stream if the sender gives up.
+func (r *bodyReader) drain() {
+	for r.err == nil {
+		r.err = r.next()
+	}
+}
--- /dev/null
+++ b/node/pkg/carrier/carrier_test.go
@@ -0,0 +1,230 @@
+package carrier_test
+
+import (
+	"bytes"
+	"context"
+	"expvar"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/tombstoner"
+	"samphiremount.example/node/pkg/carrier"
+)
+
+// gate is a gate whose targets are functions.
+type gate struct {
+	run func(ctx context.Context, head carrier.Head, body io.Reader) (carrier.Answer, error)
+
+	mu         sync.Mutex
+	tombstoner *tombstoner.Tombstoner
+	started    time.Time
+}
+
+func newGate(run func(ctx context.Context, head carrier.Head, body io.Reader) (carrier.Answer, error)) *gate {
+	return &gate{run: run, tombstoner: tombstoner.New(7, 100), started: time.Now()}
+}
+
+func (g *gate) Run(ctx context.Context, head carrier.Head, body io.Reader) (carrier.Answer, error) {
+	g.mu.Lock()
+	verdict := g.tombstoner.Start(g.Clock().Reading, head.Identity())
+	g.mu.Unlock()
+	if verdict != tombstoner.Go {
+		return carrier.Answer{}, refuser.Refuse(refuser.NodeUnreachable, string(verdict))
+	}
+	return g.run(ctx, head, body)
+}
+
+func (g *gate) Running(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tombstoner.Running(id)
+}
+
+func (g *gate) Bury(identity tombstoner.Identity) tombstoner.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tombstoner.Bury(g.Clock().Reading, identity)
+}
+
+func (g *gate) Clock() carrier.Clock {
+	return carrier.Clock{Incarnation: 7, Reading: tombstoner.Reading(time.Since(g.started).Milliseconds())}
+}
+
+// serve runs a node's server for gate behind a link and returns the link.
+func serve(t *testing.T, served carrier.Gate) *link {
+	t.Helper()
+	credentials := messenger.NewCredentials("test", []byte("0123456789abcdef"))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	mux := messenger.Mux{}
+	carrier.NewServer(served, carrier.NewClient(messenger.NewPool(credentials), new(expvar.Map))).Register(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = messenger.NewServer(credentials, mux, slog.New(slog.DiscardHandler)).Serve(ctx, listener) }()
+	return newLink(t, listener.Addr().String())
+}
+
+func newClient(t *testing.T) *carrier.Client {
+	t.Helper()
+	pool := messenger.NewPool(messenger.NewCredentials("test", []byte("0123456789abcdef")))
+	t.Cleanup(func() { _ = pool.Close() })
+	return carrier.NewClient(pool, new(expvar.Map))
+}
+
+func head(id string) carrier.Head {
+	return carrier.Head{ID: id, Incarnation: 7, Method: http.MethodPost, URI: "/", Deadline: time.Now().Add(8 * time.Second)}
+}
+
+func way(address string, relays ...string) carrier.Way {
+	return carrier.Way{Address: address, Relays: func() []string { return relays }}
+}
+
+func answered(body io.Reader) func(context.Context, carrier.Head, io.Reader) (carrier.Answer, error) {
+	return func(context.Context, carrier.Head, io.Reader) (carrier.Answer, error) {
+		return carrier.Answer{Status: http.StatusOK, Body: io.NopCloser(body)}, nil
+	}
+}
+
+func outcome(t *testing.T, err error) string {
+	t.Helper()
+	assert.Assert(t, err != nil)
+	return refuser.From(err).Outcome.String()
+}
+
+// TestStalledConnectionIsBuriedOverANewOne fails on a client without tombstones: the outcome is unknown then.
+func TestStalledConnectionIsBuriedOverANewOne(t *testing.T) {
+	served := newGate(answered(strings.NewReader("")))
+	between := serve(t, served)
+	client := newClient(t)
+	answer, err := client.Carry(t.Context(), way(between.address()), head("first"), http.NoBody)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+	held := between.stall(true)
+	_, err = client.Carry(t.Context(), way(between.address()), head("second"), http.NoBody)
+	assert.Equal(t, outcome(t, err), "not-run")
+	// The head arrives after all, and does not start.
+	held()
+	time.Sleep(50 * time.Millisecond)
+	identity := tombstoner.Identity{ID: "second", Incarnation: 7, StartBefore: served.Clock().Reading + 9_000}
+	assert.Equal(t, tombstoner.Name(served.Bury(identity)), "buried")
+}
+
+func TestGateIsAskedThroughAnotherNode(t *testing.T) {
+	between := serve(t, newGate(answered(strings.NewReader(""))))
+	relay := serve(t, newGate(nil))
+	client := newClient(t)
+	answer, err := client.Carry(t.Context(), way(between.address()), head("first"), http.NoBody)
+	assert.NilError(t, err)
+	_, _ = io.ReadAll(answer.Body)
+	assert.NilError(t, answer.Body.Close())
+	_ = between.stall(true)
+	between.deny(1)
+	_, err = client.Carry(t.Context(), way(between.address(), "127.0.0.1:1", relay.address()), head("second"), http.NoBody)
+	assert.Equal(t, outcome(t, err), "not-run")
+}
+
+func TestSilenceOfARunningRequestIsNoticed(t *testing.T) {
+	between := serve(t, newGate(func(ctx context.Context, _ carrier.Head, _ io.Reader) (carrier.Answer, error) {
+		<-ctx.Done()
+		return carrier.Answer{}, refuser.Fail(refuser.DeadlinePassed, "")
+	}))
+	go func() {
+		time.Sleep(time.Second)
+		_ = between.stall(false)
+	}()
+	began := time.Now()
+	_, err := newClient(t).Carry(t.Context(), way(between.address()), head("a"), http.NoBody)
+	assert.Equal(t, outcome(t, err), "unknown")
+	assert.Assert(t, time.Since(began) < 5*time.Second, "%s", time.Since(began))
+	assert.Assert(t, time.Since(began) > time.Second, "progress was not taken for life")
+}
+
+func TestCallersCancellationReachesTheGate(t *testing.T) {
+	reached := make(chan struct{})
+	began := make(chan struct{})
+	between := serve(t, newGate(func(ctx context.Context, _ carrier.Head, body io.Reader) (carrier.Answer, error) {
+		_, _ = io.Copy(io.Discard, body)
+		close(began)
+		<-ctx.Done()
+		close(reached)
+		return carrier.Answer{}, refuser.Fail(refuser.OutcomeUnknown, "")
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-began
+		cancel()
+	}()
+	request := head("a")
+	request.Length = 5
+	_, err := newClient(t).Carry(ctx, way(between.address()), request, strings.NewReader("hello"))
+	assert.Equal(t, outcome(t, err), "unknown")
+	select {
+	case <-reached:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the gate did not notice")
+	}
+}
+
+func TestCutBodiesAreNotTakenForWhole(t *testing.T) {
+	cut := io.MultiReader(bytes.NewReader(make([]byte, 100_000)), iotest.ErrReader(errors.New("cut")))
+	between := serve(t, newGate(answered(cut)))
+	answer, err := newClient(t).Carry(t.Context(), way(between.address()), head("a"), http.NoBody)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(answer.Body)
+	assert.ErrorIs(t, err, carrier.ErrCut)
+	assert.NilError(t, answer.Body.Close())
+
+	seen := make(chan error, 1)
+	between = serve(t, newGate(func(_ context.Context, _ carrier.Head, body io.Reader) (carrier.Answer, error) {
+		_, err := io.Copy(io.Discard, body)
+		seen <- err
+		return carrier.Answer{}, refuser.Fail(refuser.BodyCut, "")
+	}))
+	request := head("b")
+	request.Length = -1
+	cut = io.MultiReader(bytes.NewReader(make([]byte, 100_000)), iotest.ErrReader(errors.New("cut")))
+	_, err = newClient(t).Carry(t.Context(), way(between.address()), request, cut)
+	assert.Equal(t, refuser.From(err).Kind, refuser.BodyCut)
+	assert.ErrorIs(t, <-seen, carrier.ErrCut)
+}
+
+// TestRefusalLeavesTheConnectionUsable fails if a body that the gate refused unread stays on the connection.
+func TestRefusalLeavesTheConnectionUsable(t *testing.T) {
+	between := serve(t, newGate(func(_ context.Context, head carrier.Head, body io.Reader) (carrier.Answer, error) {
+		if strings.HasPrefix(head.ID, "refused") {
+			return carrier.Answer{}, refuser.Refuse(refuser.CapacityShort, "")
+		}
+		content, err := io.ReadAll(body)
+		return carrier.Answer{Status: http.StatusOK, Body: io.NopCloser(bytes.NewReader(content))}, err
+	}))
+	client := newClient(t)
+	for _, id := range []string{"refused1", "a", "refused2", "refused3", "b"} {
+		request := head(id)
+		request.Length = 70_000
+		began := time.Now()
+		answer, err := client.Carry(t.Context(), way(between.address()), request, bytes.NewReader(make([]byte, 70_000)))
+		assert.Assert(t, time.Since(began) < time.Second, "%s took %s", id, time.Since(began))
+		if err != nil {
+			assert.Equal(t, refuser.From(err).Kind, refuser.CapacityShort)
+			continue
+		}
+		content, err := io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, len(content), 70_000)
+		assert.NilError(t, answer.Body.Close())
+	}
+}
--- /dev/null
+++ b/node/pkg/carrier/exchange.go
@@ -0,0 +1,152 @@
+package carrier
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/tombstoner"
+)
+
+// exchange is one request and its answer on a stream. It sends the body and receives the answer side by side, since a
+// target may answer before it has read the whole body.
+type exchange struct {
+	stream  drpc.Stream
+	cancel  context.CancelFunc
+	group   errgroup.Group
+	answer  *bodyReader
+	silence *time.Timer
+	silent  atomic.Bool
+	sent    atomic.Bool
+	refused bool
+	running bool
+	reading tombstoner.Reading
+}
+
+func newExchange(stream drpc.Stream, cancel context.CancelFunc) *exchange {
+	e := &exchange{stream: stream, cancel: cancel}
+	e.silence = time.AfterFunc(silenceLimit, func() {
+		e.silent.Store(true)
+		cancel()
+	})
+	return e
+}
+
+// receive takes the next frame that is not about progress. It gives up once the gate was silent for silenceLimit: a
+// gate that is alive tells of its progress more often, so the connection is at fault.
+func (e *exchange) receive(into *frame) error {
+	defer e.silence.Stop()
+	for {
+		e.silence.Reset(silenceLimit)
+		if err := e.stream.MsgRecv(into, frameEncoding{}); err != nil {
+			return errors.Wrap(err, "receive answer")
+		}
+		if into.kind != frameProgress {
+			return nil
+		}
+		var progress progressBody
+		if err := messenger.Unmarshal(into.data, &progress); err != nil {
+			return err
+		}
+		e.running = e.running || progress.Running
+	}
+}
+
+func (e *exchange) run(head Head, body io.Reader) (Answer, error) {
+	if err := send(e.stream, frameHead, head.wire(time.Now())); err != nil {
+		return Answer{}, err
+	}
+	bodyFailed := make(chan error, 1)
+	e.sent.Store(head.Length == 0)
+	if head.Length != 0 {
+		e.group.Go(func() error {
+			err := sendBody(e.stream, body)
+			e.sent.Store(err == nil)
+			if err != nil {
+				bodyFailed <- err
+				e.cancel()
+			}
+			return err
+		})
+	}
+	var first frame
+	if err := e.receive(&first); err != nil {
+		select {
+		case sendErr := <-bodyFailed:
+			if errors.Is(sendErr, errSource) {
+				return Answer{}, refuser.Fail(refuser.BodyCut, sendErr.Error())
+			}
+		default:
+		}
+		return Answer{}, err
+	}
+	return e.open(first, head.ID)
+}
+
+func (e *exchange) open(first frame, id string) (Answer, error) {
+	switch first.kind {
+	case frameRefused:
+		var refused refusedBody
+		if err := messenger.Unmarshal(first.data, &refused); err != nil {
+			return Answer{}, err
+		}
+		e.reading, e.refused = tombstoner.Reading(refused.Reading), true
+		return Answer{}, &refuser.Refusal{
+			Kind: refuser.Kind(refused.Kind), Outcome: refuser.ParseOutcome(refused.Outcome), Detail: refused.Detail,
+		}
+	case frameAnswer:
+		var answer answerBody
+		if err := messenger.Unmarshal(first.data, &answer); err != nil {
+			return Answer{}, err
+		}
+		if answer.ID != id {
+			return Answer{}, errors.Newf("answer belongs to request %s", answer.ID)
+		}
+		e.reading = tombstoner.Reading(answer.Reading)
+		e.answer = newBodyReader(e.receive)
+		return Answer{Status: answer.Status, Header: answer.Header, Body: e}, nil
+	case frameHead, framePart, frameEnd, frameProgress:
+	}
+	return Answer{}, errors.Newf("frame %d in place of an answer", first.kind)
+}
+
+// explain turns a failure of the exchange into a refusal.
+func (e *exchange) explain(ctx context.Context, err error) error {
+	var refusal *refuser.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	if e.silent.Load() {
+		return refuser.Fail(refuser.OutcomeUnknown, "the connection to the gate went silent")
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refuser.Fail(refuser.DeadlinePassed, "no answer before the deadline")
+	}
+	return refuser.Fail(refuser.OutcomeUnknown, err.Error())
+}
+
+// Read implements io.Reader over the answer's body.
+func (e *exchange) Read(p []byte) (int, error) {
+	return e.answer.Read(p)
+}
+
+// Close ends the exchange, whether or not the answer was read to its end. The connection is used again only if both
+// directions are whole: what one side left unread would hold up the next request on it.
+func (e *exchange) Close() error {
+	e.silence.Stop()
+	whole := e.refused || e.answer != nil && errors.Is(e.answer.err, io.EOF)
+	if !whole || !e.sent.Load() {
+		e.cancel()
+		return nil
+	}
+	err := e.stream.Close()
+	e.cancel()
+	return errors.Wrap(err, "close stream")
+}
--- a/node/pkg/carrier/frame.go
+++ b/node/pkg/carrier/frame.go
@@ -9,7 +9,12 @@
 	"samphiremount.example/core/messenger"
 )
 
-const callCarry = "carry"
+// The calls between nodes. Clock reads a gate's clock, bury asks for a tombstone.
+const (
+	callCarry = "carry"
+	callClock = "clock"
+	callBury  = "bury"
+)
 
 // frameKind is the first byte of each message.
 type frameKind byte
@@ -20,6 +25,7 @@
 	frameEnd
 	frameRefused
 	frameAnswer
+	frameProgress
 )
 
 // frame is one message: a part's bytes as they are, or the CBOR form of what its kind says.
@@ -38,6 +44,12 @@
 	Kind    string `cbor:"1,keyasint"`
 	Outcome string `cbor:"2,keyasint"`
 	Detail  string `cbor:"3,keyasint,omitempty"`
+	Reading int64  `cbor:"4,keyasint"`
+}
+
+// progressBody says that the connection and the gate are alive, and whether the request went to the target.
+type progressBody struct {
+	Running bool `cbor:"1,keyasint"`
 }
 
 // headBody is the wire form of Head. Remaining is in milliseconds: clocks of two VMs are not compared.
@@ -54,12 +66,15 @@
 	Host        string              `cbor:"10,keyasint,omitempty"`
 	Header      map[string][]string `cbor:"11,keyasint,omitempty"`
 	Length      int64               `cbor:"12,keyasint"`
+	StartBefore int64               `cbor:"13,keyasint"`
 }
 
 type answerBody struct {
 	ID     string              `cbor:"1,keyasint"`
 	Status int                 `cbor:"2,keyasint"`
 	Header map[string][]string `cbor:"3,keyasint,omitempty"`
+	// Reading is the gate's clock when it sent the answer.
+	Reading int64 `cbor:"4,keyasint"`
 }
 
 // frameEncoding writes a frame as its kind and data.
--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"samphiremount.example/core/tombstoner"
 )
 
 // Head describes a request on its way to a target. ID identifies this attempt in the whole fleet. Incarnation is that
@@ -22,6 +24,19 @@
 	Host        string
 	Header      http.Header
 	Length      int64
+	// StartBefore is set by Client.Carry from what it knows of the gate's clock.
+	StartBefore tombstoner.Reading
+}
+
+// Identity returns the identity of this attempt.
+func (h Head) Identity() tombstoner.Identity {
+	return tombstoner.Identity{ID: h.ID, Incarnation: h.Incarnation, StartBefore: h.StartBefore}
+}
+
+// Clock is what a gate's clock shows. Readings count within one incarnation only.
+type Clock struct {
+	Incarnation uint64
+	Reading     tombstoner.Reading
 }
 
 // Answer is a target's answer. Body returns io.EOF only when the answer is whole. Close must be called.
@@ -34,13 +49,25 @@
 // Gate runs requests on the targets of its VM. Its errors are refusals that say truthfully whether the request ran.
 type Gate interface {
 	Run(ctx context.Context, head Head, body io.Reader) (Answer, error)
+	// Running reports whether the request called id went to a target and has not ended.
+	Running(id string) bool
+	// Bury makes sure that identity does not start from now on, and returns what is known of it.
+	Bury(identity tombstoner.Identity) tombstoner.State
+	// Clock reads the gate's clock.
+	Clock() Clock
+}
+
+// Way leads to a gate. Relays returns addresses of other nodes that may still reach the gate when this one does not.
+type Way struct {
+	Address string
+	Relays  func() []string
 }
 
 func (h Head) wire(now time.Time) headBody {
 	return headBody{
 		ID: h.ID, Incarnation: h.Incarnation, Target: h.Target, Service: h.Service, Workspace: h.Workspace,
 		Repeatable: h.Repeatable, Remaining: h.Deadline.Sub(now).Milliseconds(), Method: h.Method, URI: h.URI,
-		Host: h.Host, Header: h.Header, Length: h.Length,
+		Host: h.Host, Header: h.Header, Length: h.Length, StartBefore: int64(h.StartBefore),
 	}
 }
 
@@ -48,6 +75,6 @@
 	return Head{
 		ID: b.ID, Incarnation: b.Incarnation, Target: b.Target, Service: b.Service, Workspace: b.Workspace,
 		Repeatable: b.Repeatable, Deadline: now.Add(time.Duration(b.Remaining) * time.Millisecond), Method: b.Method,
-		URI: b.URI, Host: b.Host, Header: b.Header, Length: b.Length,
+		URI: b.URI, Host: b.Host, Header: b.Header, Length: b.Length, StartBefore: tombstoner.Reading(b.StartBefore),
 	}
 }
--- /dev/null
+++ b/node/pkg/carrier/settle.go
@@ -0,0 +1,116 @@
+package carrier
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/tombstoner"
+)
+
+const (
+	// settlePart bounds each way of asking for a tombstone, settleLimit all of them.
+	settlePart  = 400 * time.Millisecond
+	settleLimit = 3 * settlePart
+)
+
+// buryBody asks for a tombstone. With Address set, the receiver passes the question on to the gate there.
+type buryBody struct {
+	ID          string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	StartBefore int64  `cbor:"3,keyasint"`
+	Address     string `cbor:"4,keyasint,omitempty"`
+}
+
+type buriedBody struct {
+	State string `cbor:"1,keyasint"`
+}
+
+func (b buryBody) identity() tombstoner.Identity {
+	return tombstoner.Identity{
+		ID: b.ID, Incarnation: b.Incarnation, StartBefore: tombstoner.Reading(b.StartBefore),
+	}
+}
+
+// doubtful reports whether the outcome behind err is unknown for a reason other than the caller's own.
+func doubtful(ctx context.Context, err error) bool {
+	refusal := refuser.From(err)
+	if refusal.Outcome != (refuser.Unknown{}) || refusal.Kind == refuser.BodyCut {
+		return false
+	}
+	return !errors.Is(ctx.Err(), context.Canceled)
+}
+
+// settle asks for a tombstone for the request of head, whose exchange failed with cause: by a new connection to the
+// gate, then through other nodes. It returns a refusal that is NotRun if the gate promised that the request will
+// not start, else cause. It may outlast the deadline of the request by settleLimit.
+func (c *Client) settle(ctx context.Context, way Way, head Head, cause error) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
+	defer cancel()
+	identity := head.Identity()
+	question := buryBody{ID: identity.ID, Incarnation: identity.Incarnation, StartBefore: int64(identity.StartBefore)}
+	state, err := c.ask(ctx, way.Address, question)
+	if err != nil {
+		question.Address = way.Address
+		for _, relay := range way.Relays() {
+			if state, err = c.ask(ctx, relay, question); err == nil {
+				break
+			}
+		}
+	}
+	if err != nil {
+		c.counts.Add("settle_no_reply", 1)
+		return cause
+	}
+	c.counts.Add("settle_"+tombstoner.Name(state), 1)
+	if tombstoner.Outcome(state) != (refuser.NotRun{}) {
+		return cause
+	}
+	refusal := *refuser.From(cause)
+	if refusal.Kind != refuser.DeadlinePassed {
+		refusal.Kind = refuser.NodeUnreachable
+	}
+	refusal.Outcome = refuser.NotRun{}
+	refusal.Detail = "the gate promised not to start it, after: " + refusal.Detail
+	return &refusal
+}
+
+// ask makes one bury call on a connection of its own, since the pooled ones may be those that went silent.
+func (c *Client) ask(ctx context.Context, address string, question buryBody) (tombstoner.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, settlePart)
+	defer cancel()
+	conn, err := c.pool.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	var reply buriedBody
+	if err := conn.Invoke(ctx, callBury, messenger.Encoding{}, &question, &reply); err != nil {
+		return nil, errors.Wrap(err, "ask for a tombstone")
+	}
+	return tombstoner.Parse(reply.State), nil
+}
+
+func (s *Server) bury(stream drpc.Stream) error {
+	var question buryBody
+	if err := stream.MsgRecv(&question, messenger.Encoding{}); err != nil {
+		return errors.Wrap(err, "receive question for a tombstone")
+	}
+	var state tombstoner.State
+	if question.Address == "" {
+		state = s.gate.Bury(question.identity())
+	} else {
+		address := question.Address
+		question.Address = ""
+		var err error
+		if state, err = s.client.ask(stream.Context(), address, question); err != nil {
+			return err
+		}
+	}
+	reply := buriedBody{tombstoner.Name(state)}
+	return errors.Wrap(stream.MsgSend(&reply, messenger.Encoding{}), "send state of identity")
+}
--- /dev/null
+++ b/node/pkg/connector/connector_test.go
@@ -0,0 +1,199 @@
+package connector_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/node/pkg/connector"
+)
+
+// target answers the n-th request of all its connections with what answer returns; "" closes the connection.
+type target struct {
+	net.Listener
+
+	requests atomic.Int64
+}
+
+func newTarget(t *testing.T, answer func(n int64, request *http.Request) string) *target {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := &target{Listener: listener}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go served.serve(conn, answer)
+		}
+	}()
+	return served
+}
+
+func (s *target) serve(conn net.Conn, answer func(n int64, request *http.Request) string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		n := s.requests.Add(1)
+		_, _ = io.Copy(io.Discard, request.Body)
+		text := answer(n, request)
+		if _, err := io.WriteString(conn, text); err != nil || text == "" || strings.Contains(text, "short") {
+			return
+		}
+	}
+}
+
+func newRequest(method string, body io.Reader, length int64) *http.Request {
+	request := &http.Request{
+		Method: method, URL: &url.URL{Scheme: "http", Host: "target", Path: "/slots"}, Host: "target",
+		Header: http.Header{"Idempotency-Key": {"k"}}, Body: http.NoBody, ContentLength: length,
+	}
+	if body != nil {
+		request.Body = io.NopCloser(body)
+	}
+	return request
+}
+
+func exchange(
+	t *testing.T, c *connector.Connector, address net.Addr, request *http.Request,
+) (status int, content string, err error) {
+	t.Helper()
+	response, err := c.Exchange(t.Context(), address.String(), request, false)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { assert.NilError(t, response.Body.Close()) }()
+	read, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(read), err
+}
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine"
+
+func TestRequestGoesOutOnceWhenAReusedConnectionDies(t *testing.T) {
+	target := newTarget(t, func(n int64, _ *http.Request) string {
+		if n == 1 {
+			return fine
+		}
+		return ""
+	})
+	c := connector.New(new(expvar.Map))
+	_, _, err := exchange(t, c, target.Addr(), newRequest(http.MethodPost, nil, 0))
+	assert.NilError(t, err)
+	_, _, err = exchange(t, c, target.Addr(), newRequest(http.MethodPost, nil, 0))
+	var failure *connector.Failure
+	assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%v", err)
+	assert.Equal(t, target.requests.Load(), int64(2))
+}
+
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	stale := newTarget(t, func(int64, *http.Request) string { return fine + "short" })
+	c := connector.New(new(expvar.Map))
+	for range 50 {
+		status, content, err := exchange(t, c, stale.Addr(), newRequest(http.MethodPost, nil, 0))
+		assert.NilError(t, err)
+		assert.Equal(t, fmt.Sprint(status, content), "200fine")
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, stale.requests.Load(), int64(50))
+}
+
+func TestNothingWasSentWithoutAConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	_, _, err = exchange(t, connector.New(new(expvar.Map)), listener.Addr(), newRequest(http.MethodPost, nil, 0))
+	var failure *connector.Failure
+	assert.Assert(t, errors.As(err, &failure) && !failure.Sent, "%v", err)
+}
+
+func TestFramingOfAnswers(t *testing.T) {
+	answers := map[string]struct{ method, answer, want string }{
+		"interim":     {http.MethodGet, "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + fine, "200fine"},
+		"head":        {http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", "200"},
+		"no content":  {http.MethodPost, "HTTP/1.1 204 No Content\r\n\r\n", "204"},
+		"not changed": {http.MethodGet, "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", "304"},
+		"chunked":     {http.MethodGet, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n", "200fine"},
+	}
+	for name, test := range answers {
+		t.Run(name, func(t *testing.T) {
+			target := newTarget(t, func(int64, *http.Request) string { return test.answer })
+			c := connector.New(new(expvar.Map))
+			for range 3 {
+				status, content, err := exchange(t, c, target.Addr(), newRequest(test.method, nil, 0))
+				assert.NilError(t, err)
+				assert.Equal(t, fmt.Sprint(status, content), test.want)
+			}
+		})
+	}
+}
+
+func TestCutAnswerIsAnError(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nshort",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Le short",
+		"HTTP/1.1 200 OK\r\nLong: " + strings.Repeat("x", 300<<10) + " short",
+	} {
+		target := newTarget(t, func(int64, *http.Request) string { return answer })
+		_, _, err := exchange(t, connector.New(new(expvar.Map)), target.Addr(), newRequest(http.MethodPost, nil, 0))
+		assert.Assert(t, err != nil, "%.60q", answer)
+	}
+}
+
+func TestAnswerThatNobodyAskedForIsDropped(t *testing.T) {
+	target := newTarget(t, func(int64, *http.Request) string { return fine + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother" })
+	counts := new(expvar.Map)
+	c := connector.New(counts)
+	for range 20 {
+		_, content, err := exchange(t, c, target.Addr(), newRequest(http.MethodPost, nil, 0))
+		assert.NilError(t, err)
+		assert.Equal(t, content, "fine")
+	}
+	assert.Assert(t, counts.String() != "{}", "nothing was counted")
+}
+
+func TestBodyThatEndsEarlyIsNotTakenForWhole(t *testing.T) {
+	target := newTarget(t, func(int64, *http.Request) string { return fine })
+	cut := errors.New("cut")
+	body := io.MultiReader(bytes.NewReader(make([]byte, 100_000)), iotest.ErrReader(cut))
+	_, _, err := exchange(t, connector.New(new(expvar.Map)), target.Addr(), newRequest(http.MethodPost, body, -1))
+	assert.ErrorIs(t, err, cut)
+	var failure *connector.Failure
+	assert.Assert(t, errors.As(err, &failure) && failure.Sent)
+	_, _, err = exchange(t, connector.New(new(expvar.Map)), target.Addr(),
+		newRequest(http.MethodPost, iotest.ErrReader(cut), 10))
+	assert.Assert(t, errors.As(err, &failure) && !failure.Sent, "%v", err)
+}
+
+func TestEndOfTheContextEndsTheExchange(t *testing.T) {
+	gone := make(chan struct{})
+	target := newTarget(t, func(int64, *http.Request) string { <-gone; return "" })
+	defer close(gone)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	request := newRequest(http.MethodPost, nil, 0)
+	_, err := connector.New(new(expvar.Map)).Exchange(ctx, target.Addr().String(), request, false) //nolint:bodyclose // it fails
+	var failure *connector.Failure
+	assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%v", err)
+}
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -1,31 +1,22 @@
-// Package gatekeeper is the only way to the targets of a VM. It owns their slots and connections.
+// Package gatekeeper is the only way to the targets of a VM. It owns their slots and connections, and it knows which
+// requests it started.
 package gatekeeper
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"log/slog"
-	"net"
-	"net/http"
-	"net/http/httptrace"
-	"net/url"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/tombstoner"
 	"samphiremount.example/node/pkg/carrier"
-)
-
-const (
-	dialTimeout     = time.Second
-	idleTimeout     = 30 * time.Second
-	idlePerTarget   = 16
-	maxHeadBytes    = 256 << 10
-	keepAlivePeriod = 5 * time.Second
+	"samphiremount.example/node/pkg/connector"
 )
 
 // Targets looks targets of this VM up by name.
@@ -36,69 +27,141 @@
 // Gatekeeper runs requests on the targets of this VM.
 type Gatekeeper struct {
 	incarnation uint64
+	started     time.Time
 	targets     Targets
+	connector   *connector.Connector
+	counts      *expvar.Map
 	log         *slog.Logger
-	transport   *http.Transport
 
-	mu       sync.Mutex
-	inFlight map[string]int
+	mu         sync.Mutex
+	inFlight   map[string]int
+	tombstoner *tombstoner.Tombstoner
 }
 
 var _ carrier.Gate = (*Gatekeeper)(nil)
 
 // New returns a Gatekeeper for the targets that targets knows. It refuses requests that are meant for another
-// incarnation of the node.
-func New(incarnation uint64, targets Targets, log *slog.Logger) *Gatekeeper {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
+// incarnation of the node, and counts in counts.
+func New(
+	incarnation uint64, targets Targets, connector *connector.Connector, counts *expvar.Map, log *slog.Logger,
+) *Gatekeeper {
 	return &Gatekeeper{
 		incarnation: incarnation,
+		started:     time.Now(),
 		targets:     targets,
+		connector:   connector,
+		counts:      counts,
 		log:         log,
 		inFlight:    make(map[string]int),
-		transport: &http.Transport{
-			DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout,
-			MaxIdleConnsPerHost: idlePerTarget, MaxResponseHeaderBytes: maxHeadBytes,
-		},
+		tombstoner:  tombstoner.New(incarnation, tombstoner.Capacity),
 	}
 }
 
+// Clock implements carrier.Gate.
+func (g *Gatekeeper) Clock() carrier.Clock {
+	return carrier.Clock{Incarnation: g.incarnation, Reading: g.reading()}
+}
+
+func (g *Gatekeeper) reading() tombstoner.Reading {
+	return tombstoner.Reading(time.Since(g.started).Milliseconds())
+}
+
+// Running implements carrier.Gate.
+func (g *Gatekeeper) Running(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tombstoner.Running(id)
+}
+
+// Bury implements carrier.Gate.
+func (g *Gatekeeper) Bury(identity tombstoner.Identity) tombstoner.State {
+	g.mu.Lock()
+	// The clock is read after the wait for the lock: nothing may come between it and the decision.
+	state := g.tombstoner.Bury(g.reading(), identity)
+	g.mu.Unlock()
+	g.counts.Add("bury_"+tombstoner.Name(state), 1)
+	g.log.Info("tombstone asked for", "request", identity.ID, "state", tombstoner.Name(state))
+	return state
+}
+
 // Run implements carrier.Gate. A refusal is NotRun only if no byte of the request can have reached the target.
 func (g *Gatekeeper) Run(ctx context.Context, head carrier.Head, body io.Reader) (carrier.Answer, error) {
 	answer, err := g.run(ctx, head, body)
 	if err != nil {
 		refusal := refuser.From(err)
+		g.counts.Add("refused_"+refusal.Outcome.String(), 1)
 		g.log.Info("request refused", "request", head.ID, "target", head.Target, "kind", refusal.Kind,
 			"outcome", refusal.Outcome, "detail", refusal.Detail)
 		return carrier.Answer{}, refusal
 	}
-	g.log.Info("request ran", "request", head.ID, "target", head.Target, "status", answer.Status)
+	g.log.Debug("request ran", "request", head.ID, "target", head.Target, "status", answer.Status)
 	return answer, nil
 }
 
 func (g *Gatekeeper) run(ctx context.Context, head carrier.Head, body io.Reader) (carrier.Answer, error) {
-	if head.Incarnation != g.incarnation {
-		return carrier.Answer{}, refuser.Fail(refuser.OutcomeUnknown, "the node was restarted")
-	}
 	target, ok := g.targets.Announcement(head.Target)
 	if !ok || target.Leaving {
 		return carrier.Answer{}, refuser.Refuse(refuser.TargetUnknown, "the target is gone or leaving")
 	}
+	request, err := newRequest(target, head, body)
+	if err != nil {
+		return carrier.Answer{}, err
+	}
 	if !g.acquire(target) {
 		return carrier.Answer{}, refuser.Refuse(refuser.CapacityShort, "all slots of the target are taken")
 	}
 	release := sync.OnceFunc(func() { g.release(target.Name) })
-	response, err := g.forward(ctx, target, head, body) //nolint:bodyclose // the answer's Body closes it
-	if err != nil {
+	if err := g.start(ctx, head); err != nil {
 		release()
 		return carrier.Answer{}, err
 	}
+	response, err := g.connector.Exchange(ctx, target.Address, request, head.Repeatable) //nolint:bodyclose // slotBody closes it
+	if err != nil {
+		release()
+		refusal := explain(ctx, err)
+		g.finish(head.ID, refusal.Outcome != refuser.NotRun{})
+		return carrier.Answer{}, refusal
+	}
 	return carrier.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
-		Body:   &slotBody{ReadCloser: response.Body, release: release},
+		Body: &slotBody{ReadCloser: response.Body, release: func() {
+			release()
+			g.finish(head.ID, true)
+		}},
 	}, nil
 }
 
+// start makes the request's identity known as started, unless it is buried, known already or too late.
+func (g *Gatekeeper) start(ctx context.Context, head carrier.Head) error {
+	if ctx.Err() != nil {
+		return refuser.Refuse(refuser.DeadlinePassed, "the request was given up before it started")
+	}
+	g.mu.Lock()
+	verdict := g.tombstoner.Start(g.reading(), head.Identity())
+	g.mu.Unlock()
+	if verdict == tombstoner.Go {
+		g.log.Info("request started", "request", head.ID, "workspace", head.Workspace, "target", head.Target)
+		return nil
+	}
+	g.counts.Add("denied_"+string(verdict), 1)
+	kind := refuser.OutcomeUnknown
+	switch verdict {
+	case tombstoner.Late, tombstoner.Tombstone:
+		kind = refuser.NodeUnreachable
+	case tombstoner.Full, tombstoner.Early:
+		kind = refuser.CapacityShort
+	case tombstoner.Go, tombstoner.Stranger, tombstoner.Duplicate:
+	}
+	return &refuser.Refusal{Kind: kind, Outcome: verdict.Outcome(), Detail: "identity: " + string(verdict)}
+}
+
+func (g *Gatekeeper) finish(id string, ran bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tombstoner.Finish(g.reading(), id, ran)
+}
+
 func (g *Gatekeeper) acquire(target registrar.Announcement) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -113,37 +176,26 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight[name]--
+	if g.inFlight[name] == 0 {
+		delete(g.inFlight, name)
+	}
 }
 
-// forward sends the request to the target once. The body has no GetBody, so the transport replays nothing.
-func (g *Gatekeeper) forward(
-	ctx context.Context, target registrar.Announcement, head carrier.Head, body io.Reader,
-) (*http.Response, error) {
-	uri, err := url.ParseRequestURI(head.URI)
-	if err != nil {
-		return nil, refuser.Refuse(refuser.RequestInvalid, "the request URI is malformed")
-	}
-	uri.Scheme, uri.Host = "http", target.Address
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	request, err := http.NewRequestWithContext(ctx, head.Method, uri.String(), io.NopCloser(body))
-	if err != nil {
-		return nil, refuser.Refuse(refuser.RequestInvalid, "the request cannot be built")
+// explain turns the error of an exchange with a target into a refusal.
+func explain(ctx context.Context, err error) *refuser.Refusal {
+	var failure *connector.Failure
+	sent := !errors.As(err, &failure) || failure.Sent
+	refusal := &refuser.Refusal{Kind: refuser.TargetUnreachable, Outcome: refuser.NotRun{}, Detail: err.Error()}
+	if sent {
+		refusal.Kind, refusal.Outcome = refuser.OutcomeUnknown, refuser.Unknown{}
 	}
-	request.Header, request.Host, request.ContentLength = head.Header, head.Host, head.Length
-	response, err := g.transport.RoundTrip(request)
 	switch {
-	case err == nil:
-		return response, nil
-	case !connected.Load():
-		return nil, refuser.Refuse(refuser.TargetUnreachable, err.Error())
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return nil, refuser.Fail(refuser.DeadlinePassed, "the target did not answer in time")
-	default:
-		return nil, refuser.Fail(refuser.OutcomeUnknown, err.Error())
+		refusal.Kind, refusal.Detail = refuser.DeadlinePassed, "the target did not answer in time"
+	case errors.Is(err, carrier.ErrCut), errors.Is(err, carrier.ErrDamaged):
+		refusal.Kind = refuser.BodyCut
 	}
+	return refusal
 }
 
 // slotBody gives the slot back when the answer was read or given up.
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -15,12 +16,14 @@
 	"samphiremount.example/core/limiter"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
 	"samphiremount.example/core/synchronizer"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/connector"
 	"samphiremount.example/node/pkg/enroller"
 	"samphiremount.example/node/pkg/gatekeeper"
 	"samphiremount.example/node/pkg/reporter"
@@ -77,6 +80,7 @@
 	log      logger.Logger
 	reporter *reporter.Reporter
 	enroller *enroller.Enroller
+	conns    *connector.Connector
 	client   *synchronizer.Client
 	acceptor *acceptor.Acceptor
 	server   *messenger.Server
@@ -93,15 +97,20 @@
 	})
 	targets := enroller.New(log.Part("enroll"), own.SetTargets)
 	mux := messenger.Mux{}
-	carrier.NewServer(gatekeeper.New(incarnation, targets, log.Part("gate"))).Register(mux)
+	client := carrier.NewClient(pool, expvar.NewMap("entry"))
+	counts := expvar.NewMap("gate")
+	targetConns := connector.New(counts)
+	gate := gatekeeper.New(incarnation, targets, targetConns, counts, log.Part("gate"))
+	carrier.NewServer(gate, client).Register(mux)
 	return parts{
 		log:      log,
 		reporter: own,
 		enroller: targets,
+		conns:    targetConns,
 		client:   synchronizer.NewClient(pool, settings.Controls, view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
 		acceptor: acceptor.New(acceptor.Dependencies{
-			Viewer: view, Client: carrier.NewClient(pool), Limiter: limiter.New(),
+			Name: settings.Name, Viewer: view, Client: client, Limiter: limiter.New(), Retrier: retrier.New(),
 			Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
 			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 			Route:  log.Part("route"), Admit: log.Part("admit"),
@@ -118,6 +127,7 @@
 	group.Go(func() error { return core.ServeMetrics(background, listeners.metrics) })
 	group.Go(func() error { return core.ServeHTTP(background, listeners.local, p.enroller.Handler(), time.Second) })
 	group.Go(func() error { return p.enroller.Run(background) })
+	group.Go(func() error { return p.conns.Run(background) })
 	group.Go(func() error { return p.client.Run(background) })
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
--- a/standin/scenarios/relay_test.go
+++ b/standin/scenarios/relay_test.go
@@ -20,6 +20,14 @@
 
 	mu    sync.Mutex
 	conns []net.Conn
+	pipes []*pipes
+}
+
+// pipes are the two directions of one connection. Each can be stalled by itself, as by a middle box that lost the
+// connection's state.
+type pipes struct {
+	forward  atomic.Bool
+	backward atomic.Bool
 }
 
 // relayCommand starts a relay to an address and puts its own into the environment: relay NAME ADDRESS. A process that
@@ -52,6 +60,18 @@
 	r.closeAll()
 }
 
+// stallCommand drops the bytes of the connections that are open now, while new ones work: stall NAME
+// forward|backward|both.
+func stallCommand(ts *testscript.TestScript, _ bool, args []string) {
+	r := relayOf(ts, args[0])
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, open := range r.pipes {
+		open.forward.Store(args[1] != "backward")
+		open.backward.Store(args[1] != "forward")
+	}
+}
+
 func relayOf(ts *testscript.TestScript, name string) *relay {
 	f := fleetOf(ts)
 	f.mu.Lock()
@@ -76,17 +96,19 @@
 		}
 		r.mu.Lock()
 		r.conns = append(r.conns, near, far)
+		both := &pipes{}
+		r.pipes = append(r.pipes, both)
 		r.mu.Unlock()
-		go pipe(far, near, &r.forward)
-		go pipe(near, far, &r.backward)
+		go pipe(far, near, &r.forward, &both.forward)
+		go pipe(near, far, &r.backward, &both.backward)
 	}
 }
 
-func pipe(to io.WriteCloser, from io.ReadCloser, dropped *atomic.Bool) {
+func pipe(to io.WriteCloser, from io.ReadCloser, cut, stalled *atomic.Bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && !dropped.Load() {
+		if n > 0 && !cut.Load() && !stalled.Load() {
 			if _, err := to.Write(buf[:n]); err != nil {
 				break
 			}
@@ -96,7 +118,7 @@
 		}
 	}
 	// A cut also hides that a side closed its connection.
-	if !dropped.Load() {
+	if !cut.Load() && !stalled.Load() {
 		_ = to.Close()
 	}
 	_ = from.Close()
@@ -108,5 +130,5 @@
 	for _, conn := range r.conns {
 		_ = conn.Close()
 	}
-	r.conns = nil
+	r.conns, r.pipes = nil, nil
 }
--- a/standin/scenarios/scenarios_test.go
+++ b/standin/scenarios/scenarios_test.go
@@ -30,6 +30,7 @@
 			"relay":   relayCommand,
 			"cut":     cutCommand,
 			"heal":    healCommand,
+			"stall":   stallCommand,
 			"start":   startCommand,
 			"signal":  signalCommand,
 			"ended":   endedCommand,
