Carry trailers, name cut bodies and prove that answers come whole

Trailers travel in the end mark; Expect ends at the entry; targets get the milliseconds that are left in Samphire-Remaining. Crossed answers are counted.

--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -89,7 +89,7 @@
 		ID: id, Service: admission.route.Service, Workspace: admission.workspace.Name,
 		Repeatable: admission.route.Repeatable, Deadline: deadline, Method: request.Method,
 		URI: request.URL.RequestURI(), Host: request.Host, Header: forwardHeader(request, id, admission),
-		Length: request.ContentLength,
+		Length: request.ContentLength, Trailer: trailerNames(request.Trailer),
 	}
-	return a.forward(request.Context(), head, request)
+	return a.forward(request.Context(), head, request, admission.presented)
 }
--- a/node/pkg/acceptor/body.go
+++ b/node/pkg/acceptor/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -16,7 +17,9 @@
 // body lets several attempts read a caller's request body one after another, as long as no more than keptBytes of it
 // were read.
 type body struct {
-	owner atomic.Pointer[bodyReader]
+	owner   atomic.Pointer[bodyReader]
+	trailer http.Header
+	key     string
 
 	mu     sync.Mutex
 	source io.Reader
@@ -25,8 +28,9 @@
 	end    error
 }
 
-func newBody(source io.Reader) *body {
-	return &body{source: source}
+// newBody returns the body of request. Its trailers are filled in once it was read. Those that contain key are dropped.
+func newBody(request *http.Request, key string) *body {
+	return &body{source: request.Body, trailer: request.Trailer, key: key}
 }
 
 // reader returns the body from its start for one more attempt. Readers of earlier attempts get nothing more.
@@ -46,12 +50,30 @@
 	return b.read == len(b.kept)
 }
 
+// cut reports whether the body ended before its end, once the read that is under way has returned.
+func (b *body) cut() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.end != nil && !errors.Is(b.end, io.EOF)
+}
+
 // bodyReader is one attempt's view of a body.
 type bodyReader struct {
 	body   *body
 	offset int
 }
 
+// Trailer implements carrier.Trailed.
+func (r *bodyReader) Trailer() http.Header {
+	trailer := r.body.trailer.Clone()
+	for name, values := range trailer {
+		if containsKey(values, r.body.key) {
+			trailer.Del(name)
+		}
+	}
+	return trailer
+}
+
 // Read implements io.Reader. A read that is under way when another attempt takes over ends there, and its bytes are
 // kept for that attempt.
 func (r *bodyReader) Read(p []byte) (int, error) {
--- /dev/null
+++ b/node/pkg/acceptor/fleet_test.go
@@ -0,0 +1,109 @@
+package acceptor_test
+
+import (
+	"bytes"
+	"context"
+	"expvar"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/keyer"
+	"samphiremount.example/core/limiter"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/retrier"
+	"samphiremount.example/core/router"
+	"samphiremount.example/core/tracker"
+	"samphiremount.example/node/pkg/acceptor"
+	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/connector"
+	"samphiremount.example/node/pkg/gatekeeper"
+	"samphiremount.example/node/pkg/viewer"
+)
+
+// targets are the targets that a test's gate knows.
+type targets map[string]registrar.Announcement
+
+func (t targets) Announcement(name string) (registrar.Announcement, bool) {
+	announcement, ok := t[name]
+	return announcement, ok
+}
+
+// fleet is an entry and a gate in one process, with targets that are handlers.
+type fleet struct {
+	entry *httptest.Server
+	key   string
+}
+
+// newFleet serves /bookings (not repeatable) and /catalogue (repeatable) by the targets of handlers, for one workspace.
+func newFleet(t *testing.T, handlers ...http.Handler) *fleet {
+	t.Helper()
+	known := targets{}
+	var placed []tracker.Target
+	for i, handler := range handlers {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		name := string(rune('a' + i))
+		known[name] = registrar.Announcement{
+			Name: name, Service: "service", Address: server.Listener.Addr().String(), Slots: 4,
+		}
+		placed = append(placed, tracker.Target{Name: name, Service: "service", Slots: 4})
+	}
+	log := slog.New(slog.DiscardHandler)
+	credentials := messenger.NewCredentials("test", []byte("0123456789abcdef"))
+	pool := messenger.NewPool(credentials)
+	client := carrier.NewClient(pool, new(expvar.Map))
+	counts := new(expvar.Map)
+	mux := messenger.Mux{}
+	carrier.NewServer(gatekeeper.New(1, known, connector.New(counts), counts, log), client).Register(mux)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = messenger.NewServer(credentials, mux, log).Serve(ctx, listener) }()
+
+	view := viewer.New()
+	key, err := keyer.New(bytes.NewReader(bytes.Repeat([]byte{7}, 64)))
+	assert.NilError(t, err)
+	configuration, _, err := configurer.Configuration{}.With(configurer.Batch{Operation: "test", Changes: []configurer.Change{
+		configurer.PutService{Service: configurer.Service{Name: "service"}},
+		configurer.PutWorkspace{Workspace: configurer.Workspace{Name: "kowhai", Rate: 1e5, Burst: 1e5, Weight: 1}},
+		configurer.PutRoute{Route: configurer.Route{
+			Name: "bookings", Prefix: "/bookings", Service: "service", Limit: 20 * time.Second,
+		}},
+		configurer.PutRoute{Route: configurer.Route{
+			Name: "catalogue", Prefix: "/catalogue", Service: "service", Repeatable: true, Limit: 20 * time.Second,
+		}},
+		configurer.IssueKey{Key: configurer.Key{ID: key.ID, Workspace: "kowhai", Digest: key.Digest()}},
+	}})
+	assert.NilError(t, err)
+	view.Install(configuration)
+	view.Merge(tracker.Node{
+		Name: "node", Region: "r", Centre: "c", Address: listener.Addr().String(), Incarnation: 1, Sequence: 1, Targets: placed,
+	})
+	entry := acceptor.New(acceptor.Dependencies{
+		Name: "node", Viewer: view, Client: client, Limiter: limiter.New(), Retrier: retrier.New(),
+		Router: router.New(router.Place{Region: "r", Centre: "c"}), Random: rand.New(rand.NewPCG(1, 2)),
+		Route: log, Admit: log,
+	})
+	server := httptest.NewServer(entry.Handler())
+	t.Cleanup(server.Close)
+	return &fleet{entry: server, key: key.Reveal()}
+}
+
+// request builds a keyed request to path.
+func (f *fleet) request(t *testing.T, method, path string) *http.Request {
+	t.Helper()
+	request, err := http.NewRequest(method, f.entry.URL+path, http.NoBody)
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+f.key)
+	return request
+}
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -24,11 +24,13 @@
 }
 
 // forward sends a request to a target, and to another one after a failure where that is safe and within the budget.
-func (a *Acceptor) forward(ctx context.Context, head carrier.Head, request *http.Request) (carrier.Answer, error) {
+func (a *Acceptor) forward(
+	ctx context.Context, head carrier.Head, request *http.Request, key string,
+) (carrier.Answer, error) {
 	a.Retrier.Asked(time.Now(), head.Service)
 	f := &forwarding{
 		head:    head,
-		body:    newBody(request.Body),
+		body:    newBody(request, key),
 		attempt: retrier.Attempt{Service: head.Service, Number: 1, Repeatable: head.Repeatable, Deadline: head.Deadline},
 		tried:   make(map[string]bool),
 	}
@@ -71,7 +73,7 @@
 	answer, err = a.Client.Carry(ctx, way, f.head, f.body.reader())
 	if err != nil {
 		a.leave(target.Name)
-		return carrier.Answer{}, true, err
+		return carrier.Answer{}, true, f.blame(ctx, err)
 	}
 	answer.Body = countedBody{answer.Body, sync.OnceFunc(func() { a.leave(target.Name) })}
 	return answer, true, nil
@@ -99,6 +101,16 @@
 	return false
 }
 
+// blame names the caller's cut body as the cause of err. The end of ctx can be seen before the cut, which ends it.
+func (f *forwarding) blame(ctx context.Context, err error) error {
+	if ctx.Err() == nil || !f.body.cut() {
+		return err
+	}
+	refusal := *refuser.From(err)
+	refusal.Kind = refuser.BodyCut
+	return &refusal
+}
+
 // truth corrects the outcome in err by what earlier attempts may have done.
 func (f *forwarding) truth(err error) error {
 	if err == nil || !f.doubt {
--- a/node/pkg/acceptor/header.go
+++ b/node/pkg/acceptor/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"path"
+	"slices"
 	"strings"
 
 	"samphiremount.example/core/refuser"
@@ -16,9 +17,9 @@
 	headerOutcome   = "Samphire-Outcome"
 )
 
-// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1). Expect is among them, since the entry answers it.
 var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade",
 }
 
@@ -74,3 +75,15 @@
 	}
 	return kept
 }
+
+// trailerNames returns the names of the trailers that a request may send on: those of the fleet and of the hop are
+// dropped.
+func trailerNames(trailer http.Header) []string {
+	var names []string
+	for name := range trailer {
+		if !strings.HasPrefix(name, headerPrefix) && !slices.Contains(hopHeaders, name) && name != "Authorization" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- a/node/pkg/acceptor/reply.go
+++ b/node/pkg/acceptor/reply.go
@@ -58,6 +58,7 @@
 			_ = http.NewResponseController(response.Writer).Flush()
 		}
 		if errors.Is(err, io.EOF) {
+			sendTrailer(header, answer.Body)
 			return nil
 		}
 		if err != nil {
@@ -66,6 +67,19 @@
 	}
 }
 
+// sendTrailer adds the trailers of a whole answer, which net/http then writes after the body.
+func sendTrailer(header http.Header, body io.Reader) {
+	trailed, ok := body.(carrier.Trailed)
+	if !ok {
+		return
+	}
+	for name, values := range trailed.Trailer() {
+		if !strings.HasPrefix(name, headerPrefix) {
+			header[http.TrailerPrefix+name] = values
+		}
+	}
+}
+
 // countedBody reports when the answer was read or given up.
 type countedBody struct {
 	io.ReadCloser
@@ -73,6 +87,14 @@
 	done func()
 }
 
+// Trailer implements carrier.Trailed.
+func (b countedBody) Trailer() http.Header {
+	if trailed, ok := b.ReadCloser.(carrier.Trailed); ok {
+		return trailed.Trailer()
+	}
+	return nil
+}
+
 // Close implements io.Closer.
 func (b countedBody) Close() error {
 	defer b.done()
--- a/node/pkg/carrier/body.go
+++ b/node/pkg/carrier/body.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"net/http"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -21,6 +23,11 @@
 	errSource = errors.New("body can't be read at its source")
 )
 
+// Trailed is a body that may end with trailers, which are known once it was read to its end.
+type Trailed interface {
+	Trailer() http.Header
+}
+
 // sendBody sends body in parts and closes it with its end. An error of reading ends it without one.
 func sendBody(stream drpc.Stream, body io.Reader) error {
 	digest := xxhash.New()
@@ -36,7 +43,11 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return send(stream, frameEnd, endBody{Length: length, Sum: digest.Sum64()})
+			end := endBody{Length: length, Sum: digest.Sum64()}
+			if trailed, ok := body.(Trailed); ok {
+				end.Trailer = trailed.Trailer()
+			}
+			return send(stream, frameEnd, end)
 		}
 		if err != nil {
 			return errors.CombineErrors(errSource, err)
@@ -44,13 +55,17 @@
 	}
 }
 
-// bodyReader reads the parts of a body from a stream and checks them against the end mark.
+// bodyReader reads the parts of a body from a stream and checks them against the end mark. It is safe for concurrent
+// use, since a reader may be given up while it waits.
 type bodyReader struct {
 	receive func(into *frame) error
+
+	mu      sync.Mutex
 	digest  *xxhash.Digest
 	length  uint64
 	frame   frame
 	rest    []byte
+	trailer http.Header
 	err     error
 }
 
@@ -67,6 +82,8 @@
 
 // Read implements io.Reader. It returns io.EOF only for a whole body, and ErrCut or ErrDamaged for any other.
 func (r *bodyReader) Read(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for len(r.rest) == 0 && r.err == nil {
 		r.err = r.next()
 	}
@@ -103,12 +120,29 @@
 	if end.Length != r.length || end.Sum != r.digest.Sum64() {
 		return ErrDamaged
 	}
+	r.trailer = end.Trailer
 	return io.EOF
 }
 
+// Trailer implements Trailed.
+func (r *bodyReader) Trailer() http.Header {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.trailer
+}
+
 // drain reads on to the end of the body, or of the stream if the sender gives up.
 func (r *bodyReader) drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for r.err == nil {
 		r.err = r.next()
 	}
 }
+
+// whole reports whether the body was read to its end mark.
+func (r *bodyReader) whole() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return errors.Is(r.err, io.EOF)
+}
--- a/node/pkg/carrier/carrier_test.go
+++ b/node/pkg/carrier/carrier_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -97,6 +98,24 @@
 	}
 }
 
+// warm makes exchanges until the client keeps a connection.
+func warm(t *testing.T, client *carrier.Client, between *link) {
+	t.Helper()
+	for i := range 100 {
+		before := between.connections()
+		answer, err := client.Carry(t.Context(), way(between.address()), head("warm"+strconv.Itoa(i)), http.NoBody)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, answer.Body.Close())
+		if i > 0 && between.connections() == before {
+			time.Sleep(10 * time.Millisecond)
+			return
+		}
+	}
+	t.Fatal("no connection is used twice")
+}
+
 func outcome(t *testing.T, err error) string {
 	t.Helper()
 	assert.Assert(t, err != nil)
@@ -108,13 +127,9 @@
 	served := newGate(answered(strings.NewReader("")))
 	between := serve(t, served)
 	client := newClient(t)
-	answer, err := client.Carry(t.Context(), way(between.address()), head("first"), http.NoBody)
-	assert.NilError(t, err)
-	_, err = io.ReadAll(answer.Body)
-	assert.NilError(t, err)
-	assert.NilError(t, answer.Body.Close())
+	warm(t, client, between)
 	held := between.stall(true)
-	_, err = client.Carry(t.Context(), way(between.address()), head("second"), http.NoBody)
+	_, err := client.Carry(t.Context(), way(between.address()), head("second"), http.NoBody)
 	assert.Equal(t, outcome(t, err), "not-run")
 	// The head arrives after all, and does not start.
 	held()
@@ -127,13 +142,10 @@
 	between := serve(t, newGate(answered(strings.NewReader(""))))
 	relay := serve(t, newGate(nil))
 	client := newClient(t)
-	answer, err := client.Carry(t.Context(), way(between.address()), head("first"), http.NoBody)
-	assert.NilError(t, err)
-	_, _ = io.ReadAll(answer.Body)
-	assert.NilError(t, answer.Body.Close())
+	warm(t, client, between)
 	_ = between.stall(true)
 	between.deny(1)
-	_, err = client.Carry(t.Context(), way(between.address(), "127.0.0.1:1", relay.address()), head("second"), http.NoBody)
+	_, err := client.Carry(t.Context(), way(between.address(), "127.0.0.1:1", relay.address()), head("second"), http.NoBody)
 	assert.Equal(t, outcome(t, err), "not-run")
 }
 
--- a/node/pkg/carrier/client.go
+++ b/node/pkg/carrier/client.go
@@ -6,6 +6,8 @@
 	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
 )
@@ -52,6 +54,9 @@
 	if exchange.reading > 0 {
 		c.clocks.set(address, Clock{head.Incarnation, exchange.reading}, time.Now())
 	}
+	if errors.Is(err, errCrossed) {
+		c.counts.Add("crossed_answers", 1)
+	}
 	if err != nil {
 		err = exchange.explain(ctx, err)
 		_ = exchange.Close()
--- a/node/pkg/carrier/exchange.go
+++ b/node/pkg/carrier/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,9 @@
 	"samphiremount.example/core/tombstoner"
 )
 
+// errCrossed is returned in place of an answer that belongs to another request.
+var errCrossed = errors.New("crossed answer")
+
 // exchange is one request and its answer on a stream. It sends the body and receives the answer side by side, since a
 // target may answer before it has read the whole body.
 type exchange struct {
@@ -107,7 +111,7 @@
 			return Answer{}, err
 		}
 		if answer.ID != id {
-			return Answer{}, errors.Newf("answer belongs to request %s", answer.ID)
+			return Answer{}, errors.Wrapf(errCrossed, "answer of request %s", answer.ID)
 		}
 		e.reading = tombstoner.Reading(answer.Reading)
 		e.answer = newBodyReader(e.receive)
@@ -137,11 +141,16 @@
 	return e.answer.Read(p)
 }
 
+// Trailer implements Trailed.
+func (e *exchange) Trailer() http.Header {
+	return e.answer.Trailer()
+}
+
 // Close ends the exchange, whether or not the answer was read to its end. The connection is used again only if both
 // directions are whole: what one side left unread would hold up the next request on it.
 func (e *exchange) Close() error {
 	e.silence.Stop()
-	whole := e.refused || e.answer != nil && errors.Is(e.answer.err, io.EOF)
+	whole := e.refused || e.answer != nil && e.answer.whole()
 	if !whole || !e.sent.Load() {
 		e.cancel()
 		return nil
--- a/node/pkg/carrier/frame.go
+++ b/node/pkg/carrier/frame.go
@@ -36,8 +36,9 @@
 
 // endBody closes a body with its length in bytes and its xxHash64. A body without an end is not whole.
 type endBody struct {
-	Length uint64 `cbor:"1,keyasint"`
-	Sum    uint64 `cbor:"2,keyasint"`
+	Length  uint64              `cbor:"1,keyasint"`
+	Sum     uint64              `cbor:"2,keyasint"`
+	Trailer map[string][]string `cbor:"3,keyasint,omitempty"`
 }
 
 type refusedBody struct {
@@ -67,6 +68,7 @@
 	Header      map[string][]string `cbor:"11,keyasint,omitempty"`
 	Length      int64               `cbor:"12,keyasint"`
 	StartBefore int64               `cbor:"13,keyasint"`
+	Trailer     []string            `cbor:"14,keyasint,omitempty"`
 }
 
 type answerBody struct {
--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -24,6 +24,8 @@
 	Host        string
 	Header      http.Header
 	Length      int64
+	// Trailer holds the names of the trailers that the body announces.
+	Trailer []string
 	// StartBefore is set by Client.Carry from what it knows of the gate's clock.
 	StartBefore tombstoner.Reading
 }
@@ -39,7 +41,8 @@
 	Reading     tombstoner.Reading
 }
 
-// Answer is a target's answer. Body returns io.EOF only when the answer is whole. Close must be called.
+// Answer is a target's answer. Body returns io.EOF only when the answer is whole. It may be Trailed. Close must be
+// called.
 type Answer struct {
 	Status int
 	Header http.Header
@@ -68,6 +71,7 @@
 		ID: h.ID, Incarnation: h.Incarnation, Target: h.Target, Service: h.Service, Workspace: h.Workspace,
 		Repeatable: h.Repeatable, Remaining: h.Deadline.Sub(now).Milliseconds(), Method: h.Method, URI: h.URI,
 		Host: h.Host, Header: h.Header, Length: h.Length, StartBefore: int64(h.StartBefore),
+		Trailer: h.Trailer,
 	}
 }
 
@@ -76,5 +80,6 @@
 		ID: b.ID, Incarnation: b.Incarnation, Target: b.Target, Service: b.Service, Workspace: b.Workspace,
 		Repeatable: b.Repeatable, Deadline: now.Add(time.Duration(b.Remaining) * time.Millisecond), Method: b.Method,
 		URI: b.URI, Host: b.Host, Header: b.Header, Length: b.Length, StartBefore: tombstoner.Reading(b.StartBefore),
+		Trailer: b.Trailer,
 	}
 }
--- a/node/pkg/carrier/link_test.go
+++ b/node/pkg/carrier/link_test.go
@@ -64,6 +64,13 @@
 	}
 }
 
+// connections returns how many connections were opened.
+func (l *link) connections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open) / 2
+}
+
 // deny refuses the next connections.
 func (l *link) deny(count int) {
 	l.mu.Lock()
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"io"
 	"log/slog"
+	"net/http"
 	"sync"
 	"time"
 
@@ -125,7 +126,7 @@
 	return carrier.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
-		Body: &slotBody{ReadCloser: response.Body, release: func() {
+		Body: &slotBody{ReadCloser: response.Body, response: response, release: func() {
 			release()
 			g.finish(head.ID, true)
 		}},
@@ -202,7 +203,13 @@
 type slotBody struct {
 	io.ReadCloser
 
-	release func()
+	response *http.Response
+	release  func()
+}
+
+// Trailer implements carrier.Trailed.
+func (b *slotBody) Trailer() http.Header {
+	return b.response.Trailer
 }
 
 // Close implements io.Closer.
--- a/node/pkg/gatekeeper/request.go
+++ b/node/pkg/gatekeeper/request.go
@@ -4,12 +4,19 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
 	"samphiremount.example/node/pkg/carrier"
 )
 
+// headerRemaining tells a target how many milliseconds are left to the request's deadline.
+const headerRemaining = "Samphire-Remaining"
+
 // newRequest builds the request that goes to target. It is written to a connection once, so it has no GetBody.
 func newRequest(target registrar.Announcement, head carrier.Head, body io.Reader) (*http.Request, error) {
 	uri, err := url.ParseRequestURI(head.URI)
@@ -28,8 +35,39 @@
 	request := &http.Request{
 		Method: head.Method, URL: uri, Header: header, Host: head.Host, ContentLength: head.Length, Body: http.NoBody,
 	}
-	if head.Length != 0 {
-		request.Body = io.NopCloser(body)
+	header.Set(headerRemaining, strconv.FormatInt(max(time.Until(head.Deadline).Milliseconds(), 0), 10))
+	if head.Length == 0 {
+		return request, nil
+	}
+	request.Body = io.NopCloser(body)
+	if trailed, ok := body.(carrier.Trailed); ok && len(head.Trailer) > 0 {
+		request.Trailer = make(http.Header)
+		for _, name := range head.Trailer {
+			request.Trailer[http.CanonicalHeaderKey(name)] = nil
+		}
+		request.Body = &trailedBody{Reader: body, trailed: trailed, trailer: request.Trailer}
 	}
 	return request, nil
 }
+
+// trailedBody fills a request's trailers in at the end of its body. Those that the head did not announce are dropped.
+type trailedBody struct {
+	io.Reader
+
+	trailed carrier.Trailed
+	trailer http.Header
+}
+
+// Read implements io.Reader.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		for name := range b.trailer {
+			b.trailer[name] = b.trailed.Trailer()[name]
+		}
+	}
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is
+}
+
+// Close implements io.Closer.
+func (b *trailedBody) Close() error { return nil }
