--- /dev/null
+++ b/node/pkg/starter/callers.go
@@ -0,0 +1,64 @@
+package starter
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// serveCallers serves callers until ctx or background ends. Then the node leaves the directory and goes on for
+// leaveDelay, in which each answer ends its connection. Idle connections are closed only after that: a request that
+// crosses the close of its connection is lost.
+func (p parts) serveCallers(ctx, background context.Context, listener net.Listener) error {
+	var leaving atomic.Bool
+	handler := p.acceptor.Handler()
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if leaving.Load() {
+				w.Header().Set("Connection", "close")
+			}
+			handler.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+	}
+	group, running := errgroup.WithContext(background)
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve callers")
+		}
+		return nil
+	})
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-running.Done():
+		}
+		leaving.Store(true)
+		p.reporter.Leave()
+		p.log.Part("node").Info("node leaving", "reason", "stop was asked for")
+		wait(running, leaveDelay)
+		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
+		defer cancel()
+		return errors.Wrap(server.Shutdown(ending), "finish callers' requests")
+	})
+	return group.Wait()
+}
+
+// finishGate refuses what other nodes still send, and waits for what they sent before.
+func (p parts) finishGate(ctx context.Context) error {
+	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
+	defer cancel()
+	return p.carrier.Stop(ending)
+}
+
+func wait(ctx context.Context, delay time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
+	}
+}
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -6,7 +6,6 @@
 	"expvar"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"time"
 
@@ -31,8 +30,9 @@
 )
 
 const (
-	stopGrace    = 30 * time.Second
-	leaveDelay   = time.Second
+	stopGrace = 30 * time.Second
+	// leaveDelay lets the directory spread, and callers take the answers that end their connections.
+	leaveDelay   = 3 * time.Second
 	headTimeout  = 10 * time.Second
 	idleTimeout  = 2 * time.Minute
 	maxHeadBytes = 64 << 10
@@ -83,6 +83,7 @@
 	conns    *connector.Connector
 	client   *synchronizer.Client
 	acceptor *acceptor.Acceptor
+	carrier  *carrier.Server
 	server   *messenger.Server
 }
 
@@ -101,12 +102,14 @@
 	counts := expvar.NewMap("gate")
 	targetConns := connector.New(counts)
 	gate := gatekeeper.New(incarnation, targets, targetConns, counts, log.Part("gate"))
-	carrier.NewServer(gate, client).Register(mux)
+	fleet := carrier.NewServer(gate, client)
+	fleet.Register(mux)
 	return parts{
 		log:      log,
 		reporter: own,
 		enroller: targets,
 		conns:    targetConns,
+		carrier:  fleet,
 		client:   synchronizer.NewClient(pool, settings.Controls, view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
 		acceptor: acceptor.New(acceptor.Dependencies{
@@ -118,8 +121,8 @@
 	}
 }
 
-// run stops the parts in order: the node leaves the directory first, then callers' connections finish, then the gate
-// closes, and the stream to control last.
+// run stops the parts in order: the node leaves the directory first, then callers' connections finish, then what other
+// nodes sent to the gate, and the stream to control ends last.
 func (p parts) run(ctx context.Context, listeners listeners) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
@@ -132,42 +135,8 @@
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
 		defer stopBackground()
-		return p.serveCallers(ctx, background, listeners.entry)
+		err := p.serveCallers(ctx, background, listeners.entry)
+		return errors.Join(err, p.finishGate(ctx))
 	})
 	return group.Wait()
 }
-
-func (p parts) serveCallers(ctx, background context.Context, listener net.Listener) error {
-	server := &http.Server{
-		Handler: p.acceptor.Handler(), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeadBytes,
-	}
-	group, running := errgroup.WithContext(background)
-	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve callers")
-		}
-		return nil
-	})
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-running.Done():
-		}
-		p.reporter.Leave()
-		server.SetKeepAlivesEnabled(false)
-		p.log.Part("node").Info("node leaving", "reason", "stop was asked for")
-		wait(running, leaveDelay)
-		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
-		defer cancel()
-		return errors.Wrap(server.Shutdown(ending), "finish callers' requests")
-	})
-	return group.Wait()
-}
-
-func wait(ctx context.Context, delay time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(delay):
-	}
-}
--- a/standin/pkg/commander/commander.go
+++ b/standin/pkg/commander/commander.go
@@ -86,8 +86,13 @@
 	log := logger.New(os.Stderr, (starter.Settings{}).LogLevel())
 	server := responder.New(announcement, c.Local, c.Work, log.Part("target"))
 	group, ctx := errgroup.WithContext(c.ctx)
-	group.Go(func() error { return server.Announce(ctx) })
-	group.Go(func() error { return starter.ServeHTTP(ctx, listener, server.Handler(), stopGrace) })
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	group.Go(func() error {
+		// The listener closes only after the node has heard that the target leaves.
+		defer stop()
+		return server.Announce(ctx)
+	})
+	group.Go(func() error { return starter.ServeHTTP(serving, listener, server.Handler(), stopGrace) })
 	return group.Wait()
 }
 
--- a/standin/pkg/loader/loader.go
+++ b/standin/pkg/loader/loader.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -27,6 +28,8 @@
 	maxReplyBytes  = 1 << 20
 	served         = "served"
 	wrong          = "wrong"
+
+	refusedConnection = "connection-refused"
 )
 
 // Result is what came of a step. Direct and Through hold microseconds.
@@ -82,7 +85,7 @@
 		group.Go(func() error {
 			direct := l.pair(ctx, step, turn)
 			started := time.Now()
-			outcome, detail := l.send(ctx, l.entries[turn%len(l.entries)], step)
+			outcome, detail := l.enter(ctx, turn, step)
 			through := time.Since(started)
 			mu.Lock()
 			defer mu.Unlock()
@@ -124,6 +127,18 @@
 	Error string `json:"error"`
 }
 
+// enter sends a request to the entry whose turn it is, or to the next one that takes a connection. A stopped node
+// refuses connections, and a caller moves on then.
+func (l *Loader) enter(ctx context.Context, turn int, step Step) (outcome, detail string) {
+	for i := range l.entries {
+		outcome, detail = l.send(ctx, l.entries[(turn+i)%len(l.entries)], step)
+		if outcome != refusedConnection {
+			break
+		}
+	}
+	return outcome, detail
+}
+
 // send returns the outcome of one request: served only if the whole answer came back and belongs to this request.
 func (l *Loader) send(ctx context.Context, address string, step Step) (outcome, detail string) {
 	nonce := xid.New().String()
@@ -137,6 +152,9 @@
 		request.Header.Set("Authorization", "Bearer "+step.Key)
 	}
 	response, err := l.client.Do(request)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return refusedConnection, err.Error()
+	}
 	if err != nil {
 		return "no-answer", err.Error()
 	}
