--- a/core/configurer/apply.go
+++ b/core/configurer/apply.go
@@ -1,7 +1,6 @@
 package configurer
 
 import (
-	"maps"
 	"strings"
 	"time"
 
@@ -26,128 +25,74 @@
 	if err := c.conflict(batch); err != nil {
 		return c, Receipt{}, err
 	}
-	next := c.clone(batch)
-	next.version = c.version + 1
+	draft := newDraft(c, c.version+1)
 	for _, change := range batch.Changes {
-		if err := next.apply(change); err != nil {
+		if err := draft.apply(change); err != nil {
 			return c, Receipt{}, err
 		}
-		next.revisions[touched(change)] = next.version
 	}
-	if err := next.check(batch); err != nil {
+	next := draft.done(c.version + 1)
+	if err := next.check(batch.Changes); err != nil {
 		return c, Receipt{}, err
 	}
-	receipt := Receipt{Version: next.version}
-	next.receipts = appendReceipt(c.receipts, operationReceipt{batch.Operation, receipt})
-	return next, receipt, nil
-}
-
-// At returns the configuration with its version set, for one that was built from a snapshot.
-func (c Configuration) At(version uint64) Configuration {
-	c.version = version
-	return c
-}
-
-// FromRecords builds the configuration that a snapshot of records at version describes.
-func FromRecords(version uint64, records []Record) (Configuration, error) {
-	changes, err := Changes(records)
-	if err != nil {
-		return Configuration{}, err
-	}
-	configuration, _, err := Configuration{}.With(Batch{Operation: "snapshot", Changes: changes})
-	if err != nil {
-		return Configuration{}, err
-	}
-	configuration.receipts = nil
-	return configuration.At(version), nil
+	next.receipts = appendReceipt(c.receipts, OperationReceipt{batch.Operation, next.version})
+	return next, Receipt{Version: next.version}, nil
 }
 
+// conflict refuses a batch that builds on a version in which a touched object was another. Of removed objects only the
+// last removal's version is kept, so a change of an absent object conflicts with any later removal.
 func (c Configuration) conflict(batch Batch) error {
 	if batch.Base == 0 {
 		return nil
 	}
 	for _, change := range batch.Changes {
-		object := touched(change)
-		if c.revisions[object] > batch.Base {
-			return refuser.Refuse(refuser.ChangeConflict, object.kind+" "+object.name+" changed since")
+		record := NewRecord(change)
+		revision, ok := c.revision(record)
+		if !ok {
+			revision = c.removal
+		}
+		if revision > batch.Base {
+			return refuser.Refuse(refuser.ChangeConflict, record.Kind+" "+record.Name+" changed since")
 		}
 	}
 	return nil
 }
 
-// clone copies only the maps that the batch writes to; the others are shared between versions.
-func (c Configuration) clone(batch Batch) Configuration {
-	kinds := make(map[string]bool)
-	for _, change := range batch.Changes {
-		kinds[touched(change).kind] = true
-	}
-	next := c
-	next.workspaces = cloneIf(kinds[kindWorkspace], c.workspaces)
-	next.keys = cloneIf(kinds[kindKey], c.keys)
-	next.routes = cloneIf(kinds[kindRoute], c.routes)
-	next.services = cloneIf(kinds[kindService], c.services)
-	next.revisions = cloneIf(true, c.revisions)
-	return next
-}
-
-func cloneIf[K comparable, V any](written bool, items map[K]V) map[K]V {
-	if !written {
-		return items
-	}
-	if items == nil {
-		return make(map[K]V)
+func (c Configuration) revision(record Record) (uint64, bool) {
+	switch record.Kind {
+	case kindWorkspace:
+		object, ok := c.workspaces.get(record.Name)
+		return object.revision, ok
+	case kindRoute:
+		object, ok := c.routes.get(record.Name)
+		return object.revision, ok
+	case kindService:
+		object, ok := c.services.get(record.Name)
+		return object.revision, ok
+	default:
+		object, ok := c.keys.get(record.Name)
+		return object.revision, ok
 	}
-	return maps.Clone(items)
-}
-
-func touched(change Change) object {
-	record := NewRecord(change)
-	return object{record.Kind, record.Name}
-}
-
-func (c *Configuration) apply(change Change) error {
-	switch change := change.(type) {
-	case PutWorkspace:
-		c.workspaces[change.Workspace.Name] = change.Workspace
-	case RemoveWorkspace:
-		delete(c.workspaces, change.Name)
-	case PutRoute:
-		c.routes[change.Route.Name] = change.Route
-	case RemoveRoute:
-		delete(c.routes, change.Name)
-	case PutService:
-		c.services[change.Service.Name] = change.Service
-	case RemoveService:
-		delete(c.services, change.Name)
-	case IssueKey:
-		return c.issue(change.Key)
-	case WithdrawKey:
-		key := c.keys[change.ID]
-		key.ID = change.ID
-		key.Withdrawn = true
-		c.keys[change.ID] = key
-	}
-	return nil
-}
-
-// issue never brings a withdrawn key back: a withdrawal that arrived before the key itself wins.
-func (c *Configuration) issue(key Key) error {
-	old, ok := c.keys[key.ID]
-	if ok && old.Digest != key.Digest && !old.Withdrawn {
-		return refuser.Refuse(refuser.ChangeInvalid, "key "+key.ID+" exists with another digest")
-	}
-	key.Withdrawn = key.Withdrawn || old.Withdrawn
-	c.keys[key.ID] = key
-	return nil
 }
 
-func (c Configuration) check(batch Batch) error {
-	for _, change := range batch.Changes {
+func (c Configuration) check(changes []Change) error {
+	removed := make(map[string]bool)
+	for _, change := range changes {
 		if err := c.checkChange(change); err != nil {
 			return err
 		}
+		switch change := change.(type) {
+		case RemoveWorkspace:
+			removed[change.Name] = true
+		case RemoveService:
+			removed[change.Name] = true
+		case PutWorkspace, PutRoute, RemoveRoute, PutService, IssueKey, WithdrawKey:
+		}
 	}
-	return nil
+	if len(removed) == 0 {
+		return nil
+	}
+	return c.checkUnused(removed)
 }
 
 func (c Configuration) checkChange(change Change) error {
@@ -161,14 +106,25 @@
 			return invalid("service " + change.Service.Name + " needs a name and a floor of 0 or more")
 		}
 	case IssueKey:
-		if _, ok := c.workspaces[change.Key.Workspace]; !ok && !change.Key.Withdrawn {
+		if _, ok := c.Workspace(change.Key.Workspace); !ok && !change.Key.Withdrawn {
 			return invalid("key " + change.Key.ID + " names workspace " + change.Key.Workspace + ", which is not there")
 		}
-	case RemoveWorkspace:
-		return c.checkNoKey(change.Name)
-	case RemoveService:
-		return c.checkNoRoute(change.Name)
-	case RemoveRoute, WithdrawKey:
+	case RemoveWorkspace, RemoveService, RemoveRoute, WithdrawKey:
+	}
+	return nil
+}
+
+// checkUnused refuses the removal of a workspace that has a key in force and of a service that has a route.
+func (c Configuration) checkUnused(removed map[string]bool) error {
+	for _, key := range c.Keys() {
+		if _, ok := c.Workspace(key.Workspace); !ok && removed[key.Workspace] && !key.Withdrawn {
+			return invalid("workspace " + key.Workspace + " still has key " + key.ID)
+		}
+	}
+	for _, route := range c.Routes() {
+		if _, ok := c.Service(route.Service); !ok && removed[route.Service] {
+			return invalid("service " + route.Service + " still has route " + route.Name)
+		}
 	}
 	return nil
 }
@@ -187,35 +143,17 @@
 	if route.Limit <= 0 || route.Limit > maxLimit {
 		return invalid("route " + route.Name + " needs a limit between 1 ms and 1 h")
 	}
-	if _, ok := c.services[route.Service]; !ok {
+	if _, ok := c.Service(route.Service); !ok {
 		return invalid("route " + route.Name + " names service " + route.Service + ", which is not there")
 	}
 	return nil
 }
 
-func (c Configuration) checkNoKey(workspace string) error {
-	for _, key := range c.keys {
-		if key.Workspace == workspace && !key.Withdrawn {
-			return invalid("workspace " + workspace + " still has key " + key.ID)
-		}
-	}
-	return nil
-}
-
-func (c Configuration) checkNoRoute(service string) error {
-	for _, route := range c.routes {
-		if route.Service == service {
-			return invalid("service " + service + " still has route " + route.Name)
-		}
-	}
-	return nil
-}
-
 func invalid(detail string) error {
 	return refuser.Refuse(refuser.ChangeInvalid, detail)
 }
 
-func appendReceipt(past []operationReceipt, added operationReceipt) []operationReceipt {
+func appendReceipt(past []OperationReceipt, added OperationReceipt) []OperationReceipt {
 	keep := past[max(0, len(past)+1-receiptsKept):]
-	return append(append(make([]operationReceipt, 0, len(keep)+1), keep...), added)
+	return append(append(make([]OperationReceipt, 0, len(keep)+1), keep...), added)
 }
--- a/core/configurer/configuration.go
+++ b/core/configurer/configuration.go
@@ -1,72 +1,55 @@
 package configurer
 
-import (
-	"maps"
-	"slices"
-)
-
 // Configuration is one version of everything that operators set. It is immutable: With returns the next version.
 // The zero value is the empty configuration at version 0.
 type Configuration struct {
 	version    uint64
-	workspaces map[string]Workspace
-	keys       map[string]Key
-	routes     map[string]Route
-	services   map[string]Service
-	revisions  map[object]uint64
-	receipts   []operationReceipt
-}
-
-// object identifies one thing that a change touches.
-type object struct {
-	kind string
-	name string
+	removal    uint64
+	workspaces shards[Workspace]
+	keys       shards[Key]
+	routes     shards[Route]
+	services   shards[Service]
+	receipts   []OperationReceipt
 }
 
-// operationReceipt remembers the answer to an operation for as long as an operator may resend it.
-type operationReceipt struct {
-	operation string
-	receipt   Receipt
+// OperationReceipt remembers the answer to an operation for as long as an operator may resend it.
+type OperationReceipt struct {
+	Operation string `cbor:"1,keyasint" json:"operation"`
+	Version   uint64 `cbor:"2,keyasint" json:"version"`
 }
 
 // Version returns the number of batches that made this configuration.
 func (c Configuration) Version() uint64 { return c.version }
 
 // Workspace returns the workspace called name.
-func (c Configuration) Workspace(name string) (Workspace, bool) {
-	workspace, ok := c.workspaces[name]
-	return workspace, ok
-}
+func (c Configuration) Workspace(name string) (Workspace, bool) { return find(c.workspaces, name) }
 
 // Key returns the key with the identifier.
-func (c Configuration) Key(id string) (Key, bool) {
-	key, ok := c.keys[id]
-	return key, ok
-}
+func (c Configuration) Key(id string) (Key, bool) { return find(c.keys, id) }
+
+// Route returns the route called name.
+func (c Configuration) Route(name string) (Route, bool) { return find(c.routes, name) }
 
 // Service returns the service called name.
-func (c Configuration) Service(name string) (Service, bool) {
-	service, ok := c.services[name]
-	return service, ok
-}
+func (c Configuration) Service(name string) (Service, bool) { return find(c.services, name) }
 
 // Workspaces returns all workspaces, sorted by name.
-func (c Configuration) Workspaces() []Workspace { return sorted(c.workspaces) }
+func (c Configuration) Workspaces() []Workspace { return values(c.workspaces) }
 
 // Keys returns all keys, sorted by identifier.
-func (c Configuration) Keys() []Key { return sorted(c.keys) }
+func (c Configuration) Keys() []Key { return values(c.keys) }
 
 // Routes returns all routes, sorted by name.
-func (c Configuration) Routes() []Route { return sorted(c.routes) }
+func (c Configuration) Routes() []Route { return values(c.routes) }
 
 // Services returns all services, sorted by name.
-func (c Configuration) Services() []Service { return sorted(c.services) }
+func (c Configuration) Services() []Service { return values(c.services) }
 
 // Receipt returns the answer that operation got when it was accepted, if it is still remembered.
 func (c Configuration) Receipt(operation string) (Receipt, bool) {
 	for _, past := range c.receipts {
-		if past.operation == operation {
-			return past.receipt, true
+		if past.Operation == operation {
+			return Receipt{Version: past.Version}, true
 		}
 	}
 	return Receipt{}, false
@@ -74,26 +57,32 @@
 
 // Records returns the configuration as the changes that build it from nothing.
 func (c Configuration) Records() []Record {
-	records := make([]Record, 0, len(c.services)+len(c.workspaces)+len(c.routes)+len(c.keys))
-	for _, service := range c.Services() {
-		records = append(records, NewRecord(PutService{service}))
-	}
-	for _, workspace := range c.Workspaces() {
-		records = append(records, NewRecord(PutWorkspace{workspace}))
-	}
-	for _, route := range c.Routes() {
-		records = append(records, NewRecord(PutRoute{route}))
-	}
-	for _, key := range c.Keys() {
-		records = append(records, NewRecord(IssueKey{key}))
+	records := make([]Record, 0, c.services.len()+c.workspaces.len()+c.routes.len()+c.keys.len())
+	records = appendRecords(records, c.services, func(s Service) Change { return PutService{s} })
+	records = appendRecords(records, c.workspaces, func(w Workspace) Change { return PutWorkspace{w} })
+	records = appendRecords(records, c.routes, func(r Route) Change { return PutRoute{r} })
+	return appendRecords(records, c.keys, func(k Key) Change { return IssueKey{k} })
+}
+
+func appendRecords[V named](records []Record, objects shards[V], put func(V) Change) []Record {
+	for _, object := range objects.sorted() {
+		record := NewRecord(put(object.value))
+		record.Revision = object.revision
+		records = append(records, record)
 	}
 	return records
 }
 
-func sorted[T any](items map[string]T) []T {
-	values := make([]T, 0, len(items))
-	for _, name := range slices.Sorted(maps.Keys(items)) {
-		values = append(values, items[name])
+func find[V named](objects shards[V], name string) (V, bool) {
+	object, ok := objects.get(name)
+	return object.value, ok
+}
+
+func values[V named](objects shards[V]) []V {
+	sorted := objects.sorted()
+	all := make([]V, 0, len(sorted))
+	for _, object := range sorted {
+		all = append(all, object.value)
 	}
-	return values
+	return all
 }
--- /dev/null
+++ b/core/configurer/draft.go
@@ -0,0 +1,79 @@
+package configurer
+
+import "samphiremount.example/core/refuser"
+
+// draft is a configuration while a batch applies to it.
+type draft struct {
+	base       Configuration
+	revision   uint64
+	removed    bool
+	workspaces *editor[Workspace]
+	keys       *editor[Key]
+	routes     *editor[Route]
+	services   *editor[Service]
+}
+
+func newDraft(base Configuration, revision uint64) *draft {
+	return &draft{
+		base: base, revision: revision, workspaces: base.workspaces.edit(), keys: base.keys.edit(),
+		routes: base.routes.edit(), services: base.services.edit(),
+	}
+}
+
+func (d *draft) done(version uint64) Configuration {
+	next := d.base
+	next.version = version
+	if d.removed {
+		next.removal = version
+	}
+	next.workspaces, next.keys = d.workspaces.done(), d.keys.done()
+	next.routes, next.services = d.routes.done(), d.services.done()
+	return next
+}
+
+func (d *draft) apply(change Change) error {
+	switch change := change.(type) {
+	case PutWorkspace:
+		d.workspaces.put(change.Workspace, d.revision)
+	case PutRoute:
+		d.routes.put(change.Route, d.revision)
+	case PutService:
+		d.services.put(change.Service, d.revision)
+	case IssueKey:
+		return d.issue(change.Key)
+	case WithdrawKey:
+		d.withdraw(change.ID)
+	case RemoveWorkspace:
+		d.workspaces.remove(change.Name)
+		d.removed = true
+	case RemoveRoute:
+		d.routes.remove(change.Name)
+		d.removed = true
+	case RemoveService:
+		d.services.remove(change.Name)
+		d.removed = true
+	}
+	return nil
+}
+
+// issue never brings a withdrawn key back: a withdrawal that arrived before the key itself wins.
+func (d *draft) issue(key Key) error {
+	old, ok := d.keys.get(key.ID)
+	if ok && old.value.Digest != key.Digest && !old.value.Withdrawn {
+		return refuser.Refuse(refuser.ChangeInvalid, "key "+key.ID+" exists with another digest")
+	}
+	key.Withdrawn = key.Withdrawn || old.value.Withdrawn
+	// One copy of the workspace's name serves the workspace and its keys.
+	if workspace, ok := d.workspaces.get(key.Workspace); ok {
+		key.Workspace = workspace.value.Name
+	}
+	d.keys.put(key, d.revision)
+	return nil
+}
+
+func (d *draft) withdraw(id string) {
+	old, _ := d.keys.get(id)
+	old.value.ID = id
+	old.value.Withdrawn = true
+	d.keys.put(old.value, d.revision)
+}
--- a/core/configurer/record.go
+++ b/core/configurer/record.go
@@ -8,7 +8,8 @@
 	"samphiremount.example/core/keyer"
 )
 
-// Record is the flat form of a Change, for the operators' interface (JSON) and for the fleet's own (CBOR).
+// Record is the flat form of a Change, for the operators' interface (JSON) and for the fleet's own (CBOR). Revision is
+// the version that changed the object last; it is set only in records that describe a whole configuration.
 type Record struct {
 	Verb       string    `cbor:"1,keyasint" json:"verb"`
 	Kind       string    `cbor:"2,keyasint" json:"kind"`
@@ -26,6 +27,7 @@
 	Repeatable bool      `cbor:"14,keyasint,omitempty" json:"repeatable,omitempty"`
 	Limit      int64     `cbor:"15,keyasint,omitempty" json:"milliseconds,omitempty"`
 	Floor      int       `cbor:"16,keyasint,omitempty" json:"floor,omitempty"`
+	Revision   uint64    `cbor:"17,keyasint,omitempty" json:"revision,omitempty"`
 }
 
 const (
--- /dev/null
+++ b/core/configurer/snapshot.go
@@ -0,0 +1,40 @@
+package configurer
+
+// Snapshot is a whole configuration in a form that can be stored and sent. Two processes with equal snapshots decide
+// alike about every later batch.
+type Snapshot struct {
+	Version  uint64             `cbor:"1,keyasint"`
+	Removal  uint64             `cbor:"2,keyasint"`
+	Records  []Record           `cbor:"3,keyasint"`
+	Receipts []OperationReceipt `cbor:"4,keyasint"`
+}
+
+// Snapshot returns the configuration's snapshot.
+func (c Configuration) Snapshot() Snapshot {
+	return Snapshot{Version: c.version, Removal: c.removal, Records: c.Records(), Receipts: c.receipts}
+}
+
+// FromSnapshot builds the configuration that snapshot describes. It fails on a record that is malformed or that breaks
+// a rule.
+func FromSnapshot(snapshot Snapshot) (Configuration, error) {
+	draft := newDraft(Configuration{}, snapshot.Version)
+	changes := make([]Change, 0, len(snapshot.Records))
+	for _, record := range snapshot.Records {
+		change, err := record.Change()
+		if err != nil {
+			return Configuration{}, err
+		}
+		draft.revision = record.Revision
+		if err := draft.apply(change); err != nil {
+			return Configuration{}, err
+		}
+		changes = append(changes, change)
+	}
+	configuration := draft.done(snapshot.Version)
+	if err := configuration.check(changes); err != nil {
+		return Configuration{}, err
+	}
+	configuration.removal = snapshot.Removal
+	configuration.receipts = snapshot.Receipts
+	return configuration, nil
+}
--- a/core/synchronizer/client.go
+++ b/core/synchronizer/client.go
@@ -182,7 +182,7 @@
 }
 
 func (c *Client) installSnapshot(version uint64, records []configurer.Record) error {
-	configuration, err := configurer.FromRecords(version, records)
+	configuration, err := configurer.FromSnapshot(configurer.Snapshot{Version: version, Records: records})
 	if err != nil {
 		return err
 	}
