Stop withdrawn keys on nodes that are cut off, and serve while control is away

Cause: a node kept serving with its last configuration for ever, whether all control processes were away (where it must) or it alone was cut off (where a key withdrawn meanwhile still worked). A restart without control lost everything.

Change: - core/assessor decides, with the clock read at the moment of use: serve within 4 s of a contact with control; past it serve only if most of a sample of 7 peers answer.

Ruled out: refusing whenever control is away (all nodes stop in an outage of control); wall clocks in heartbeats (clocks decide nothing).

Proofs, each failed first on a scratch copy: - node_cut_off, frozen_node with a verdict of always serve: "the outcome is served, not configuration-stale", "the outcome is served". - control_away with a verdict of refuse: no line "most peers are heard". - withdraw_without_leader without the merge: "the outcome is served, not key-withdrawn". - restart_control_away without cache and peers: no line "cache loaded".

Scenarios that ran side by side took each other's ports; each fleet now has a loopback host of its own.

--- a/control/pkg/administrator/administrator.go
+++ b/control/pkg/administrator/administrator.go
@@ -40,6 +40,7 @@
 	server.HTTPErrorHandler = refuse
 	server.Use(a.authenticate)
 	server.POST("/changes", a.change)
+	server.POST("/withdrawals", a.withdraw)
 	server.GET("/configuration", a.configuration)
 	server.GET("/nodes", a.nodes)
 	server.GET("/version", a.version)
@@ -85,6 +86,22 @@
 	return c.JSON(http.StatusOK, changeReply{receipt.Version})
 }
 
+type withdrawRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// withdraw takes a withdrawal without the leader. It reaches every process that this one can reach, and only ever goes
+// one way; the operator's tool also makes it a change of the configuration.
+func (a *Administrator) withdraw(c echo.Context) error {
+	var request withdrawRequest
+	if err := c.Bind(&request); err != nil || len(request.Keys) == 0 {
+		return refuser.Refuse(refuser.ChangeInvalid, "the body is malformed")
+	}
+	added := a.hub.Withdraw(request.Keys...)
+	a.log.Info("keys withdrawn", "keys", request.Keys, "added", len(added))
+	return c.NoContent(http.StatusNoContent)
+}
+
 type configurationReply struct {
 	Version uint64              `json:"version"`
 	Records []configurer.Record `json:"records"`
--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -41,7 +41,7 @@
 	}
 	log := logger.New(os.Stderr, settings.LogLevel())
 	hub := synchronizer.NewHub()
-	publisher := synchronizer.NewServer(hub, log.Part("publish"))
+	publisher := synchronizer.NewServer(hub, func() time.Duration { return 0 }, log.Part("publish"))
 	mux := messenger.Mux{}
 	publisher.Register(mux)
 	handler := administrator.New(token, newProposer(settings, hub), hub, publisher, log.Part("operate")).Handler()
@@ -55,7 +55,7 @@
 	group.Go(func() error { return publisher.Run(ctx) })
 	pool := messenger.NewPool(credentials)
 	for _, peer := range settings.Peers {
-		client := synchronizer.NewClient(pool, []string{peer}, hub, nil, log.Part("follow"))
+		client := synchronizer.NewClient(pool, func() []string { return []string{peer} }, hub, nil, log.Part("follow"))
 		group.Go(func() error { return client.Run(ctx) })
 	}
 	return group.Wait()
--- a/core/messenger/encoding.go
+++ b/core/messenger/encoding.go
@@ -28,8 +28,14 @@
 
 var _ drpc.Encoding = Encoding{}
 
+// Encoded is a message whose CBOR form is known already. It is sent as it is.
+type Encoded []byte
+
 // Marshal returns the CBOR form of message.
 func (Encoding) Marshal(message drpc.Message) ([]byte, error) {
+	if encoded, ok := message.(Encoded); ok {
+		return encoded, nil
+	}
 	return Marshal(message)
 }
 
--- a/core/messenger/pool.go
+++ b/core/messenger/pool.go
@@ -15,6 +15,7 @@
 	idlePerAddress  = 64
 	idleConnections = 1024
 	keepAlivePeriod = 5 * time.Second
+	dialTimeout     = time.Second
 )
 
 // Pool keeps connections to other processes of the fleet, one call at a time on each.
@@ -41,7 +42,7 @@
 // Dial opens a new connection to address and exchanges greetings. It returns ErrStranger if the other side is not of
 // the fleet.
 func (p *Pool) Dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	dialer := net.Dialer{KeepAlive: keepAlivePeriod}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
--- a/core/starter/settings.go
+++ b/core/starter/settings.go
@@ -140,6 +140,18 @@
 	return nil
 }
 
+// CheckFolder returns an error if path is set and is not a folder.
+func CheckFolder(flag, path string) []error {
+	if path == "" {
+		return nil
+	}
+	info, err := os.Stat(path)
+	if err != nil || !info.IsDir() {
+		return []error{errors.Newf("%s must be a folder: %q", flag, path)}
+	}
+	return nil
+}
+
 // Listen opens the TCP listener that flag names.
 func Listen(flag, address string) (net.Listener, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
--- a/core/synchronizer/client.go
+++ b/core/synchronizer/client.go
@@ -18,6 +18,8 @@
 const (
 	minPause = 100 * time.Millisecond
 	maxPause = 2 * time.Second
+	// substitutePeriod is how long a client stays, on average, with a publisher that is not its best.
+	substitutePeriod = 30 * time.Second
 )
 
 // Sink takes what a publisher sends, if it is newer than what it holds.
@@ -25,6 +27,9 @@
 	Configuration() configurer.Configuration
 	Install(configuration configurer.Configuration) bool
 	Merge(records ...tracker.Node) []tracker.Node
+	Withdraw(ids ...string) []string
+	// Heard tells that a control process was heard that long ago, by the publisher or by this process itself.
+	Heard(age time.Duration)
 }
 
 // Reporter supplies the record that a subscriber reports about itself. Reports delivers a value after each change.
@@ -35,44 +40,56 @@
 	Connected()
 }
 
+// Addresses returns the publishers that a client may try now, best first. It returns at least one.
+type Addresses func() []string
+
 // Client subscribes to one of several publishers at a time.
 type Client struct {
 	pool      *messenger.Pool
-	addresses []string
+	addresses Addresses
 	sink      Sink
 	reporter  Reporter
 	log       *slog.Logger
 }
 
 // NewClient returns a client that tries addresses in turn. Reporter may be nil for a process that is not a node.
-func NewClient(pool *messenger.Pool, addresses []string, sink Sink, reporter Reporter, log *slog.Logger) *Client {
+func NewClient(pool *messenger.Pool, addresses Addresses, sink Sink, reporter Reporter, log *slog.Logger) *Client {
 	return &Client{pool: pool, addresses: addresses, sink: sink, reporter: reporter, log: log}
 }
 
 // Run keeps a subscription until ctx ends. Pauses between tries grow, and are drawn at random so that many clients
 // that lost the same publisher do not return at the same moment.
 func (c *Client) Run(ctx context.Context) error {
-	pause := minPause
+	wait := minPause
 	for turn := 0; ctx.Err() == nil; turn++ {
-		address := c.addresses[turn%len(c.addresses)]
+		addresses := c.addresses()
+		address := addresses[turn%len(addresses)]
 		started := time.Now()
-		err := c.follow(ctx, address)
+		err := c.followFor(ctx, address, address != addresses[0])
 		if ctx.Err() != nil {
 			return nil
 		}
 		c.log.Warn("subscription lost", "address", address, "reason", err)
 		if time.Since(started) > SilenceLimit {
-			pause = minPause
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause/2 + rand.N(pause)):
+			wait, turn = minPause, -1
 		}
-		pause = min(2*pause, maxPause)
+		pause(ctx, wait/2+rand.N(wait))
+		wait = min(2*wait, maxPause)
 	}
 	return nil
 }
 
+// followFor follows a publisher that is not the best one only for a while, so that after an outage clients return to
+// the control process of their own data centre.
+func (c *Client) followFor(ctx context.Context, address string, substitute bool) error {
+	if !substitute {
+		return c.follow(ctx, address)
+	}
+	bounded, cancel := context.WithTimeout(ctx, substitutePeriod/2+rand.N(substitutePeriod))
+	defer cancel()
+	return c.follow(bounded, address)
+}
+
 func (c *Client) follow(ctx context.Context, address string) error {
 	group, ctx := errgroup.WithContext(ctx)
 	conn, err := c.pool.Dial(ctx, address)
@@ -157,6 +174,7 @@
 		case heard <- struct{}{}:
 		default:
 		}
+		c.sink.Withdraw(update.Withdrawn...)
 		c.sink.Merge(update.Nodes...)
 		if update.Snapshot {
 			snapshot = append(snapshot, update.Records...)
@@ -167,6 +185,9 @@
 		if update.Last {
 			snapshot = nil
 		}
+		if update.heartbeat() {
+			c.sink.Heard(time.Duration(update.Age) * time.Millisecond)
+		}
 	}
 }
 
--- a/core/synchronizer/hub.go
+++ b/core/synchronizer/hub.go
@@ -3,19 +3,25 @@
 import (
 	"slices"
 	"sync"
+	"time"
+
+	"storj.io/drpc"
 
 	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/tracker"
 )
 
 const batchesKept = 1024
 
-// Hub holds the newest configuration and directory and wakes its subscriptions when they change.
+// Hub holds the newest configuration, directory and withdrawals and wakes its subscriptions when they change.
 type Hub struct {
 	mu            sync.Mutex
 	configuration configurer.Configuration
 	batches       []versionedBatch
+	snapshot      encodedSnapshot
 	directory     tracker.Directory
+	withdrawn     map[string]struct{}
 	subscriptions map[*subscription]struct{}
 }
 
@@ -27,13 +33,14 @@
 
 // subscription remembers what one subscriber has not been sent yet. Nodes that change twice are sent once.
 type subscription struct {
-	wake    chan struct{}
-	pending map[string]struct{}
+	wake      chan struct{}
+	nodes     map[string]struct{}
+	withdrawn map[string]struct{}
 }
 
 // NewHub returns a Hub with the empty configuration and directory.
 func NewHub() *Hub {
-	return &Hub{subscriptions: make(map[*subscription]struct{})}
+	return &Hub{withdrawn: make(map[string]struct{}), subscriptions: make(map[*subscription]struct{})}
 }
 
 // Configuration returns the newest configuration.
@@ -50,6 +57,18 @@
 	return h.directory
 }
 
+// Withdrawn returns the identifiers of keys that were withdrawn outside the configuration, sorted.
+func (h *Hub) Withdrawn() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ids := make([]string, 0, len(h.withdrawn))
+	for id := range h.withdrawn {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // Apply makes the next version from batch and publishes it. Its errors are those of Configuration.With.
 func (h *Hub) Apply(batch configurer.Batch) (configurer.Receipt, error) {
 	h.mu.Lock()
@@ -61,6 +80,7 @@
 	h.configuration = next
 	h.batches = append(h.batches, versionedBatch{next.Version(), batch})
 	h.batches = h.batches[max(0, len(h.batches)-batchesKept):]
+	h.forgetWithdrawn()
 	h.wakeAll()
 	return receipt, nil
 }
@@ -74,6 +94,7 @@
 	}
 	h.configuration = configuration
 	h.batches = nil
+	h.forgetWithdrawn()
 	h.wakeAll()
 	return true
 }
@@ -86,7 +107,7 @@
 	h.directory = directory
 	for s := range h.subscriptions {
 		for _, node := range changed {
-			s.pending[node.Name] = struct{}{}
+			s.nodes[node.Name] = struct{}{}
 		}
 	}
 	if len(changed) > 0 {
@@ -95,6 +116,45 @@
 	return changed
 }
 
+// Withdraw implements Sink. A withdrawal needs no agreement: it only ever goes one way and is merged from all sides.
+func (h *Hub) Withdraw(ids ...string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var added []string
+	for _, id := range ids {
+		if _, ok := h.withdrawn[id]; ok || h.withdrawnInConfiguration(id) {
+			continue
+		}
+		h.withdrawn[id] = struct{}{}
+		for s := range h.subscriptions {
+			s.withdrawn[id] = struct{}{}
+		}
+		added = append(added, id)
+	}
+	if len(added) > 0 {
+		h.wakeAll()
+	}
+	return added
+}
+
+// Heard implements Sink. A control process needs no other to be heard.
+func (h *Hub) Heard(time.Duration) {}
+
+// forgetWithdrawn drops the withdrawals that the configuration holds too. Since a process never takes an older
+// configuration, none of them can come back into force.
+func (h *Hub) forgetWithdrawn() {
+	for id := range h.withdrawn {
+		if h.withdrawnInConfiguration(id) {
+			delete(h.withdrawn, id)
+		}
+	}
+}
+
+func (h *Hub) withdrawnInConfiguration(id string) bool {
+	key, ok := h.configuration.Key(id)
+	return ok && key.Withdrawn
+}
+
 func (h *Hub) wakeAll() {
 	for s := range h.subscriptions {
 		select {
@@ -107,9 +167,14 @@
 func (h *Hub) subscribe() *subscription {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	s := &subscription{wake: make(chan struct{}, 1), pending: make(map[string]struct{})}
+	s := &subscription{
+		wake: make(chan struct{}, 1), nodes: make(map[string]struct{}), withdrawn: make(map[string]struct{}),
+	}
 	for _, node := range h.directory.Nodes() {
-		s.pending[node.Name] = struct{}{}
+		s.nodes[node.Name] = struct{}{}
+	}
+	for id := range h.withdrawn {
+		s.withdrawn[id] = struct{}{}
 	}
 	s.wake <- struct{}{}
 	h.subscriptions[s] = struct{}{}
@@ -122,26 +187,43 @@
 	delete(h.subscriptions, s)
 }
 
-// next returns the messages that bring a subscriber at version up to date.
-func (h *Hub) next(s *subscription, version uint64) []updateMessage {
+// next returns the messages that bring a subscriber at version up to date, and the version that they lead to.
+// Withdrawals come first: they are the most urgent.
+func (h *Hub) next(s *subscription, version uint64) ([]drpc.Message, uint64, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	messages := h.configurationSince(version)
-	var nodes []tracker.Node
-	for name := range s.pending {
-		node, _ := h.directory.Node(name)
-		nodes = append(nodes, node)
+	var messages []drpc.Message
+	for chunk := range slices.Chunk(drain(s.withdrawn), keysPerMessage) {
+		messages = append(messages, &updateMessage{Withdrawn: chunk})
 	}
-	clear(s.pending)
-	for chunk := range slices.Chunk(nodes, nodesPerMessage) {
-		messages = append(messages, updateMessage{Version: h.configuration.Version(), Nodes: chunk})
+	configuration, err := h.configurationSince(version)
+	if err != nil {
+		return nil, version, err
+	}
+	messages = append(messages, configuration...)
+	for chunk := range slices.Chunk(drain(s.nodes), nodesPerMessage) {
+		update := updateMessage{}
+		for _, name := range chunk {
+			node, _ := h.directory.Node(name)
+			update.Nodes = append(update.Nodes, node)
+		}
+		messages = append(messages, &update)
 	}
-	return messages
+	return messages, max(version, h.configuration.Version()), nil
 }
 
-func (h *Hub) configurationSince(version uint64) []updateMessage {
+func drain(pending map[string]struct{}) []string {
+	names := make([]string, 0, len(pending))
+	for name := range pending {
+		names = append(names, name)
+	}
+	clear(pending)
+	return names
+}
+
+func (h *Hub) configurationSince(version uint64) ([]drpc.Message, error) {
 	if version >= h.configuration.Version() {
-		return nil
+		return nil, nil
 	}
 	missing := h.batches
 	for len(missing) > 0 && missing[0].version <= version {
@@ -152,21 +234,41 @@
 		records += len(b.batch.Changes)
 	}
 	if len(missing) == 0 || missing[0].version != version+1 || records > recordsPerMessage {
-		return snapshotMessages(h.configuration)
+		return h.snapshot.of(h.configuration)
 	}
-	messages := make([]updateMessage, 0, len(missing))
+	messages := make([]drpc.Message, 0, len(missing))
 	for _, b := range missing {
-		messages = append(messages, updateMessage{
+		messages = append(messages, &updateMessage{
 			Version: b.version, Operation: b.batch.Operation, Records: configurer.NewRecords(b.batch.Changes),
 		})
 	}
-	return messages
+	return messages, nil
+}
+
+// encodedSnapshot keeps the messages of the last snapshot that was asked for, so that many subscribers that return at
+// once cost one encoding.
+type encodedSnapshot struct {
+	version  uint64
+	messages []drpc.Message
 }
 
-func snapshotMessages(configuration configurer.Configuration) []updateMessage {
-	var messages []updateMessage
+func (e *encodedSnapshot) of(configuration configurer.Configuration) ([]drpc.Message, error) {
+	if e.version == configuration.Version() {
+		return e.messages, nil
+	}
+	updates := []updateMessage{}
 	for chunk := range slices.Chunk(configuration.Records(), recordsPerMessage) {
-		messages = append(messages, updateMessage{Version: configuration.Version(), Snapshot: true, Records: chunk})
+		updates = append(updates, updateMessage{Version: configuration.Version(), Snapshot: true, Records: chunk})
+	}
+	updates = append(updates, updateMessage{Version: configuration.Version(), Snapshot: true, Last: true})
+	messages := make([]drpc.Message, 0, len(updates))
+	for _, update := range updates {
+		encoded, err := messenger.Marshal(&update)
+		if err != nil {
+			return nil, err
+		}
+		messages = append(messages, messenger.Encoded(encoded))
 	}
-	return append(messages, updateMessage{Version: configuration.Version(), Snapshot: true, Last: true})
+	*e = encodedSnapshot{configuration.Version(), messages}
+	return messages, nil
 }
--- a/core/synchronizer/server.go
+++ b/core/synchronizer/server.go
@@ -17,9 +17,13 @@
 // NodeLifetime is how long a node stays in the directory after its last connection was lost.
 const NodeLifetime = 3 * time.Second
 
+// Age tells how long ago a process heard a control process. It is 0 in a control process.
+type Age func() time.Duration
+
 // Server publishes a Hub.
 type Server struct {
 	hub *Hub
+	age Age
 	log *slog.Logger
 
 	mu       sync.Mutex
@@ -27,9 +31,9 @@
 	deadline map[string]time.Time
 }
 
-// NewServer returns a server that publishes hub.
-func NewServer(hub *Hub, log *slog.Logger) *Server {
-	return &Server{hub: hub, log: log, applied: make(map[string]uint64), deadline: make(map[string]time.Time)}
+// NewServer returns a server that publishes hub, with age in each message.
+func NewServer(hub *Hub, age Age, log *slog.Logger) *Server {
+	return &Server{hub: hub, age: age, log: log, applied: make(map[string]uint64), deadline: make(map[string]time.Time)}
 }
 
 // Register adds the server's calls to mux.
@@ -48,7 +52,8 @@
 	return applied
 }
 
-// Run marks nodes that stopped reporting as gone, until ctx ends.
+// Run marks nodes that stopped reporting as gone, until ctx ends. Only control processes run it: a node that publishes
+// to its peers does not judge them.
 func (s *Server) Run(ctx context.Context) error {
 	ticker := time.NewTicker(HeartbeatPeriod)
 	defer ticker.Stop()
@@ -105,15 +110,19 @@
 	ticker := time.NewTicker(HeartbeatPeriod)
 	defer ticker.Stop()
 	for {
-		messages := s.hub.next(subscription, version)
-		if len(messages) == 0 {
-			messages = []updateMessage{{Version: version}}
+		messages, next, err := s.hub.next(subscription, version)
+		if err != nil {
+			return err
 		}
+		version = next
+		messages = append(messages, &updateMessage{Version: version, Age: s.age().Milliseconds()})
 		for _, message := range messages {
-			if err := stream.MsgSend(&message, messenger.Encoding{}); err != nil {
+			if err := stream.MsgSend(message, messenger.Encoding{}); err != nil {
 				return errors.Wrap(err, "send update")
 			}
-			version = max(version, message.Version)
+		}
+		if !pause(ctx, publishPause) {
+			return nil
 		}
 		select {
 		case <-ctx.Done():
@@ -124,6 +133,18 @@
 	}
 }
 
+// pause waits for delay and reports whether ctx still lives.
+func pause(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 func (s *Server) take(report reportMessage) {
 	if report.Node == nil {
 		return
--- a/core/synchronizer/wire.go
+++ b/core/synchronizer/wire.go
@@ -15,10 +15,13 @@
 	// HeartbeatPeriod is the longest silence of a side that has nothing to say.
 	HeartbeatPeriod = time.Second
 	// SilenceLimit is how long a side waits for the other before it gives the connection up.
-	SilenceLimit = 4 * time.Second
+	SilenceLimit = 3 * time.Second
 
 	recordsPerMessage = 4096
 	nodesPerMessage   = 256
+	keysPerMessage    = 4096
+	// publishPause joins changes that follow each other closely into one message.
+	publishPause = 20 * time.Millisecond
 )
 
 // reportMessage goes from the subscriber to the publisher. Version is that of the configuration in force.
@@ -28,7 +31,9 @@
 }
 
 // updateMessage goes from the publisher to the subscriber. Records belong to the batch that makes Version, or, if
-// Snapshot is set, to the whole configuration; Last closes a snapshot. A message without either is a heartbeat.
+// Snapshot is set, to the whole configuration; Last closes a snapshot. Age, in milliseconds, is how long ago a control
+// process was heard by the publisher: 0 for a control process itself. Withdrawn holds identifiers of keys. A message
+// with nothing else is a heartbeat.
 type updateMessage struct {
 	Version   uint64              `cbor:"1,keyasint"`
 	Snapshot  bool                `cbor:"2,keyasint,omitempty"`
@@ -36,4 +41,12 @@
 	Operation string              `cbor:"4,keyasint,omitempty"`
 	Records   []configurer.Record `cbor:"5,keyasint,omitempty"`
 	Nodes     []tracker.Node      `cbor:"6,keyasint,omitempty"`
+	Age       int64               `cbor:"7,keyasint,omitempty"`
+	Withdrawn []string            `cbor:"8,keyasint,omitempty"`
+}
+
+// heartbeat reports whether the message closes what the publisher had to send. Only then the subscriber is as fresh as
+// the publisher: one that is still behind must not count as current.
+func (m updateMessage) heartbeat() bool {
+	return !m.Snapshot && m.Operation == "" && len(m.Nodes) == 0 && len(m.Withdrawn) == 0
 }
--- a/node/pkg/acceptor/authenticate.go
+++ b/node/pkg/acceptor/authenticate.go
@@ -4,7 +4,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
+	"samphiremount.example/core/assessor"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/keyer"
 	"samphiremount.example/core/refuser"
@@ -24,6 +26,9 @@
 // authenticate finds the route and the workspace that the request's key belongs to. An open route needs no key and
 // runs for no workspace.
 func authenticate(view *viewer.View, request *http.Request) (admission, error) {
+	if view.Configuration.Version() == 0 {
+		return admission{}, refuser.Refuse(refuser.ConfigurationStale, "no configuration is in force yet")
+	}
 	route, ok := view.Matcher.Match(hostname(request.Host), request.URL.Path)
 	if !ok {
 		return admission{}, refuser.Refuse(refuser.RouteUnknown, "")
@@ -38,7 +43,10 @@
 	if len(values) == 0 {
 		return admission{}, refuser.Refuse(refuser.KeyMissing, "")
 	}
-	workspace, err := owner(view.Configuration, presented(values))
+	if refuse, ok := view.Assess(time.Now()).(assessor.Refuse); ok {
+		return admission{}, refuser.Refuse(refuser.ConfigurationStale, refuse.Reason())
+	}
+	workspace, err := owner(view, presented(values))
 	return admission{route: route, workspace: workspace, presented: presented(values)}, err
 }
 
@@ -53,19 +61,19 @@
 	return value
 }
 
-func owner(configuration configurer.Configuration, text string) (configurer.Workspace, error) {
+func owner(view *viewer.View, text string) (configurer.Workspace, error) {
 	key, err := keyer.Parse(text)
 	if err != nil {
 		return configurer.Workspace{}, refuser.Refuse(refuser.KeyUnknown, "")
 	}
-	stored, ok := configuration.Key(key.ID)
+	stored, ok := view.Configuration.Key(key.ID)
 	if !ok || !key.Matches(stored.Digest) {
 		return configurer.Workspace{}, refuser.Refuse(refuser.KeyUnknown, "")
 	}
-	if stored.Withdrawn {
+	if view.Withdrawn(stored) {
 		return configurer.Workspace{}, refuser.Refuse(refuser.KeyWithdrawn, "")
 	}
-	workspace, ok := configuration.Workspace(stored.Workspace)
+	workspace, ok := view.Configuration.Workspace(stored.Workspace)
 	if !ok {
 		return configurer.Workspace{}, refuser.Refuse(refuser.KeyUnknown, "the workspace is gone")
 	}
--- /dev/null
+++ b/node/pkg/prober/prober.go
@@ -0,0 +1,122 @@
+// Package prober asks peers for a sign of life while no control process is heard, and answers theirs.
+package prober
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/assessor"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/tracker"
+	"samphiremount.example/node/pkg/viewer"
+)
+
+const (
+	callProbe = "probe"
+
+	period = time.Second
+	limit  = 800 * time.Millisecond
+	// sample bounds what a node spends on probes at any size of the fleet.
+	sample = 7
+)
+
+type probeMessage struct {
+	Node string `cbor:"1,keyasint"`
+}
+
+// Prober probes on behalf of one node.
+type Prober struct {
+	name   string
+	pool   *messenger.Pool
+	viewer *viewer.Viewer
+	random *rand.Rand
+	log    *slog.Logger
+}
+
+// New returns a prober for the node called name. Random must not be shared.
+func New(name string, pool *messenger.Pool, viewer *viewer.Viewer, random *rand.Rand, log *slog.Logger) *Prober {
+	return &Prober{name: name, pool: pool, viewer: viewer, random: random, log: log}
+}
+
+// Register adds the answer to peers' probes to mux.
+func (p *Prober) Register(mux messenger.Mux) {
+	mux[callProbe] = func(stream drpc.Stream) error {
+		var probe probeMessage
+		if err := stream.MsgRecv(&probe, messenger.Encoding{}); err != nil {
+			return err
+		}
+		return stream.MsgSend(&probeMessage{Node: p.name}, messenger.Encoding{})
+	}
+}
+
+// Run probes a sample of peers each second while no control process is heard, until ctx ends. It logs each change of
+// the verdict.
+func (p *Prober) Run(ctx context.Context) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	reason := ""
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if p.viewer.View().ControlAge(time.Now()) > assessor.ProbeAfter {
+			p.round(ctx)
+		}
+		verdict := p.viewer.View().Assess(time.Now())
+		if verdict.Reason() != reason {
+			reason = verdict.Reason()
+			_, serves := verdict.(assessor.Serve)
+			p.log.Info("freshness assessed", "serves", serves, "reason", reason)
+		}
+	}
+}
+
+func (p *Prober) round(ctx context.Context) {
+	began := time.Now()
+	peers := p.sample(p.viewer.View().Directory.Nodes())
+	var heard atomic.Int64
+	group, ctx := errgroup.WithContext(ctx)
+	for _, peer := range peers {
+		group.Go(func() error {
+			if p.probe(ctx, peer) == nil {
+				heard.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	p.viewer.Probed(began, len(peers), int(heard.Load()))
+}
+
+// sample draws peers that the directory knows, also those that it lost: a node that is cut off alone would otherwise
+// see a fleet without peers.
+func (p *Prober) sample(nodes []tracker.Node) []tracker.Node {
+	var peers []tracker.Node
+	for _, node := range nodes {
+		if node.Name != p.name && !node.Leaving {
+			peers = append(peers, node)
+		}
+	}
+	p.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(len(peers), sample)]
+}
+
+func (p *Prober) probe(ctx context.Context, peer tracker.Node) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	conn, err := p.pool.Dial(ctx, peer.Address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	var answer probeMessage
+	return conn.Invoke(ctx, callProbe, messenger.Encoding{}, &probeMessage{Node: p.name}, &answer)
+}
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,8 @@
 	"samphiremount.example/node/pkg/carrier"
 	"samphiremount.example/node/pkg/enroller"
 	"samphiremount.example/node/pkg/gatekeeper"
+	"samphiremount.example/node/pkg/keeper"
+	"samphiremount.example/node/pkg/prober"
 	"samphiremount.example/node/pkg/reporter"
 	"samphiremount.example/node/pkg/viewer"
 )
@@ -33,6 +36,7 @@
 	headTimeout  = 10 * time.Second
 	idleTimeout  = 2 * time.Minute
 	maxHeadBytes = 64 << 10
+	maxPeers     = 3
 )
 
 // Run runs a node until ctx ends. Then the node announces that it leaves, finishes what it has and stops.
@@ -72,12 +76,33 @@
 	return opened, core.Join(wrong)
 }
 
+// publishers returns the control processes, and after them, while none of them is heard, peers that may know more.
+func publishers(settings Settings, view *viewer.Viewer) synchronizer.Addresses {
+	return func() []string {
+		addresses := slices.Clone(settings.Controls)
+		now := view.View()
+		if now.ControlAge(time.Now()) < synchronizer.SilenceLimit {
+			return addresses
+		}
+		addresses = append(addresses, settings.Peers...)
+		for _, node := range now.Directory.Nodes() {
+			if node.Name != settings.Name && !node.Gone && len(addresses) < len(settings.Controls)+maxPeers {
+				addresses = append(addresses, node.Address)
+			}
+		}
+		return addresses
+	}
+}
+
 // parts are the long-lived pieces of a node.
 type parts struct {
 	log      logger.Logger
 	reporter *reporter.Reporter
 	enroller *enroller.Enroller
 	client   *synchronizer.Client
+	prober   *prober.Prober
+	keeper   *keeper.Keeper
+	data     string
 	acceptor *acceptor.Acceptor
 	server   *messenger.Server
 }
@@ -86,7 +111,8 @@
 	log := logger.New(os.Stderr, settings.LogLevel())
 	pool := messenger.NewPool(credentials)
 	incarnation := uint64(time.Now().UnixNano())
-	view := viewer.New()
+	hub := synchronizer.NewHub()
+	view := viewer.New(hub)
 	own := reporter.New(tracker.Node{
 		Name: settings.Name, Region: settings.Region, Centre: settings.Centre, Incarnation: incarnation,
 		Address: cmp.Or(settings.Advertise, listeners.fleet.Addr().String()), Entry: listeners.entry.Addr().String(),
@@ -94,11 +120,22 @@
 	targets := enroller.New(log.Part("enroll"), own.SetTargets)
 	mux := messenger.Mux{}
 	carrier.NewServer(gatekeeper.New(incarnation, targets, log.Part("gate"))).Register(mux)
+	age := func() time.Duration { return view.View().ControlAge(time.Now()) }
+	synchronizer.NewServer(hub, age, log.Part("publish")).Register(mux)
+	peers := prober.New(settings.Name, pool, view, rand.New(rand.NewPCG(incarnation, rand.Uint64())), log.Part("probe"))
+	peers.Register(mux)
+	cache := keeper.New(settings.Data, hub, log.Part("keep"))
+	if settings.Data != "" {
+		cache.Load(view)
+	}
 	return parts{
 		log:      log,
 		reporter: own,
 		enroller: targets,
-		client:   synchronizer.NewClient(pool, settings.Controls, view, own, log.Part("subscribe")),
+		prober:   peers,
+		keeper:   cache,
+		data:     settings.Data,
+		client:   synchronizer.NewClient(pool, publishers(settings, view), view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
 		acceptor: acceptor.New(acceptor.Dependencies{
 			Viewer: view, Client: carrier.NewClient(pool), Limiter: limiter.New(),
@@ -119,6 +156,10 @@
 	group.Go(func() error { return core.ServeHTTP(background, listeners.local, p.enroller.Handler(), time.Second) })
 	group.Go(func() error { return p.enroller.Run(background) })
 	group.Go(func() error { return p.client.Run(background) })
+	group.Go(func() error { return p.prober.Run(background) })
+	if p.data != "" {
+		group.Go(func() error { return p.keeper.Run(background) })
+	}
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
 		defer stopBackground()
--- a/node/pkg/starter/settings.go
+++ b/node/pkg/starter/settings.go
@@ -19,6 +19,8 @@
 	Advertise string   `long:"advertise" env:"SAMPHIRE_ADVERTISE" description:"IP address and port under which other nodes reach --fleet, if it differs"`
 	Local     string   `long:"local" env:"SAMPHIRE_LOCAL" default:"127.0.0.1:8082" description:"IP address and port of the listener for announcements of targets on this VM"`
 	Controls  []string `long:"control" env:"SAMPHIRE_CONTROLS" env-delim:"," description:"IP address and port of a control process; repeat it, own data centre first"`
+	Data      string   `long:"data" env:"SAMPHIRE_DATA" description:"Folder on a disk in which the node keeps what it knows of the fleet; empty for a VM without a disk"`
+	Peers     []string `long:"peer" env:"SAMPHIRE_PEERS" env-delim:"," description:"IP address and port of another node to ask for the configuration while no control process answers; repeat it"`
 }
 
 // Check returns an error for each wrong setting.
@@ -38,6 +40,10 @@
 	if len(s.Controls) == 0 {
 		wrong = append(wrong, errors.New("--control must be given at least once"))
 	}
+	wrong = append(wrong, core.CheckFolder("--data", s.Data)...)
+	for _, address := range s.Peers {
+		wrong = append(wrong, core.CheckPeer("--peer", address)...)
+	}
 	for _, address := range s.Controls {
 		wrong = append(wrong, core.CheckPeer("--control", address)...)
 	}
--- a/node/pkg/viewer/viewer.go
+++ b/node/pkg/viewer/viewer.go
@@ -1,12 +1,16 @@
-// Package viewer holds what a node currently sees of the fleet: the configuration in force and the directory.
+// Package viewer holds what a node currently sees of the fleet: the configuration in force, the directory, the keys
+// withdrawn, and whom the node has heard.
 package viewer
 
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
+	"samphiremount.example/core/assessor"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/matcher"
+	"samphiremount.example/core/synchronizer"
 	"samphiremount.example/core/tracker"
 )
 
@@ -15,17 +19,39 @@
 	Configuration configurer.Configuration
 	Matcher       matcher.Matcher
 	Directory     tracker.Directory
+
+	withdrawn map[string]struct{}
+	assessor  assessor.Assessor
+}
+
+// Withdrawn reports whether the key is withdrawn, by the configuration or outside it.
+func (v *View) Withdrawn(key configurer.Key) bool {
+	_, ok := v.withdrawn[key.ID]
+	return ok || key.Withdrawn
+}
+
+// Assess returns whether the node may serve keyed requests at now.
+func (v *View) Assess(now time.Time) assessor.Verdict {
+	return v.assessor.Assess(now)
+}
+
+// ControlAge returns how long ago a control process was heard, directly or by a peer.
+func (v *View) ControlAge(now time.Time) time.Duration {
+	return v.assessor.Age(now)
 }
 
 // Viewer hands out the newest View without locking its readers.
 type Viewer struct {
+	hub  *synchronizer.Hub
 	mu   sync.Mutex
 	view atomic.Pointer[View]
 }
 
-// New returns a Viewer of an empty fleet.
-func New() *Viewer {
-	viewer := &Viewer{}
+var _ synchronizer.Sink = (*Viewer)(nil)
+
+// New returns a Viewer of what hub holds.
+func New(hub *synchronizer.Hub) *Viewer {
+	viewer := &Viewer{hub: hub}
 	viewer.view.Store(&View{Matcher: matcher.New(nil)})
 	return viewer
 }
@@ -35,32 +61,75 @@
 	return v.view.Load()
 }
 
-// Configuration returns the configuration in force.
+// Configuration implements synchronizer.Sink.
 func (v *Viewer) Configuration() configurer.Configuration {
 	return v.View().Configuration
 }
 
-// Install puts configuration in force if it is newer than the one in force, and reports whether it was.
+// Install implements synchronizer.Sink. An older configuration is never taken.
 func (v *Viewer) Install(configuration configurer.Configuration) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	view := *v.view.Load()
-	if configuration.Version() <= view.Configuration.Version() {
+	if !v.hub.Install(configuration) {
 		return false
 	}
+	view := *v.view.Load()
 	view.Configuration = configuration
 	view.Matcher = matcher.New(configuration.Routes())
+	view.withdrawn = v.withdrawn()
 	v.view.Store(&view)
 	return true
 }
 
-// Merge takes newer records into the directory and returns those that were newer.
+// Merge implements synchronizer.Sink.
 func (v *Viewer) Merge(records ...tracker.Node) []tracker.Node {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	changed := v.hub.Merge(records...)
+	if len(changed) > 0 {
+		view := *v.view.Load()
+		view.Directory = v.hub.Directory()
+		v.view.Store(&view)
+	}
+	return changed
+}
+
+// Withdraw implements synchronizer.Sink.
+func (v *Viewer) Withdraw(ids ...string) []string {
+	if len(ids) == 0 {
+		return nil
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	added := v.hub.Withdraw(ids...)
 	view := *v.view.Load()
-	directory, changed := view.Directory.With(records...)
-	view.Directory = directory
+	view.withdrawn = v.withdrawn()
 	v.view.Store(&view)
-	return changed
+	return added
+}
+
+// Heard implements synchronizer.Sink.
+func (v *Viewer) Heard(age time.Duration) {
+	v.assess(func(a assessor.Assessor) assessor.Assessor { return a.WithContact(time.Now().Add(-age)) })
+}
+
+// Probed tells of a round of probes: asked peers, of which heard answered.
+func (v *Viewer) Probed(began time.Time, asked, heard int) {
+	v.assess(func(a assessor.Assessor) assessor.Assessor { return a.WithProbes(began, asked, heard) })
+}
+
+func (v *Viewer) assess(change func(assessor.Assessor) assessor.Assessor) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	view := *v.view.Load()
+	view.assessor = change(view.assessor)
+	v.view.Store(&view)
+}
+
+func (v *Viewer) withdrawn() map[string]struct{} {
+	withdrawn := make(map[string]struct{})
+	for _, id := range v.hub.Withdrawn() {
+		withdrawn[id] = struct{}{}
+	}
+	return withdrawn
 }
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -37,12 +37,12 @@
   exit 1
 }
 
-mapfile -t port < <("$bin/samphire-standin" ports 22)
+mapfile -t free < <("$bin/samphire-standin" addresses 22)
 (umask 077 && head -c 32 /dev/urandom | base64 >"$data/secret" && head -c 32 /dev/urandom | base64 >"$data/token")
 export SAMPHIRE_SECRET_FILE=$data/secret SAMPHIRE_TOKEN_FILE=$data/token
 
-fleet=(127.0.0.1:"${port[0]}" 127.0.0.1:"${port[1]}" 127.0.0.1:"${port[2]}")
-operators=(127.0.0.1:"${port[3]}" 127.0.0.1:"${port[4]}" 127.0.0.1:"${port[5]}")
+fleet=("${free[0]}" "${free[1]}" "${free[2]}")
+operators=("${free[3]}" "${free[4]}" "${free[5]}")
 for i in 0 1 2; do
   peers=()
   for j in 0 1 2; do [ "$i" = "$j" ] || peers+=(--peer "${fleet[j]}"); done
@@ -57,10 +57,10 @@
 for i in 0 1 2 3; do
   centre=auckland
   [ "$i" -lt 2 ] || centre=hamilton
-  entry=127.0.0.1:${port[6 + i]} local=127.0.0.1:${port[14 + i]} target=127.0.0.1:${port[18 + i]}
+  entry=${free[6 + i]} local=${free[14 + i]} target=${free[18 + i]}
   entries+=(--entry "$entry")
   start "node$i" "$bin/samphire-node" --name "node$i" --region north --centre "$centre" --entry "$entry" \
-    --fleet "127.0.0.1:${port[10 + i]}" --local "$local" \
+    --fleet "${free[10 + i]}" --local "$local" \
     --control "${fleet[i % 3]}" --control "${fleet[(i + 1) % 3]}" --control "${fleet[(i + 2) % 3]}"
   service=bookings
   [ $((i % 2)) = 0 ] || service=catalogue
--- a/standin/scenarios/scenarios_test.go
+++ b/standin/scenarios/scenarios_test.go
@@ -34,6 +34,7 @@
 			"signal":  signalCommand,
 			"ended":   endedCommand,
 			"until":   untilCommand,
+			"post":    postCommand,
 			"ask":     askCommand,
 			"logged":  loggedCommand,
 		},
