Replace the primary control process by a replicated log on disk

Its loss or restart lost accepted changes, and while it was away nothing could be changed.

Conclusion: the interface is the same, with GET and POST /members added.

--- a/control/pkg/administrator/administrator.go
+++ b/control/pkg/administrator/administrator.go
@@ -43,6 +43,8 @@
 	server.GET("/configuration", a.configuration)
 	server.GET("/nodes", a.nodes)
 	server.GET("/version", a.version)
+	server.GET("/members", a.members)
+	server.POST("/members", a.replace)
 	return server
 }
 
@@ -91,6 +93,9 @@
 }
 
 func (a *Administrator) configuration(c echo.Context) error {
+	if err := a.proposer.Confirm(c.Request().Context()); err != nil {
+		return err
+	}
 	configuration := a.hub.Configuration()
 	return c.JSON(http.StatusOK, configurationReply{configuration.Version(), configuration.Records()})
 }
@@ -109,6 +114,9 @@
 }
 
 func (a *Administrator) version(c echo.Context) error {
+	if err := a.proposer.Confirm(c.Request().Context()); err != nil {
+		return err
+	}
 	return c.JSON(http.StatusOK, versionReply{a.hub.Configuration().Version(), a.server.Applied()})
 }
 
--- /dev/null
+++ b/control/pkg/proposer/apply.go
@@ -0,0 +1,107 @@
+package proposer
+
+import (
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/replicator"
+)
+
+// finish does what follows from an output, beyond saving and sending.
+func (l *loop) finish(output replicator.Output) error {
+	if output.Reason != "" {
+		l.log.Info("role changed", "leader", l.leaderName(), "leads", l.replicator.Leads(), "term",
+			l.replicator.Term(), "reason", output.Reason)
+	}
+	for _, id := range output.Refused {
+		l.answer(id, answer{err: refuser.Refuse(refuser.LeaderUnknown, "the leader is "+l.leaderName())})
+	}
+	for _, appended := range output.Appended {
+		l.appended[appended.Position.Index] = appendedRequest{appended.Position.Term, l.waiting[appended.ID]}
+		delete(l.waiting, appended.ID)
+	}
+	for _, confirmed := range output.Confirmed {
+		if waiting, ok := l.waiting[confirmed.ID]; ok {
+			l.reads = append(l.reads, confirmedRead{confirmed.Index, waiting})
+			delete(l.waiting, confirmed.ID)
+		}
+	}
+	return l.apply(output)
+}
+
+func (l *loop) answer(id uint64, answered answer) {
+	if waiting, ok := l.waiting[id]; ok {
+		waiting <- answered
+		delete(l.waiting, id)
+	}
+}
+
+func (l *loop) leaderName() string {
+	for _, member := range l.replicator.Members().All() {
+		if member.Identity == l.replicator.Leader() {
+			return member.Name
+		}
+	}
+	return "not known"
+}
+
+// apply brings the hub to what is committed and answers those who waited for it.
+func (l *loop) apply(output replicator.Output) error {
+	if output.Install != nil {
+		if err := install(l.hub, *output.Install); err != nil {
+			return err
+		}
+		l.applied = output.Install.Position.Index
+		l.compactor.installed(len(output.Install.Data))
+		l.log.Info("snapshot installed", "index", l.applied, "version", l.hub.Configuration().Version())
+	}
+	for _, entry := range output.Committed {
+		answered, err := l.applyEntry(entry)
+		if err != nil {
+			return err
+		}
+		l.applied = entry.Position.Index
+		if waiting, ok := l.appended[l.applied]; ok {
+			if waiting.term != entry.Position.Term {
+				answered = answer{err: refuser.Fail(refuser.LeaderUnknown, "the leader changed; sending the same again is safe")}
+			}
+			waiting.answer <- answered
+			delete(l.appended, l.applied)
+		}
+	}
+	rest := l.reads[:0]
+	for _, read := range l.reads {
+		if read.index > l.applied {
+			rest = append(rest, read)
+			continue
+		}
+		read.answer <- answer{}
+	}
+	l.reads = rest
+	return nil
+}
+
+// applyEntry applies one entry. A batch that is refused is refused by every member alike.
+func (l *loop) applyEntry(entry replicator.Entry) (answer, error) {
+	if entry.Members != nil {
+		l.log.Info("membership in force", "index", entry.Position.Index, "voters", names(entry.Members.Voters),
+			"learners", len(entry.Members.Learners))
+		return answer{}, nil
+	}
+	batch, err := decodeBatch(entry.Data)
+	if err != nil {
+		return answer{}, err
+	}
+	l.compactor.count(len(entry.Data))
+	receipt, err := l.hub.Apply(batch)
+	if err != nil {
+		return answer{err: err}, nil
+	}
+	return answer{receipt: receipt}, nil
+}
+
+func names(members []replicator.Member) []string {
+	named := make([]string, 0, len(members))
+	for _, member := range members {
+		named = append(named, member.Name+"/"+string(member.Identity))
+	}
+	return named
+}
--- /dev/null
+++ b/control/pkg/proposer/compact.go
@@ -0,0 +1,62 @@
+package proposer
+
+import "samphiremount.example/core/replicator"
+
+// Bounds of the log. It is replaced by a snapshot after entriesPerSnapshot entries, or when its entries outweigh the
+// snapshot several times and snapshotMinBytes.
+const (
+	entriesPerSnapshot = 4096
+	snapshotMinBytes   = 8 << 20
+	snapshotRatio      = 2
+	keepEntries        = 1024
+	keepBytes          = 4 << 20
+)
+
+// compactor decides when the log is replaced by a snapshot.
+type compactor struct {
+	busy          bool
+	entries       int
+	bytes         int
+	snapshotBytes int
+}
+
+func (c *compactor) count(bytes int) {
+	c.entries++
+	c.bytes += bytes
+}
+
+func (c *compactor) installed(bytes int) {
+	c.entries, c.bytes, c.snapshotBytes = 0, 0, bytes
+}
+
+func (c *compactor) due() bool {
+	heavy := c.bytes > max(snapshotMinBytes, snapshotRatio*c.snapshotBytes)
+	return !c.busy && (c.entries >= entriesPerSnapshot || heavy)
+}
+
+// compact encodes a snapshot beside the loop when one is due. The configuration is immutable, so that the loop can go on.
+func (l *loop) compact() {
+	if !l.compactor.due() {
+		return
+	}
+	configuration, index := l.hub.Configuration(), l.applied
+	l.compactor.busy = true
+	l.compactor.entries, l.compactor.bytes = 0, 0
+	l.group.Go(func() error {
+		data, err := configuration.Encode()
+		if err != nil {
+			return err
+		}
+		l.inputs <- replicator.Compact{Index: index, KeepEntries: keepEntries, KeepBytes: keepBytes, Data: data}
+		return nil
+	})
+}
+
+// take notes that the snapshot which was under way is there.
+func (c *compactor) take(input replicator.Input) {
+	if compact, ok := input.(replicator.Compact); ok {
+		c.busy = false
+		c.snapshotBytes = len(compact.Data)
+		metrics.Add("snapshots", 1)
+	}
+}
--- a/control/pkg/proposer/proposer.go
+++ b/control/pkg/proposer/proposer.go
@@ -1,40 +1,151 @@
-// Package proposer decides whether this control process may accept operators' changes.
+// Package proposer runs this process's member of the replicated log: it hands inputs to the replicator, writes and sends
+// what follows, and applies what is committed.
 package proposer
 
 import (
 	"context"
+	"log/slog"
+	"time"
 
+	"samphiremount.example/control/pkg/storer"
+	"samphiremount.example/control/pkg/transporter"
 	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/replicator"
 	"samphiremount.example/core/synchronizer"
 )
 
-// Proposer accepts batches of changes.
+const (
+	proposeTimeout = 10 * time.Second
+	readTimeout    = 3 * time.Second
+	inputsWaiting  = 2
+)
+
+// Proposer accepts operators' changes.
 type Proposer interface {
 	// Propose returns the receipt of an accepted batch. Its errors are refusals: ChangeInvalid, ChangeConflict, or
-	// LeaderUnknown where another process must be asked.
+	// LeaderUnknown where another process must be asked, or the same one again.
 	Propose(ctx context.Context, batch configurer.Batch) (configurer.Receipt, error)
+	// Confirm returns once this process has applied all that was accepted before the call. It refuses with
+	// LeaderUnknown if it cannot learn that.
+	Confirm(ctx context.Context) error
+	// Replace starts to replace the member called name by the process that reports under that name with an empty data
+	// folder. It refuses with LeaderUnknown, or with ChangeInvalid if no such process reports.
+	Replace(ctx context.Context, name string) error
+	// Status returns what this process knows of the cluster.
+	Status() Status
 }
 
-// Primary accepts batches by itself. A fleet has at most one.
-type Primary struct {
-	hub *synchronizer.Hub
+// Settings are what a Replicated must know of its place in the cluster. Addresses holds the IP address and port of each
+// member by its name.
+type Settings struct {
+	Name      string
+	Addresses map[string]string
 }
 
-// NewPrimary returns the proposer that applies batches to hub.
-func NewPrimary(hub *synchronizer.Hub) Primary {
-	return Primary{hub: hub}
+// Replicated is the Proposer that keeps the log together with the other control processes.
+type Replicated struct {
+	settings  Settings
+	own       replicator.Member
+	hub       *synchronizer.Hub
+	store     *storer.Storer
+	transport *transporter.Transporter
+	log       *slog.Logger
+	requests  chan request
+	inputs    chan replicator.Input
+	status    *statusKeeper
+	stored    replicator.Stored
 }
 
-// Propose implements Proposer.
-func (p Primary) Propose(_ context.Context, batch configurer.Batch) (configurer.Receipt, error) {
-	return p.hub.Apply(batch)
+var _ Proposer = (*Replicated)(nil)
+
+// New reads the state of disk into hub, and returns the proposer that goes on from there. Drawn is the identity that an
+// empty disk takes.
+func New(
+	settings Settings, disk storer.Disk, drawn replicator.Identity, hub *synchronizer.Hub, pool *messenger.Pool,
+	log *slog.Logger,
+) (*Replicated, error) {
+	store, identity, stored, err := storer.Open(disk, settings.Name, drawn)
+	if err != nil {
+		return nil, err
+	}
+	if err := install(hub, stored.Snapshot); err != nil {
+		return nil, err
+	}
+	p := &Replicated{
+		settings: settings, hub: hub, store: store, log: log, requests: make(chan request), stored: stored,
+		inputs: make(chan replicator.Input, inputsWaiting),
+		own:    replicator.Member{Identity: identity, Name: settings.Name, Address: settings.Addresses[settings.Name]},
+		status: newStatusKeeper(),
+	}
+	p.transport = transporter.New(p.own, pool, greeter{p}, log)
+	log.Info("state loaded", "identity", identity, "term", stored.State.Term, "snapshot",
+		stored.Snapshot.Position.Index, "entries", len(stored.Entries), "version", hub.Configuration().Version())
+	return p, nil
 }
 
-// Secondary refuses batches, since it only follows the primary.
-type Secondary struct{}
+// Register adds the calls of other control processes to mux.
+func (p *Replicated) Register(mux messenger.Mux) { p.transport.Register(mux) }
+
+// Status implements Proposer.
+func (p *Replicated) Status() Status { return p.status.get() }
 
 // Propose implements Proposer.
-func (Secondary) Propose(context.Context, configurer.Batch) (configurer.Receipt, error) {
-	return configurer.Receipt{}, refuser.Refuse(refuser.LeaderUnknown, "this process follows another")
+func (p *Replicated) Propose(ctx context.Context, batch configurer.Batch) (configurer.Receipt, error) {
+	data, err := encodeBatch(batch)
+	if err != nil {
+		return configurer.Receipt{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	answer := p.ask(ctx, func(id uint64) replicator.Input { return replicator.Propose{ID: id, Data: data} })
+	return answer.receipt, answer.err
+}
+
+// Confirm implements Proposer.
+func (p *Replicated) Confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return p.ask(ctx, func(id uint64) replicator.Input { return replicator.Read{ID: id} }).err
+}
+
+// Replace implements Proposer.
+func (p *Replicated) Replace(ctx context.Context, name string) error {
+	status := p.status.get()
+	newcomer, ok := status.newcomer(name)
+	if !ok && status.Leader == p.settings.Name {
+		return refuser.Refuse(refuser.ChangeInvalid, "no process called "+name+" reports with an empty data folder")
+	}
+	old, _ := status.Members.Named(name)
+	learner := replicator.Learner{Member: newcomer, Replaces: old.Identity}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return p.ask(ctx, func(id uint64) replicator.Input { return replicator.Replace{ID: id, Learner: learner} }).err
+}
+
+// request is an input together with where its answer goes.
+type request struct {
+	input  func(id uint64) replicator.Input
+	answer chan answer
+}
+
+type answer struct {
+	receipt configurer.Receipt
+	err     error
+}
+
+func (p *Replicated) ask(ctx context.Context, input func(id uint64) replicator.Input) answer {
+	asked := request{input: input, answer: make(chan answer, 1)}
+	select {
+	case p.requests <- asked:
+	case <-ctx.Done():
+		return answer{err: refuser.Refuse(refuser.LeaderUnknown, "this process is busy")}
+	}
+	select {
+	case answered := <-asked.answer:
+		return answered
+	case <-ctx.Done():
+		return answer{err: refuser.Fail(refuser.LeaderUnknown, "no quorum answered in time; sending the same again is safe")}
+	}
 }
--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"os"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/control/pkg/administrator"
-	"samphiremount.example/control/pkg/proposer"
+	"samphiremount.example/control/pkg/storer"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	core "samphiremount.example/core/starter"
@@ -27,43 +28,59 @@
 	if err != nil {
 		return err
 	}
-	fleet, err := core.Listen("--fleet", settings.Fleet)
+	opened, err := listen(settings)
 	if err != nil {
 		return err
 	}
-	operators, err := core.Listen("--operators", settings.Operators)
+	log := logger.New(os.Stderr, settings.LogLevel())
+	folder, err := storer.NewFolder(settings.Data)
 	if err != nil {
 		return err
 	}
-	metrics, err := core.Listen("--metrics", settings.Metrics)
+	defer func() { _ = folder.Close() }()
+	hub := synchronizer.NewHub()
+	pool := messenger.NewPool(credentials)
+	replicated, err := newReplicated(settings, folder, hub, pool, log)
 	if err != nil {
 		return err
 	}
-	log := logger.New(os.Stderr, settings.LogLevel())
-	hub := synchronizer.NewHub()
 	publisher := synchronizer.NewServer(hub, log.Part("publish"))
 	mux := messenger.Mux{}
 	publisher.Register(mux)
-	handler := administrator.New(token, newProposer(settings, hub), hub, publisher, log.Part("operate")).Handler()
-	log.Part("control").Info("control started", "name", settings.Name, "fleet", fleet.Addr(),
-		"operators", operators.Addr(), "metrics", metrics.Addr())
+	replicated.Register(mux)
+	handler := administrator.New(token, replicated, hub, publisher, log.Part("operate")).Handler()
+	log.Part("control").Info("control started", "name", settings.Name, "fleet", opened.fleet.Addr(),
+		"operators", opened.operators.Addr(), "metrics", opened.metrics.Addr())
 
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return core.ServeMetrics(ctx, metrics) })
-	group.Go(func() error { return core.ServeHTTP(ctx, operators, handler, stopGrace) })
-	group.Go(func() error { return messenger.NewServer(credentials, mux, log.Part("fleet")).Serve(ctx, fleet) })
+	group.Go(func() error { return core.ServeMetrics(ctx, opened.metrics) })
+	group.Go(func() error { return core.ServeHTTP(ctx, opened.operators, handler, stopGrace) })
+	group.Go(func() error { return messenger.NewServer(credentials, mux, log.Part("fleet")).Serve(ctx, opened.fleet) })
 	group.Go(func() error { return publisher.Run(ctx) })
-	pool := messenger.NewPool(credentials)
-	for _, peer := range settings.Peers {
-		client := synchronizer.NewClient(pool, []string{peer}, hub, nil, log.Part("follow"))
+	group.Go(func() error { return replicated.Run(ctx) })
+	for name, address := range settings.Addresses() {
+		if name == settings.Name {
+			continue
+		}
+		client := synchronizer.NewClient(pool, []string{address}, directorySink{hub}, nil, log.Part("follow"))
 		group.Go(func() error { return client.Run(ctx) })
 	}
 	return group.Wait()
 }
 
-func newProposer(settings Settings, hub *synchronizer.Hub) proposer.Proposer {
-	if settings.Primary {
-		return proposer.NewPrimary(hub)
+type listeners struct {
+	fleet, operators, metrics net.Listener
+}
+
+func listen(settings Settings) (listeners, error) {
+	fleet, err := core.Listen("--fleet", settings.Fleet)
+	if err != nil {
+		return listeners{}, err
 	}
-	return proposer.Secondary{}
+	operators, err := core.Listen("--operators", settings.Operators)
+	if err != nil {
+		return listeners{}, err
+	}
+	metrics, err := core.Listen("--metrics", settings.Metrics)
+	return listeners{fleet, operators, metrics}, err
 }
--- a/control/pkg/starter/settings.go
+++ b/control/pkg/starter/settings.go
@@ -2,6 +2,8 @@
 package starter
 
 import (
+	"strings"
+
 	"github.com/cockroachdb/errors"
 
 	core "samphiremount.example/core/starter"
@@ -15,8 +17,8 @@
 	Fleet     string   `long:"fleet" env:"SAMPHIRE_FLEET" default:"127.0.0.1:8181" description:"IP address and port of the listener for processes of the fleet"`
 	Operators string   `long:"operators" env:"SAMPHIRE_OPERATORS" default:"127.0.0.1:8180" description:"IP address and port of the listener for operators"`
 	Token     string   `long:"token-file" env:"SAMPHIRE_TOKEN_FILE" description:"File with the token that operators present"`
-	Peers     []string `long:"peer" env:"SAMPHIRE_PEERS" env-delim:"," description:"IP address and port of another control process; repeat it"`
-	Primary   bool     `long:"primary" env:"SAMPHIRE_PRIMARY" description:"Accept operators' changes; set it on exactly one control process"`
+	Members   []string `long:"member" env:"SAMPHIRE_MEMBERS" env-delim:"," description:"NAME=ADDRESS of a control process, this one included, with the IP address and port of its --fleet; repeat it"`
+	Data      string   `long:"data" env:"SAMPHIRE_DATA" description:"Folder for the state that must survive a restart; no other process may use it"`
 }
 
 // Check returns an error for each wrong setting.
@@ -30,8 +32,44 @@
 	if _, err := core.ReadSecret("--token-file", s.Token); err != nil {
 		wrong = append(wrong, err)
 	}
-	for _, address := range s.Peers {
-		wrong = append(wrong, core.CheckPeer("--peer", address)...)
+	if s.Data == "" {
+		wrong = append(wrong, errors.New("--data must be set"))
+	}
+	return append(wrong, s.checkMembers()...)
+}
+
+func (s *Settings) checkMembers() []error {
+	var wrong []error
+	addresses := make(map[string]string)
+	for _, text := range s.Members {
+		name, address, found := strings.Cut(text, "=")
+		if !found || name == "" {
+			wrong = append(wrong, errors.Newf("--member must have the form NAME=ADDRESS: %q", text))
+			continue
+		}
+		if _, ok := addresses[name]; ok {
+			wrong = append(wrong, errors.Newf("--member names %s twice", name))
+		}
+		for other, taken := range addresses {
+			if taken == address {
+				wrong = append(wrong, errors.Newf("--member gives %s and %s the same address", other, name))
+			}
+		}
+		addresses[name] = address
+		wrong = append(wrong, core.CheckPeer("--member "+name, address)...)
+	}
+	if _, ok := addresses[s.Name]; s.Name != "" && !ok {
+		wrong = append(wrong, errors.Newf("--member must name this process, %s, too", s.Name))
 	}
 	return wrong
 }
+
+// Addresses returns the IP address and port of each member by its name.
+func (s *Settings) Addresses() map[string]string {
+	addresses := make(map[string]string)
+	for _, text := range s.Members {
+		name, address, _ := strings.Cut(text, "=")
+		addresses[name] = address
+	}
+	return addresses
+}
--- /dev/null
+++ b/control/pkg/storer/record.go
@@ -0,0 +1,120 @@
+package storer
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// A record is a header and a payload. The header holds, little-endian: the payload's length (4 bytes), the offset up to
+// which the file was synced when the record was written (8), the payload's checksum (4) and the checksum of those 16
+// bytes (4). Checksums are CRC-32C.
+const (
+	headerBytes = 20
+	sectorBytes = 512
+)
+
+// ErrDamaged is returned when a file does not hold what was written and synced. Its member has lost its disk.
+var ErrDamaged = errors.New("the data folder is damaged; the member must be replaced as one that lost its disk")
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func appendRecord(buf, payload []byte, synced int64) []byte {
+	start := len(buf)
+	buf = binary.LittleEndian.AppendUint32(buf, uint32(len(payload)))
+	buf = binary.LittleEndian.AppendUint64(buf, uint64(synced))
+	buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(payload, castagnoli))
+	buf = binary.LittleEndian.AppendUint32(buf, crc32.Checksum(buf[start:], castagnoli))
+	return append(buf, payload...)
+}
+
+// record is one record as it was read. Next is the offset behind it.
+type record struct {
+	payload []byte
+	synced  int64
+	next    int64
+}
+
+// readRecord returns the record at offset if it is whole.
+func readRecord(content []byte, offset int64) (record, bool) {
+	rest := content[offset:]
+	if len(rest) < headerBytes {
+		return record{}, false
+	}
+	header := rest[:headerBytes]
+	if crc32.Checksum(header[:16], castagnoli) != binary.LittleEndian.Uint32(header[16:]) {
+		return record{}, false
+	}
+	length := int64(binary.LittleEndian.Uint32(header))
+	if int64(len(rest)-headerBytes) < length {
+		return record{}, false
+	}
+	payload := rest[headerBytes : headerBytes+length]
+	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(header[12:]) {
+		return record{}, false
+	}
+	synced := int64(binary.LittleEndian.Uint64(header[4:]))
+	return record{payload: payload, synced: synced, next: offset + headerBytes + length}, true
+}
+
+// readRecords returns the payloads of content and the length of its whole part. What follows that part is a tail that
+// was torn while it was written and was never synced; anything else that is not whole is ErrDamaged.
+func readRecords(content []byte) (payloads [][]byte, whole int64, err error) {
+	for whole < int64(len(content)) {
+		found, ok := readRecord(content, whole)
+		if !ok {
+			return payloads, whole, checkTorn(content, whole)
+		}
+		payloads = append(payloads, found.payload)
+		whole = found.next
+	}
+	return payloads, whole, nil
+}
+
+// checkTorn returns ErrDamaged unless the record at offset looks as a write does that a crash interrupted: no later
+// record says that this one was synced, and its end, or a sector of it, never reached the disk.
+func checkTorn(content []byte, offset int64) error {
+	for later := offset + 1; later+headerBytes <= int64(len(content)); later++ {
+		if found, ok := readRecord(content, later); ok && found.synced > offset {
+			return errors.Wrapf(ErrDamaged, "the record at byte %d was synced and is not whole", offset)
+		}
+	}
+	rest := content[offset:]
+	if short(rest) || unwritten(rest) {
+		return nil
+	}
+	return errors.Wrapf(ErrDamaged, "the last record, at byte %d, is complete but does not match its checksum", offset)
+}
+
+// short reports whether rest ends before the record at its start does.
+func short(rest []byte) bool {
+	if len(rest) < headerBytes {
+		return true
+	}
+	header := rest[:headerBytes]
+	if crc32.Checksum(header[:16], castagnoli) != binary.LittleEndian.Uint32(header[16:]) {
+		return false
+	}
+	return int64(len(rest)-headerBytes) < int64(binary.LittleEndian.Uint32(header))
+}
+
+// unwritten reports whether rest starts with zeros or holds a run of them as long as a sector, as a file has where its
+// length reached the disk before its content.
+func unwritten(rest []byte) bool {
+	if !slices.ContainsFunc(rest[:min(headerBytes, len(rest))], func(b byte) bool { return b != 0 }) {
+		return true
+	}
+	run := 0
+	for _, b := range rest {
+		run++
+		if b != 0 {
+			run = 0
+		}
+		if run == sectorBytes {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/control/pkg/transporter/receive.go
@@ -0,0 +1,68 @@
+package transporter
+
+import (
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/messenger"
+)
+
+const maxBatchBytes = 256 << 20
+
+// Register adds the calls of other control processes to mux.
+func (t *Transporter) Register(mux messenger.Mux) {
+	mux[callReplicate] = t.takeMessages
+	mux[callIntroduce] = t.takeIntroduction
+}
+
+func (t *Transporter) takeMessages(stream drpc.Stream) error {
+	var buf []byte
+	for {
+		var part partMessage
+		if err := stream.MsgRecv(&part, messenger.Encoding{}); err != nil {
+			return errors.Wrap(err, "receive messages")
+		}
+		if len(buf)+len(part.Data) > maxBatchBytes {
+			return errors.Newf("a batch of messages has more than %d bytes", maxBatchBytes)
+		}
+		buf = append(buf, part.Data...)
+		if part.Last {
+			if err := t.deliver(stream, buf); err != nil {
+				return err
+			}
+			buf = nil
+		}
+		if err := stream.MsgSend(&ackMessage{}, messenger.Encoding{}); err != nil {
+			return errors.Wrap(err, "send acknowledgement")
+		}
+	}
+}
+
+func (t *Transporter) deliver(stream drpc.Stream, buf []byte) error {
+	var batch batchMessage
+	if err := messenger.Unmarshal(buf, &batch); err != nil {
+		return err
+	}
+	t.greeter.Known(batch.Sender)
+	for _, wire := range batch.Messages {
+		message, err := wire.message()
+		if err != nil {
+			return err
+		}
+		select {
+		case t.inbox <- message:
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+	return nil
+}
+
+func (t *Transporter) takeIntroduction(stream drpc.Stream) error {
+	var request introductionMessage
+	if err := stream.MsgRecv(&request, messenger.Encoding{}); err != nil {
+		return errors.Wrap(err, "receive introduction")
+	}
+	reply := newIntroductionMessage(t.greeter.Introduced(request.introduction()))
+	return errors.Wrap(stream.MsgSend(&reply, messenger.Encoding{}), "send introduction")
+}
--- /dev/null
+++ b/control/pkg/transporter/wire.go
@@ -0,0 +1,145 @@
+package transporter
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/core/replicator"
+)
+
+const (
+	callReplicate = "samphire.replicate"
+	callIntroduce = "samphire.introduce"
+)
+
+// partMessage is one part of an encoded batchMessage. Last closes it.
+type partMessage struct {
+	Data []byte `cbor:"1,keyasint"`
+	Last bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// ackMessage answers a part, so that the sender notices a connection that went silent.
+type ackMessage struct{}
+
+// batchMessage holds messages that go to one process together. Sender lets a receiver answer that does not have the
+// sender in its membership yet.
+type batchMessage struct {
+	Messages []wireMessage     `cbor:"1,keyasint"`
+	Sender   replicator.Member `cbor:"2,keyasint"`
+}
+
+// wireMessage is a replicator.Message. Exactly one body is set.
+type wireMessage struct {
+	From     replicator.Identity  `cbor:"1,keyasint"`
+	To       replicator.Identity  `cbor:"2,keyasint"`
+	Term     uint64               `cbor:"3,keyasint"`
+	Vote     *wireVote            `cbor:"4,keyasint,omitempty"`
+	Voted    *wireVoted           `cbor:"5,keyasint,omitempty"`
+	Append   *wireAppend          `cbor:"6,keyasint,omitempty"`
+	Appended *wireAppended        `cbor:"7,keyasint,omitempty"`
+	Snapshot *replicator.Snapshot `cbor:"8,keyasint,omitempty"`
+	Read     *wireRead            `cbor:"9,keyasint,omitempty"`
+	Readable *wireRead            `cbor:"10,keyasint,omitempty"`
+}
+
+type wireVote struct {
+	Pre  bool                `cbor:"1,keyasint,omitempty"`
+	Last replicator.Position `cbor:"2,keyasint"`
+}
+
+type wireVoted struct {
+	Pre     bool `cbor:"1,keyasint,omitempty"`
+	Granted bool `cbor:"2,keyasint,omitempty"`
+}
+
+type wireAppend struct {
+	Previous replicator.Position `cbor:"1,keyasint"`
+	Entries  []replicator.Entry  `cbor:"2,keyasint,omitempty"`
+	Commit   uint64              `cbor:"3,keyasint"`
+	Round    uint64              `cbor:"4,keyasint"`
+}
+
+type wireAppended struct {
+	Accepted bool   `cbor:"1,keyasint,omitempty"`
+	Match    uint64 `cbor:"2,keyasint"`
+	Hint     uint64 `cbor:"3,keyasint"`
+	Round    uint64 `cbor:"4,keyasint"`
+}
+
+type wireRead struct {
+	ID    uint64 `cbor:"1,keyasint"`
+	Index uint64 `cbor:"2,keyasint"`
+}
+
+func newWireMessage(m replicator.Message) wireMessage {
+	wire := wireMessage{From: m.From, To: m.To, Term: m.Term}
+	switch body := m.Body.(type) {
+	case replicator.VoteRequest:
+		wire.Vote = &wireVote{body.Pre, body.Last}
+	case replicator.VoteReply:
+		wire.Voted = &wireVoted{body.Pre, body.Granted}
+	case replicator.AppendRequest:
+		wire.Append = &wireAppend{body.Previous, body.Entries, body.Commit, body.Round}
+	case replicator.AppendReply:
+		wire.Appended = &wireAppended{body.Accepted, body.Match, body.Hint, body.Round}
+	case replicator.SnapshotRequest:
+		wire.Snapshot = &body.Snapshot
+	case replicator.ReadRequest:
+		wire.Read = &wireRead{ID: body.ID}
+	case replicator.ReadReply:
+		wire.Readable = &wireRead{body.ID, body.Index}
+	}
+	return wire
+}
+
+func (w wireMessage) message() (replicator.Message, error) {
+	m := replicator.Message{From: w.From, To: w.To, Term: w.Term}
+	switch {
+	case w.Vote != nil:
+		m.Body = replicator.VoteRequest{Pre: w.Vote.Pre, Last: w.Vote.Last}
+	case w.Voted != nil:
+		m.Body = replicator.VoteReply{Pre: w.Voted.Pre, Granted: w.Voted.Granted}
+	case w.Append != nil:
+		return w.appendRequest(m)
+	case w.Appended != nil:
+		a := w.Appended
+		m.Body = replicator.AppendReply{Accepted: a.Accepted, Match: a.Match, Hint: a.Hint, Round: a.Round}
+	case w.Snapshot != nil:
+		m.Body = replicator.SnapshotRequest{Snapshot: *w.Snapshot}
+	case w.Read != nil:
+		m.Body = replicator.ReadRequest{ID: w.Read.ID}
+	case w.Readable != nil:
+		m.Body = replicator.ReadReply{ID: w.Readable.ID, Index: w.Readable.Index}
+	default:
+		return m, errors.New("the message has no body")
+	}
+	return m, nil
+}
+
+// appendRequest checks that the entries follow each other, which the decision relies on.
+func (w wireMessage) appendRequest(m replicator.Message) (replicator.Message, error) {
+	a := w.Append
+	for i, entry := range a.Entries {
+		if entry.Position.Index != a.Previous.Index+uint64(i)+1 {
+			return m, errors.Newf("entry %d does not follow entry %d", entry.Position.Index, a.Previous.Index)
+		}
+	}
+	m.Body = replicator.AppendRequest{Previous: a.Previous, Entries: a.Entries, Commit: a.Commit, Round: a.Round}
+	return m, nil
+}
+
+// introductionMessage tells a control process who the sender is, and its answer who the receiver is. Formed is set by a
+// process that belongs to a cluster already.
+type introductionMessage struct {
+	Name     string              `cbor:"1,keyasint"`
+	Identity replicator.Identity `cbor:"2,keyasint"`
+	Address  string              `cbor:"3,keyasint"`
+	Formed   bool                `cbor:"4,keyasint,omitempty"`
+}
+
+func newIntroductionMessage(i Introduction) introductionMessage {
+	return introductionMessage{i.Member.Name, i.Member.Identity, i.Member.Address, i.Formed}
+}
+
+func (m introductionMessage) introduction() Introduction {
+	return Introduction{Member: replicator.Member{Identity: m.Identity, Name: m.Name, Address: m.Address}, Formed: m.Formed}
+}
--- /dev/null
+++ b/core/replicator/append.go
@@ -0,0 +1,117 @@
+package replicator
+
+func (s *step) propose(input Propose) {
+	if _, leads := s.role.(*leader); !leads {
+		s.output.Refused = append(s.output.Refused, input.ID)
+		return
+	}
+	position := s.appendOwn(Entry{Data: input.Data})
+	s.output.Appended = append(s.output.Appended, Appended{input.ID, position})
+}
+
+// appendOwn puts an entry of this leader at the end of the log and sends it.
+func (s *step) appendOwn(entry Entry) Position {
+	entry.Position = Position{Index: s.lastPosition().Index + 1, Term: s.state.Term}
+	s.appendEntries(entry)
+	if l, ok := s.role.(*leader); ok {
+		s.broadcast(l)
+	}
+	return entry.Position
+}
+
+// broadcast sends each other member what it lacks, or a heartbeat.
+func (s *step) broadcast(l *leader) {
+	l.heartbeatDeadline = s.now.Add(HeartbeatPeriod)
+	for _, member := range s.members.All() {
+		if member.Identity != s.self {
+			s.sendAppend(l, member.Identity)
+		}
+	}
+}
+
+func (s *step) sendAppend(l *leader, to Identity) {
+	p, ok := l.progress[to]
+	if !ok {
+		p = progress{next: s.lastPosition().Index + 1, heardDeadline: s.now.Add(ElectionTimeout)}
+	}
+	term, known := s.termAt(p.next - 1)
+	switch {
+	case s.now.Before(p.snapshotDeadline):
+		// The heartbeat agrees with every log, since the position before the first entry does.
+		s.send(to, AppendRequest{Commit: s.commit, Round: l.round})
+	case !known:
+		p.snapshotDeadline = s.now.Add(snapshotTimeout)
+		s.send(to, SnapshotRequest{s.snapshot})
+	default:
+		entries := s.chunk(p.next)
+		previous := Position{Index: p.next - 1, Term: term}
+		s.send(to, AppendRequest{Previous: previous, Entries: entries, Commit: s.commit, Round: l.round})
+		p.next += uint64(len(entries))
+	}
+	l.progress[to] = p
+}
+
+func (s *step) takeAppend(m Message, request AppendRequest) {
+	// What is committed here is in the leader's log too.
+	if request.Previous.Index > s.commit {
+		term, known := s.termAt(request.Previous.Index)
+		if !known || term != request.Previous.Term {
+			s.send(m.From, AppendReply{Hint: s.hint(request.Previous.Index), Round: request.Round})
+			return
+		}
+	}
+	for i, entry := range request.Entries {
+		index := entry.Position.Index
+		term, known := s.termAt(index)
+		if index <= s.commit || known && term == entry.Position.Term {
+			continue
+		}
+		s.truncate(index)
+		s.appendEntries(request.Entries[i:]...)
+		break
+	}
+	match := request.Previous.Index + uint64(len(request.Entries))
+	s.commit = max(s.commit, min(request.Commit, match))
+	s.send(m.From, AppendReply{Accepted: true, Match: match, Round: request.Round})
+}
+
+// hint returns an index up to which the logs may agree: before all entries of the term that disagrees.
+func (s *step) hint(index uint64) uint64 {
+	hint := min(index-1, s.lastPosition().Index)
+	term, known := s.termAt(index)
+	if !known {
+		return hint
+	}
+	for hint > s.commit {
+		if other, ok := s.termAt(hint); !ok || other != term {
+			break
+		}
+		hint--
+	}
+	return hint
+}
+
+func (s *step) takeAppendReply(m Message, reply AppendReply) {
+	l, ok := s.role.(*leader)
+	if !ok {
+		return
+	}
+	p := l.progress[m.From]
+	p.round = max(p.round, reply.Round)
+	if reply.Accepted {
+		p.match = max(p.match, reply.Match)
+		p.next = max(p.next, p.match+1)
+		if p.match >= s.snapshot.Position.Index {
+			p.snapshotDeadline = s.now
+		}
+	} else {
+		p.next = max(p.match+1, min(p.next, reply.Hint+1))
+	}
+	l.progress[m.From] = p
+	behind := p.next <= s.lastPosition().Index || !reply.Accepted
+	if behind && !s.now.Before(p.snapshotDeadline) {
+		s.sendAppend(l, m.From)
+	}
+	s.confirmReads(l)
+	s.commitQuorum()
+}
--- /dev/null
+++ b/core/replicator/log.go
@@ -0,0 +1,91 @@
+package replicator
+
+const maxAppendBytes = 1 << 20
+
+func (r *Replicator) lastPosition() Position {
+	if len(r.entries) == 0 {
+		return r.snapshot.Position
+	}
+	return r.entries[len(r.entries)-1].Position
+}
+
+// termAt returns the term of the entry at index, if it is known.
+func (r *Replicator) termAt(index uint64) (uint64, bool) {
+	if index == r.snapshot.Position.Index {
+		return r.snapshot.Position.Term, true
+	}
+	first := r.First()
+	if index < first || index > r.lastPosition().Index {
+		return 0, index == 0
+	}
+	return r.entries[index-first].Position.Term, true
+}
+
+// from returns the entries from index on.
+func (r *Replicator) from(index uint64) []Entry {
+	first := r.First()
+	if index > r.lastPosition().Index {
+		return nil
+	}
+	return r.entries[max(index, first)-first:]
+}
+
+// chunk returns entries from index on, up to maxAppendBytes but at least one.
+func (r *Replicator) chunk(index uint64) []Entry {
+	entries := r.from(index)
+	bytes := 0
+	for i, entry := range entries {
+		bytes += len(entry.Data)
+		if i > 0 && bytes > maxAppendBytes {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
+// appendEntries puts entries at the end of the log.
+func (s *step) appendEntries(entries ...Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	if s.dirtyFrom == 0 {
+		s.dirtyFrom = entries[0].Position.Index
+	}
+	s.dirtyFrom = min(s.dirtyFrom, entries[0].Position.Index)
+	s.entries = append(s.entries, entries...)
+	for _, entry := range entries {
+		if entry.Members != nil {
+			s.members, s.membersIndex = *entry.Members, entry.Position.Index
+		}
+	}
+}
+
+// truncate removes the entries from index on.
+func (s *step) truncate(index uint64) {
+	if index > s.lastPosition().Index {
+		return
+	}
+	s.entries = s.entries[:index-s.First()]
+	// The next append must not overwrite entries that an earlier value shares.
+	s.entries = s.entries[:len(s.entries):len(s.entries)]
+	s.durable = min(s.durable, index-1)
+	for i, save := range s.unsynced {
+		s.unsynced[i].last = min(save.last, index-1)
+	}
+	s.findMembers()
+}
+
+// findMembers sets the membership from the newest entry that carries one, or else from the snapshot.
+func (r *Replicator) findMembers() {
+	r.members, r.membersIndex = r.membersAt(r.lastPosition().Index)
+}
+
+func (r *Replicator) membersAt(index uint64) (Membership, uint64) {
+	for i := len(r.entries) - 1; i >= 0; i-- {
+		entry := r.entries[i]
+		if entry.Members != nil && entry.Position.Index <= index {
+			return *entry.Members, entry.Position.Index
+		}
+	}
+	return r.snapshot.Members, r.snapshot.Position.Index
+}
--- /dev/null
+++ b/core/replicator/role.go
@@ -0,0 +1,114 @@
+package replicator
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// role is follower, *candidate or *leader.
+type role interface {
+	clone() role
+}
+
+// follower takes entries from leader, which is empty while no leader is known.
+type follower struct {
+	leader Identity
+}
+
+// candidate collects votes, or, if pre is set, the promises of votes.
+type candidate struct {
+	pre   bool
+	votes map[Identity]bool
+}
+
+// leader knows how far each other member is.
+type leader struct {
+	progress          map[Identity]progress
+	heartbeatDeadline time.Time
+	round             uint64
+	reads             []pendingRead
+}
+
+// progress is what the leader knows of one member. The log agrees up to match; next is the first entry to send.
+type progress struct {
+	match            uint64
+	next             uint64
+	round            uint64
+	heardDeadline    time.Time
+	snapshotDeadline time.Time
+}
+
+func (f follower) clone() role { return f }
+
+func (c *candidate) clone() role {
+	return &candidate{pre: c.pre, votes: maps.Clone(c.votes)}
+}
+
+func (l *leader) clone() role {
+	next := *l
+	next.progress = maps.Clone(l.progress)
+	next.reads = slices.Clone(l.reads)
+	return &next
+}
+
+// follow makes this member a follower in term.
+func (s *step) follow(term uint64, of Identity, reason string) {
+	if term > s.state.Term {
+		s.state = State{Term: term}
+	}
+	if old, ok := s.role.(follower); !ok || old.leader != of {
+		s.output.Reason = reason
+	}
+	s.failReads()
+	s.role = follower{leader: of}
+	s.resetElection()
+}
+
+// lead makes this member the leader. Its first entry restates the membership: it lets the leader commit what earlier
+// leaders left (section 5.4.2 of the paper) and tells new members of whom the cluster consists.
+func (s *step) lead() {
+	members := s.members
+	next := s.lastPosition().Index + 1
+	l := &leader{progress: make(map[Identity]progress)}
+	s.role = l
+	s.output.Reason = "a quorum voted for this member"
+	for _, member := range members.All() {
+		l.progress[member.Identity] = progress{next: next, heardDeadline: s.now.Add(ElectionTimeout)}
+	}
+	s.appendOwn(Entry{Members: &members})
+}
+
+func (s *step) resetElection() {
+	s.electionDeadline = s.now.Add(ElectionTimeout + time.Duration(s.random.Int64N(int64(ElectionTimeout))))
+}
+
+func (s *step) tick() {
+	if l, ok := s.role.(*leader); ok {
+		s.driveReplacement(l)
+		if !s.now.Before(l.heartbeatDeadline) {
+			s.broadcast(l)
+		}
+		return
+	}
+	if !s.now.Before(s.electionDeadline) {
+		s.campaign(true)
+	}
+}
+
+// checkQuorum ends the leadership of a member that a quorum has not answered for an ElectionTimeout.
+func (s *step) checkQuorum() {
+	l, ok := s.role.(*leader)
+	if !ok {
+		return
+	}
+	heard := 0
+	for _, member := range s.members.Voters {
+		if member.Identity == s.self || s.now.Before(l.progress[member.Identity].heardDeadline) {
+			heard++
+		}
+	}
+	if heard < s.members.quorum() {
+		s.follow(s.state.Term, "", "no quorum answered this leader")
+	}
+}
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -43,13 +43,11 @@
 
 fleet=(127.0.0.1:"${port[0]}" 127.0.0.1:"${port[1]}" 127.0.0.1:"${port[2]}")
 operators=(127.0.0.1:"${port[3]}" 127.0.0.1:"${port[4]}" 127.0.0.1:"${port[5]}")
+members=()
+for i in 0 1 2; do members+=(--member "control$i=${fleet[i]}"); done
 for i in 0 1 2; do
-  peers=()
-  for j in 0 1 2; do [ "$i" = "$j" ] || peers+=(--peer "${fleet[j]}"); done
-  primary=()
-  [ "$i" != 0 ] || primary=(--primary)
   start "control$i" "$bin/samphire-control" --name "control$i" --fleet "${fleet[i]}" --operators "${operators[i]}" \
-    "${peers[@]}" "${primary[@]}"
+    --data "$data/control$i" "${members[@]}"
 done
 
 entries=()
--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -136,13 +136,9 @@
 		"samphire-control", "--name", fmt.Sprintf("control%d", i),
 		"--fleet", ts.Getenv(fmt.Sprintf("CONTROL%d", i)), "--operators", ts.Getenv(fmt.Sprintf("OPERATORS%d", i)),
 	}
+	args = append(args, "--data", filepath.Join(f.dir, fmt.Sprintf("data%d", i)))
 	for j := range controls {
-		if j != i {
-			args = append(args, "--peer", ts.Getenv(fmt.Sprintf("CONTROL%d", j)))
-		}
-	}
-	if i == 0 {
-		args = append(args, "--primary")
+		args = append(args, "--member", fmt.Sprintf("control%d=%s", j, ts.Getenv(fmt.Sprintf("CONTROL%d", j))))
 	}
 	f.commands[fmt.Sprintf("control%d", i)] = args
 }
