--- a/core/configurer/configuration.go
+++ b/core/configurer/configuration.go
@@ -21,6 +21,12 @@
 // Version returns the number of batches that made this configuration.
 func (c Configuration) Version() uint64 { return c.version }
 
+// At returns the configuration with its version set.
+func (c Configuration) At(version uint64) Configuration {
+	c.version = version
+	return c
+}
+
 // Workspace returns the workspace called name.
 func (c Configuration) Workspace(name string) (Workspace, bool) { return find(c.workspaces, name) }
 
--- a/core/configurer/snapshot.go
+++ b/core/configurer/snapshot.go
@@ -1,5 +1,7 @@
 package configurer
 
+import "samphiremount.example/core/messenger"
+
 // Snapshot is a whole configuration in a form that can be stored and sent. Two processes with equal snapshots decide
 // alike about every later batch.
 type Snapshot struct {
@@ -38,3 +40,17 @@
 	configuration.receipts = snapshot.Receipts
 	return configuration, nil
 }
+
+// Encode returns the snapshot in CBOR. Equal configurations have equal forms.
+func (c Configuration) Encode() ([]byte, error) {
+	return messenger.Marshal(c.Snapshot())
+}
+
+// Decode returns the configuration that Encode wrote. It fails if the form is not one that Encode writes.
+func Decode(data []byte) (Configuration, error) {
+	var snapshot Snapshot
+	if err := messenger.Unmarshal(data, &snapshot); err != nil {
+		return Configuration{}, err
+	}
+	return FromSnapshot(snapshot)
+}
--- a/standin/scenarios/commands_test.go
+++ b/standin/scenarios/commands_test.go
@@ -64,7 +64,7 @@
 			return
 		}
 		if time.Now().After(deadline) {
-			ts.Fatalf("%s did not print %q within %s: %v\n%s", strings.Join(command, " "), pattern, limit, err, output)
+			ts.Fatalf("%s did not print %q within %s: %v\n%s\n%s", strings.Join(command, " "), pattern, limit, err, output, f.tails())
 		}
 		time.Sleep(pause)
 	}
--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -23,6 +23,8 @@
 	nodes    = 4
 	limit    = 20 * time.Second
 	pause    = 50 * time.Millisecond
+	// tailBytes is how much of each log a failed scenario prints.
+	tailBytes = 1500
 )
 
 type fleetKey struct{}
@@ -154,13 +156,9 @@
 		"samphire-control", "--name", fmt.Sprintf("control%d", i),
 		"--fleet", ts.Getenv(fmt.Sprintf("CONTROL%d", i)), "--operators", ts.Getenv(fmt.Sprintf("OPERATORS%d", i)),
 	}
+	args = append(args, "--data", filepath.Join(f.dir, fmt.Sprintf("data%d", i)))
 	for j := range controls {
-		if j != i {
-			args = append(args, "--peer", ts.Getenv(fmt.Sprintf("CONTROL%d", j)))
-		}
-	}
-	if i == 0 {
-		args = append(args, "--primary")
+		args = append(args, "--member", fmt.Sprintf("control%d=%s", j, ts.Getenv(fmt.Sprintf("CONTROL%d", j))))
 	}
 	f.commands[fmt.Sprintf("control%d", i)] = args
 }
@@ -224,6 +222,17 @@
 	return variables
 }
 
+// tails returns the last bytes of each process's log, to tell why a scenario failed.
+func (f *fleet) tails() string {
+	var text strings.Builder
+	logs, _ := filepath.Glob(filepath.Join(f.dir, "*.log"))
+	for _, path := range logs {
+		content, _ := os.ReadFile(path)
+		_, _ = fmt.Fprintf(&text, "== %s\n%s\n", filepath.Base(path), content[max(0, len(content)-tailBytes):])
+	}
+	return text.String()
+}
+
 func (f *fleet) process(ts *testscript.TestScript, name string) *process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
