--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -21,6 +21,7 @@
 	"samphiremount.example/core/registrar"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
+	"samphiremount.example/core/synchronizer"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/carrier"
@@ -70,7 +71,7 @@
 	t.Cleanup(cancel)
 	go func() { _ = messenger.NewServer(credentials, mux, log).Serve(ctx, listener) }()
 
-	view := viewer.New()
+	view := viewer.New(synchronizer.NewHub())
 	key, err := keyer.New(bytes.NewReader(bytes.Repeat([]byte{7}, 64)))
 	assert.NilError(t, err)
 	configuration, _, err := configurer.Configuration{}.With(configurer.Batch{Operation: "test", Changes: []configurer.Change{
@@ -86,6 +87,7 @@
 	}})
 	assert.NilError(t, err)
 	view.Install(configuration)
+	view.Heard(0)
 	view.Merge(tracker.Node{
 		Name: "node", Region: "r", Centre: "c", Address: listener.Addr().String(), Incarnation: 1, Sequence: 1, Targets: placed,
 	})
