--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -100,6 +100,7 @@
 // parts are the long-lived pieces of a node.
 type parts struct {
 	log      logger.Logger
+	view     *viewer.Viewer
 	reporter *reporter.Reporter
 	enroller *enroller.Enroller
 	conns    *connector.Connector
@@ -140,6 +141,7 @@
 	}
 	return parts{
 		log:      log,
+		view:     view,
 		reporter: own,
 		enroller: targets,
 		conns:    targetConns,
--- a/standin/pkg/commander/commander.go
+++ b/standin/pkg/commander/commander.go
@@ -22,7 +22,10 @@
 	"samphiremount.example/standin/pkg/responder"
 )
 
-const stopGrace = 30 * time.Second
+const (
+	stopGrace  = 30 * time.Second
+	drainDelay = 500 * time.Millisecond
+)
 
 // Main runs the command line and returns its exit code.
 func Main(args []string, out, errOut io.Writer) int {
@@ -88,9 +91,11 @@
 	group, ctx := errgroup.WithContext(c.ctx)
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	group.Go(func() error {
-		// The listener closes only after the node has heard that the target leaves.
+		// The listener closes only after the node has heard that the target leaves, and what it sent meanwhile is there.
 		defer stop()
-		return server.Announce(ctx)
+		err := server.Announce(ctx)
+		time.Sleep(drainDelay)
+		return err
 	})
 	group.Go(func() error { return starter.ServeHTTP(serving, listener, server.Handler(), stopGrace) })
 	return group.Wait()
