Share a target's slots among workspaces by start-time fair queueing

At full slots the gate refused whoever came, so the workspace that asked most often got most. core/queuer holds a bounded queue (8 waiters for each slot, 1 s at most) before each target; a request costs 1/weight, and over the limit the one furthest beyond its workspace's share is dropped. Ruled out: deficit round robin, which needs a round over all workspaces with a backlog for each choice.

--- /dev/null
+++ b/core/queuer/queuer.go
@@ -0,0 +1,131 @@
+// Package queuer shares the slots of a target among workspaces by start-time fair queueing (Goyal, Vin and Cheng, 1996):
+// each request gets a start tag of virtual time, one request costs 1/weight, and the smallest tag goes first.
+package queuer
+
+import (
+	"maps"
+	"time"
+)
+
+// Waiter is a request that waits for a slot. It leaves the queue at Deadline.
+type Waiter struct {
+	ID        string
+	Workspace string
+	Weight    int
+	Deadline  time.Time
+}
+
+type entry struct {
+	waiter Waiter
+	start  float64
+	order  uint64
+}
+
+// Queuer is the queue before one target. It is not safe for concurrent use.
+type Queuer struct {
+	limit   int
+	virtual float64
+	finish  map[string]float64
+	waiting []entry
+	order   uint64
+}
+
+// New returns an empty queue that holds at most limit waiters.
+func New(limit int) *Queuer {
+	return &Queuer{limit: limit, finish: make(map[string]float64)}
+}
+
+// Len returns the number of waiters, expired ones included.
+func (q *Queuer) Len() int { return len(q.waiting) }
+
+// Push adds waiter. If the queue is over its limit then, it drops the waiter with the greatest start tag and returns
+// its ID: that is the newest of the workspace which asks for most beyond its share, and may be the new one.
+func (q *Queuer) Push(waiter Waiter) (dropped string) {
+	start := max(q.virtual, q.finish[waiter.Workspace])
+	q.finish[waiter.Workspace] = start + cost(waiter)
+	q.order++
+	q.waiting = append(q.waiting, entry{waiter, start, q.order})
+	if len(q.waiting) <= q.limit {
+		return ""
+	}
+	last := 0
+	for i, e := range q.waiting {
+		if q.waiting[last].before(e) {
+			last = i
+		}
+	}
+	gone := q.take(last)
+	q.refund(gone)
+	return gone.waiter.ID
+}
+
+// Pop removes the waiter that gets the next slot at now, and returns the IDs of those that expired before.
+func (q *Queuer) Pop(now time.Time) (next Waiter, expired []string, ok bool) {
+	for i := 0; i < len(q.waiting); {
+		if now.Before(q.waiting[i].waiter.Deadline) {
+			i++
+			continue
+		}
+		gone := q.take(i)
+		q.refund(gone)
+		expired = append(expired, gone.waiter.ID)
+	}
+	if len(q.waiting) == 0 {
+		return Waiter{}, expired, false
+	}
+	first := 0
+	for i, e := range q.waiting {
+		if e.before(q.waiting[first]) {
+			first = i
+		}
+	}
+	chosen := q.take(first)
+	q.virtual = max(q.virtual, chosen.start)
+	q.forget()
+	return chosen.waiter, expired, true
+}
+
+// Remove takes the waiter called id out, if it still waits.
+func (q *Queuer) Remove(id string) bool {
+	for i, e := range q.waiting {
+		if e.waiter.ID == id {
+			q.refund(q.take(i))
+			return true
+		}
+	}
+	return false
+}
+
+func (e entry) before(other entry) bool {
+	if e.start != other.start {
+		return e.start < other.start
+	}
+	return e.order < other.order
+}
+
+func cost(waiter Waiter) float64 {
+	return 1 / float64(max(waiter.Weight, 1))
+}
+
+func (q *Queuer) take(i int) entry {
+	taken := q.waiting[i]
+	q.waiting[i] = q.waiting[len(q.waiting)-1]
+	q.waiting = q.waiting[:len(q.waiting)-1]
+	return taken
+}
+
+// refund moves the later requests of a workspace forward when one of its requests goes without a slot.
+func (q *Queuer) refund(gone entry) {
+	workspace := gone.waiter.Workspace
+	q.finish[workspace] -= cost(gone.waiter)
+	for i := range q.waiting {
+		if q.waiting[i].waiter.Workspace == workspace && q.waiting[i].start > gone.start {
+			q.waiting[i].start = max(q.waiting[i].start-cost(gone.waiter), q.virtual)
+		}
+	}
+}
+
+// forget drops workspaces whose share is used up to the present, so that memory follows the active ones.
+func (q *Queuer) forget() {
+	maps.DeleteFunc(q.finish, func(_ string, finish float64) bool { return finish <= q.virtual })
+}
--- /dev/null
+++ b/core/queuer/queuer_test.go
@@ -0,0 +1,134 @@
+package queuer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"samphiremount.example/core/queuer"
+)
+
+var epoch = time.Unix(0, 0)
+
+// TestBacklogIsSharedByWeight checks against the share that each weight is due while all workspaces have a backlog.
+func TestBacklogIsSharedByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 8), 2, 6).Draw(t, "weights")
+		q := queuer.New(1000)
+		var sum int
+		for i, weight := range weights {
+			sum += weight
+			for n := range 100 {
+				q.Push(queuer.Waiter{ID: fmt.Sprint(i, "/", n), Workspace: fmt.Sprint(i), Weight: weight, Deadline: epoch.Add(1)})
+			}
+		}
+		served := make(map[string]int)
+		for range 100 {
+			next, _, ok := q.Pop(epoch)
+			assert.Assert(t, ok)
+			served[next.Workspace]++
+		}
+		for i, weight := range weights {
+			due := 100 * float64(weight) / float64(sum)
+			got := float64(served[fmt.Sprint(i)])
+			assert.Assert(t, got > due-2 && got < due+2, "workspace %d got %v of %v", i, got, due)
+		}
+	})
+}
+
+// TestNoWaiterIsLost compares the queue with a plain set.
+func TestNoWaiterIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, now, next := queuer.New(8), epoch, 0
+		waiting := make(map[string]time.Time)
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				next++
+				waiter := queuer.Waiter{
+					ID: fmt.Sprint(next), Workspace: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
+					Weight: 1, Deadline: now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "patience"))),
+				}
+				waiting[waiter.ID] = waiter.Deadline
+				if dropped := q.Push(waiter); dropped != "" {
+					_, ok := waiting[dropped]
+					assert.Assert(t, ok)
+					delete(waiting, dropped)
+				}
+			},
+			"pop": func(t *rapid.T) {
+				chosen, expired, ok := q.Pop(now)
+				for _, id := range expired {
+					assert.Assert(t, !now.Before(waiting[id]))
+					delete(waiting, id)
+				}
+				assert.Equal(t, ok, len(waiting) > 0)
+				if ok {
+					assert.Assert(t, now.Before(waiting[chosen.ID]))
+					delete(waiting, chosen.ID)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				id := fmt.Sprint(rapid.IntRange(0, next).Draw(t, "id"))
+				_, ok := waiting[id]
+				assert.Equal(t, q.Remove(id), ok)
+				delete(waiting, id)
+			},
+			"time": func(*rapid.T) { now = now.Add(3) },
+			"":     func(t *rapid.T) { assert.Equal(t, q.Len(), len(waiting)) },
+		})
+	})
+}
+
+// TestWorstServedWorkspace measures, with random arrivals, what eight workspaces get of a target with 5 slots and
+// 100 ms for a request when one of them sends eight times its rate.
+func TestWorstServedWorkspace(t *testing.T) {
+	refused := simulate(0)
+	queued := simulate(40)
+	t.Logf("worst-served share: refused at full slots %.3f, queued %.3f", refused, queued)
+	assert.Assert(t, queued > 0.95, "%v", queued)
+	assert.Assert(t, refused < 0.8, "%v", refused)
+}
+
+// simulate returns the least share of its requests that a workspace within its rate got served.
+func simulate(limit int) float64 {
+	const slots, work, patience, span = 5, 100 * time.Millisecond, time.Second, 200 * time.Second
+	random := rand.New(rand.NewPCG(1, 1))
+	rates := []float64{48, 6, 6, 6, 6, 6, 6, 6}
+	q := queuer.New(limit)
+	var sent, served [8]int
+	var ends []time.Time
+	step := time.Millisecond
+	for now := epoch; now.Before(epoch.Add(span)); now = now.Add(step) {
+		for i, rate := range rates {
+			if random.Float64() < rate*step.Seconds() {
+				sent[i]++
+				if limit == 0 && len(ends) < slots {
+					served[i]++
+					ends = append(ends, now.Add(work))
+				} else if limit > 0 {
+					q.Push(queuer.Waiter{ID: fmt.Sprint(i, now), Workspace: fmt.Sprint(i), Weight: 1, Deadline: now.Add(patience)})
+				}
+			}
+		}
+		for len(ends) > 0 && !now.Before(ends[0]) {
+			ends = ends[1:]
+		}
+		for len(ends) < slots {
+			next, _, ok := q.Pop(now)
+			if !ok {
+				break
+			}
+			served[int(next.Workspace[0]-'0')]++
+			ends = append(ends, now.Add(work))
+		}
+	}
+	worst := 1.0
+	for i := 1; i < len(rates); i++ {
+		worst = min(worst, float64(served[i])/float64(sent[i]))
+	}
+	return worst
+}
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -87,6 +87,7 @@
 	deadline := time.Now().Add(admission.route.Limit)
 	head := carrier.Head{
 		ID: id, Service: admission.route.Service, Workspace: admission.workspace.Name,
+		Weight:     admission.workspace.Weight,
 		Repeatable: admission.route.Repeatable, Deadline: deadline, Method: request.Method,
 		URI: request.URL.RequestURI(), Host: request.Host, Header: forwardHeader(request, id, admission),
 		Length: request.ContentLength, Trailer: trailerNames(request.Trailer),
--- a/node/pkg/carrier/frame.go
+++ b/node/pkg/carrier/frame.go
@@ -69,6 +69,7 @@
 	Length      int64               `cbor:"12,keyasint"`
 	StartBefore int64               `cbor:"13,keyasint"`
 	Trailer     []string            `cbor:"14,keyasint,omitempty"`
+	Weight      int                 `cbor:"15,keyasint,omitempty"`
 }
 
 type answerBody struct {
--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -24,6 +24,8 @@
 	Host        string
 	Header      http.Header
 	Length      int64
+	// Weight is the workspace's share when workspaces compete for slots.
+	Weight int
 	// Trailer holds the names of the trailers that the body announces.
 	Trailer []string
 	// StartBefore is set by Client.Carry from what it knows of the gate's clock.
@@ -71,7 +73,7 @@
 		ID: h.ID, Incarnation: h.Incarnation, Target: h.Target, Service: h.Service, Workspace: h.Workspace,
 		Repeatable: h.Repeatable, Remaining: h.Deadline.Sub(now).Milliseconds(), Method: h.Method, URI: h.URI,
 		Host: h.Host, Header: h.Header, Length: h.Length, StartBefore: int64(h.StartBefore),
-		Trailer: h.Trailer,
+		Trailer: h.Trailer, Weight: h.Weight,
 	}
 }
 
@@ -80,6 +82,6 @@
 		ID: b.ID, Incarnation: b.Incarnation, Target: b.Target, Service: b.Service, Workspace: b.Workspace,
 		Repeatable: b.Repeatable, Deadline: now.Add(time.Duration(b.Remaining) * time.Millisecond), Method: b.Method,
 		URI: b.URI, Host: b.Host, Header: b.Header, Length: b.Length, StartBefore: tombstoner.Reading(b.StartBefore),
-		Trailer: b.Trailer,
+		Trailer: b.Trailer, Weight: b.Weight,
 	}
 }
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -35,7 +35,7 @@
 	log         *slog.Logger
 
 	mu         sync.Mutex
-	inFlight   map[string]int
+	lines      map[string]*line
 	tombstoner *tombstoner.Tombstoner
 }
 
@@ -53,7 +53,7 @@
 		connector:   connector,
 		counts:      counts,
 		log:         log,
-		inFlight:    make(map[string]int),
+		lines:       make(map[string]*line),
 		tombstoner:  tombstoner.New(incarnation, tombstoner.Capacity),
 	}
 }
@@ -108,8 +108,8 @@
 	if err != nil {
 		return carrier.Answer{}, err
 	}
-	if !g.acquire(target) {
-		return carrier.Answer{}, refuser.Refuse(refuser.CapacityShort, "all slots of the target are taken")
+	if err := g.acquire(ctx, target, head); err != nil {
+		return carrier.Answer{}, err
 	}
 	release := sync.OnceFunc(func() { g.release(target.Name) })
 	if err := g.start(ctx, head); err != nil {
@@ -163,25 +163,6 @@
 	g.tombstoner.Finish(g.reading(), id, ran)
 }
 
-func (g *Gatekeeper) acquire(target registrar.Announcement) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.inFlight[target.Name] >= target.Slots {
-		return false
-	}
-	g.inFlight[target.Name]++
-	return true
-}
-
-func (g *Gatekeeper) release(name string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.inFlight[name]--
-	if g.inFlight[name] == 0 {
-		delete(g.inFlight, name)
-	}
-}
-
 // explain turns the error of an exchange with a target into a refusal.
 func explain(ctx context.Context, err error) *refuser.Refusal {
 	var failure *connector.Failure
--- /dev/null
+++ b/node/pkg/gatekeeper/gatekeeper_test.go
@@ -0,0 +1,114 @@
+package gatekeeper_test
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/tombstoner"
+	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/connector"
+	"samphiremount.example/node/pkg/gatekeeper"
+)
+
+type targets map[string]registrar.Announcement
+
+func (t targets) Announcement(name string) (registrar.Announcement, bool) {
+	announcement, ok := t[name]
+	return announcement, ok
+}
+
+func newGate(t *testing.T, handler http.HandlerFunc, slots int) *gatekeeper.Gatekeeper {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	known := targets{"a": {Name: "a", Service: "s", Address: server.Listener.Addr().String(), Slots: slots}}
+	counts := new(expvar.Map)
+	return gatekeeper.New(7, known, connector.New(counts), counts, slog.New(slog.DiscardHandler))
+}
+
+func head(id, workspace string) carrier.Head {
+	return carrier.Head{
+		ID: id, Incarnation: 7, Target: "a", Workspace: workspace, Weight: 1, Method: http.MethodPost, URI: "/",
+		Deadline: time.Now().Add(5 * time.Second), StartBefore: 8_000,
+	}
+}
+
+func run(ctx context.Context, gate *gatekeeper.Gatekeeper, head carrier.Head) error {
+	answer, err := gate.Run(ctx, head, http.NoBody)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	_ = answer.Body.Close()
+	return err
+}
+
+func TestBuriedAndForeignIdentitiesDoNotStart(t *testing.T) {
+	var runs atomic.Int64
+	gate := newGate(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }, 2)
+	assert.Equal(t, tombstoner.Name(gate.Bury(head("x", "w").Identity())), "buried")
+	err := run(t.Context(), gate, head("x", "w"))
+	assert.Equal(t, refuser.From(err).Outcome, refuser.Outcome(refuser.NotRun{}))
+	foreign := head("y", "w")
+	foreign.Incarnation = 6
+	err = run(t.Context(), gate, foreign)
+	assert.Equal(t, refuser.From(err).Outcome, refuser.Outcome(refuser.Unknown{}))
+	assert.Equal(t, runs.Load(), int64(0))
+	assert.NilError(t, run(t.Context(), gate, head("z", "w")))
+	err = run(t.Context(), gate, head("z", "w"))
+	assert.Equal(t, refuser.From(err).Outcome, refuser.Outcome(refuser.Unknown{}))
+	assert.Equal(t, runs.Load(), int64(1))
+}
+
+// TestSmallWorkspaceIsServedBesideALargeBacklog fails if full slots refuse at once: the small workspace then gets what
+// chance leaves.
+func TestSmallWorkspaceIsServedBesideALargeBacklog(t *testing.T) {
+	gate := newGate(t, func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) }, 2)
+	ctx, cancel := context.WithCancel(t.Context())
+	var greedy sync.WaitGroup
+	var attempts atomic.Int64
+	for range 16 {
+		greedy.Go(func() {
+			for ctx.Err() == nil {
+				_ = run(ctx, gate, head("g"+time.Now().String()+string(rune(attempts.Add(1))), "greedy"))
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	for i := range 20 {
+		began := time.Now()
+		assert.NilError(t, run(t.Context(), gate, head("s"+string(rune('a'+i)), "small")))
+		assert.Assert(t, time.Since(began) < 200*time.Millisecond, "%s", time.Since(began))
+	}
+	cancel()
+	greedy.Wait()
+}
+
+func TestGivenUpWaiterLeavesItsSlot(t *testing.T) {
+	release := make(chan struct{})
+	gate := newGate(t, func(http.ResponseWriter, *http.Request) { <-release }, 1)
+	done := make(chan error, 1)
+	go func() { done <- run(t.Context(), gate, head("first", "w")) }()
+	for !gate.Running("first") {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	err := run(ctx, gate, head("second", "w"))
+	assert.Equal(t, refuser.From(err).Outcome, refuser.Outcome(refuser.NotRun{}))
+	close(release)
+	assert.NilError(t, <-done)
+	assert.NilError(t, run(t.Context(), gate, head("third", "w")))
+}
--- /dev/null
+++ b/node/pkg/gatekeeper/line.go
@@ -0,0 +1,118 @@
+package gatekeeper
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"samphiremount.example/core/queuer"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/registrar"
+	"samphiremount.example/node/pkg/carrier"
+)
+
+const (
+	// waitersPerSlot bounds the queue before a target.
+	waitersPerSlot = 8
+	// patience bounds how long a request waits for a slot before it is refused as not run.
+	patience = time.Second
+)
+
+// line is the slots of one target and the queue before them.
+type line struct {
+	slots    int
+	inFlight int
+	queue    *queuer.Queuer
+	waiting  map[string]chan bool
+	tickets  uint64
+}
+
+func newLine(slots int) *line {
+	return &line{slots: slots, queue: queuer.New(waitersPerSlot * slots), waiting: make(map[string]chan bool)}
+}
+
+// join adds a request to the queue. The channel delivers whether it got a slot.
+func (l *line) join(now time.Time, head carrier.Head) (ticket string, granted chan bool) {
+	l.tickets++
+	ticket, granted = strconv.FormatUint(l.tickets, 36), make(chan bool, 1)
+	l.waiting[ticket] = granted
+	deadline := now.Add(patience)
+	if head.Deadline.Before(deadline) {
+		deadline = head.Deadline
+	}
+	dropped := l.queue.Push(queuer.Waiter{
+		ID: ticket, Workspace: head.Workspace, Weight: head.Weight, Deadline: deadline,
+	})
+	if dropped != "" {
+		l.tell(dropped, false)
+	}
+	l.fill(now)
+	return ticket, granted
+}
+
+// fill hands the free slots to those whose turn it is.
+func (l *line) fill(now time.Time) {
+	for l.inFlight < l.slots {
+		next, expired, ok := l.queue.Pop(now)
+		for _, ticket := range expired {
+			l.tell(ticket, false)
+		}
+		if !ok {
+			return
+		}
+		l.inFlight++
+		l.tell(next.ID, true)
+	}
+}
+
+func (l *line) tell(ticket string, granted bool) {
+	l.waiting[ticket] <- granted
+	delete(l.waiting, ticket)
+}
+
+// acquire waits for one of the target's slots in the fair queue of its workspaces.
+func (g *Gatekeeper) acquire(ctx context.Context, target registrar.Announcement, head carrier.Head) error {
+	g.mu.Lock()
+	l, ok := g.lines[target.Name]
+	if !ok || l.slots != target.Slots && l.inFlight == 0 && l.queue.Len() == 0 {
+		l = newLine(target.Slots)
+		g.lines[target.Name] = l
+	}
+	ticket, granted := l.join(time.Now(), head)
+	g.mu.Unlock()
+	select {
+	case ok := <-granted:
+		return verdict(ok)
+	default:
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case ok := <-granted:
+		return verdict(ok)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l.queue.Remove(ticket) {
+		delete(l.waiting, ticket)
+		return verdict(false)
+	}
+	return verdict(<-granted)
+}
+
+func verdict(granted bool) error {
+	if granted {
+		return nil
+	}
+	return refuser.Refuse(refuser.CapacityShort, "no slot of the target came free in time")
+}
+
+func (g *Gatekeeper) release(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.lines[name]
+	l.inFlight--
+	l.fill(time.Now())
+}
