Decide how rates and bursts are lent to nodes

Cause: the limiter divides a workspace's rate by the number of nodes and gives each at least one token of burst, so that a burst of 1 became one for each node, and a node that was lost or joined moved the division at once.

Change: core/allotter. Unspent tokens on loan count against the burst until they are reported as spent, returned, or their lease has surely ended; then they count as spent, never as returned. A lender that starts waits a lease out and begins with an empty bucket. Nothing uses the package yet.

Proof: a state machine of 1 to 3 lenders and 3 nodes with clocks 1 in 1,000 fast or slow, lost, doubled, late and reordered messages, lenders restarted, nodes replaced, and cuts of an hour, beside one plain token bucket over all that was admitted.

--- /dev/null
+++ b/core/allotter/actions_test.go
@@ -0,0 +1,154 @@
+package allotter_test
+
+import (
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"samphiremount.example/core/allotter"
+)
+
+// actions returns what can happen; what is listed twice happens twice as often.
+func (f *fleet) actions() []func(*rapid.T) {
+	lend := each(&f.asks, func(_ *rapid.T, a ask) { f.lend(a) })
+	take := each(&f.replies, func(_ *rapid.T, r reply) { f.take(r) })
+	return []func(*rapid.T){
+		f.advance, f.advance, f.advance, f.advance, f.exchange, f.exchange, f.exchange, f.drawAll, f.drawAll,
+		func(t *rapid.T) { f.send(t) }, lend, lend, take, take, f.drop,
+		each(&f.settlements, func(_ *rapid.T, s allotter.Settlement) { f.settle(s) }),
+		each(&f.lenders, func(_ *rapid.T, l *lender) { f.restart(l) }),
+		each(&f.nodes, f.report), f.replaceNode, f.forgetIdle, f.spendAtTheEnd, f.returnAndLend, f.saturate,
+	}
+}
+
+// each returns an action on one of items.
+func each[T any](items *[]T, action func(*rapid.T, T)) func(*rapid.T) {
+	return func(t *rapid.T) {
+		if len(*items) > 0 {
+			action(t, (*items)[rapid.IntRange(0, len(*items)-1).Draw(t, "item")])
+		}
+	}
+}
+
+func (f *fleet) drawAll(t *rapid.T) {
+	for _, n := range f.nodes {
+		f.draw(t, n, rapid.IntRange(0, f.workspace.Burst).Draw(t, "count"))
+	}
+}
+
+func (f *fleet) replaceNode(t *rapid.T) {
+	i := rapid.IntRange(0, len(f.nodes)-1).Draw(t, "replaced")
+	f.nodes[i] = &node{clock: drawClock(t), asked: make(map[int]time.Time)}
+}
+
+// advance moves true time: a little, to about the end of a lease, or past a long cut.
+func (f *fleet) advance(t *rapid.T) {
+	steps := []time.Duration{time.Millisecond, 30 * time.Millisecond, allotter.LeaseTime, 2 * allotter.LeaseTime}
+	step := rapid.SampledFrom(steps).Draw(t, "step")
+	if rapid.IntRange(0, 30).Draw(t, "cut") == 30 {
+		step = time.Hour
+	}
+	f.elapsed += step + time.Duration(rapid.Int64Range(-int64(step)/1000, int64(step)/1000).Draw(t, "elapsed"))
+}
+
+// drop loses a message of each kind; what stays may be delivered again.
+func (f *fleet) drop(t *rapid.T) {
+	f.asks = dropOne(t, f.asks)
+	f.replies = dropOne(t, f.replies)
+	f.settlements = dropOne(t, f.settlements)
+}
+
+func dropOne[T any](t *rapid.T, items []T) []T {
+	if len(items) == 0 {
+		return items
+	}
+	i := rapid.IntRange(0, len(items)-1).Draw(t, "dropped")
+	return slices.Delete(items, i, i+1)
+}
+
+// exchange asks, lends and takes without loss.
+func (f *fleet) exchange(t *rapid.T) {
+	f.lend(f.send(t))
+	if len(f.replies) > 0 {
+		f.take(f.replies[len(f.replies)-1])
+	}
+}
+
+func (f *fleet) report(t *rapid.T, n *node) {
+	now := n.at(f.elapsed)
+	before := now.Add(time.Duration(rapid.Int64Range(0, int64(allotter.LeaseTime)).Draw(t, "before")))
+	var settlements []allotter.Settlement
+	n.holding, settlements = n.holding.Settle(now, before)
+	f.settlements = append(f.settlements, settlements...)
+	if rapid.Bool().Draw(t, "heard") {
+		for _, settlement := range settlements {
+			f.settle(settlement)
+		}
+	}
+}
+
+// drain asks on behalf of n until every lender is short.
+func (f *fleet) drain(n int) {
+	for i := range f.lenders {
+		for lent := true; lent; {
+			f.counter++
+			f.nodes[n].asked[f.counter] = f.nodes[n].at(f.elapsed)
+			replies := len(f.replies)
+			f.lend(ask{n, i, f.counter, f.workspace.Burst})
+			lent = len(f.replies) > replies
+			if lent {
+				f.take(f.replies[replies])
+			}
+		}
+	}
+}
+
+// saturate spends all that can be had for a while, so that an excess of the rate adds up.
+func (f *fleet) saturate(t *rapid.T) {
+	if rapid.IntRange(0, 9).Draw(t, "saturate") > 0 {
+		return
+	}
+	for range 400 {
+		f.elapsed += 5 * time.Millisecond
+		f.drain(0)
+		f.draw(t, f.nodes[0], f.workspace.Burst)
+		f.nodes[0].holding = f.settleAll(f.nodes[0], 0)
+	}
+}
+
+// spendAtTheEnd uses leases at about their end, and then what the lenders lend again.
+func (f *fleet) spendAtTheEnd(t *rapid.T) {
+	f.drain(0)
+	f.elapsed += allotter.LeaseTime + time.Duration(rapid.Int64Range(-3e6, 3e6).Draw(t, "late"))
+	f.draw(t, f.nodes[0], f.workspace.Burst)
+	f.elapsed += time.Duration(rapid.Int64Range(1e6, 15e6).Draw(t, "later"))
+	f.drain(1)
+	f.draw(t, f.nodes[1], f.workspace.Burst)
+}
+
+// returnAndLend gives leases back, and spends what two nodes then hold.
+func (f *fleet) returnAndLend(t *rapid.T) {
+	f.drain(0)
+	f.nodes[0].holding = f.settleAll(f.nodes[0], allotter.LeaseTime)
+	f.drain(1)
+	f.draw(t, f.nodes[0], f.workspace.Burst)
+	f.draw(t, f.nodes[1], f.workspace.Burst)
+}
+
+func (f *fleet) settleAll(n *node, returned time.Duration) allotter.Holding {
+	now := n.at(f.elapsed)
+	holding, settlements := n.holding.Settle(now, now.Add(returned))
+	for _, s := range settlements {
+		f.settle(s)
+	}
+	return holding
+}
+
+func (f *fleet) forgetIdle(*rapid.T) {
+	for _, l := range f.lenders {
+		if ledger, part := f.ledger(l); ledger.Idle(l.at(f.elapsed), part) {
+			l.kept = nil
+		}
+	}
+}
