Admit requests by leases that control processes lend

Cause: each node divided rate and burst by the nodes that it saw. A burst of 1 became 1 for each node, and a workspace that used one node got one share.

New kind allowance-short: the node cannot get a share now, though the rate may not be used up.

--- /dev/null
+++ b/control/pkg/lender/lender.go
@@ -0,0 +1,215 @@
+// Package lender lends a control process's part of each workspace's rate and burst to nodes, and asks the other lenders
+// where its own part is used up.
+package lender
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"samphiremount.example/core/allotter"
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/exchanger"
+)
+
+const (
+	minPause     = 25 * time.Millisecond
+	maxPause     = 100 * time.Millisecond
+	flushPeriod  = 20 * time.Millisecond
+	sweepPeriod  = time.Second
+	relayLimit   = 60 * time.Millisecond
+	relaysLimit  = 150 * time.Millisecond
+	peerPause    = time.Second
+	reportsLimit = 4096
+
+	reasonUnknown = "workspace unknown"
+)
+
+var counters = expvar.NewMap("lend")
+
+// Configuration supplies the configuration in force.
+type Configuration interface {
+	Configuration() configurer.Configuration
+}
+
+// Borrower sends messages to other lenders.
+type Borrower interface {
+	Borrow(ctx context.Context, address string, message exchanger.Message) (exchanger.Reply, error)
+}
+
+// Dependencies are what a Lender needs. Lenders are the names of all lenders, alike on each of them. Peers are the
+// addresses of the others, nearest first.
+type Dependencies struct {
+	Name          string
+	Lenders       []string
+	Peers         []string
+	Configuration Configuration
+	Borrower      Borrower
+	Log           *slog.Logger
+}
+
+// Lender holds the accounts of the workspaces that are in use.
+type Lender struct {
+	Dependencies
+
+	life  string
+	ready time.Time
+
+	mu       sync.Mutex
+	loans    uint64
+	accounts map[string]*account
+	peers    map[string]*peer
+	homes    map[string]string
+}
+
+// account is a workspace's ledger, and until when each peer said that it has nothing of the workspace.
+type account struct {
+	ledger allotter.Ledger
+	short  map[string]time.Time
+}
+
+// peer is another lender: until when it is left alone after a failure, and the reports that wait for it.
+type peer struct {
+	silent  time.Time
+	reports []exchanger.Report
+}
+
+var _ exchanger.Lender = (*Lender)(nil)
+
+// New returns a Lender that starts at now. Each start has another identity, so that reports about leases of an earlier
+// one change nothing.
+func New(now time.Time, dependencies Dependencies) *Lender {
+	lender := &Lender{
+		Dependencies: dependencies,
+		life:         fmt.Sprintf("%s/%x", dependencies.Name, now.UnixNano()),
+		ready:        now.Add(allotter.LenderTime),
+		accounts:     make(map[string]*account),
+		peers:        make(map[string]*peer),
+		homes:        make(map[string]string),
+	}
+	for _, address := range dependencies.Peers {
+		lender.peers[address] = &peer{}
+	}
+	return lender
+}
+
+// Borrow implements exchanger.Lender.
+func (l *Lender) Borrow(ctx context.Context, message exchanger.Message) exchanger.Reply {
+	l.settle(message)
+	if message.Workspace == "" {
+		return exchanger.Reply{}
+	}
+	workspace, ok := l.Configuration.Configuration().Workspace(message.Workspace)
+	if !ok {
+		return exchanger.Reply{Reason: reasonUnknown, Again: time.Now().Add(maxPause)}
+	}
+	reply := l.lend(workspace, message.Wanted)
+	if reply.Tokens > 0 || message.Relayed {
+		return reply
+	}
+	return l.relay(ctx, workspace.Name, message.Wanted, reply)
+}
+
+// lend lends of the own part.
+func (l *Lender) lend(workspace configurer.Workspace, wanted int) exchanger.Reply {
+	part := allotter.Divide(workspace, l.Lenders, l.Name)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	account := l.account(workspace.Name, now, part)
+	l.loans++
+	ledger, answer := account.ledger.Lend(now, part, wanted, l.loans)
+	account.ledger = ledger
+	switch answer := answer.(type) {
+	case allotter.Lent:
+		counters.Add("tokens", int64(answer.Tokens))
+		l.Log.Info("tokens lent", "workspace", workspace.Name, "wanted", wanted, "tokens", answer.Tokens,
+			"left", answer.Left, "lease", answer.ID, "reason", "within the part")
+		return exchanger.Reply{Lender: l.life, ID: answer.ID, Tokens: answer.Tokens}
+	case allotter.Short:
+		counters.Add("short", 1)
+		l.Log.Info("nothing lent", "workspace", workspace.Name, "wanted", wanted, "reason", answer.Reason)
+		return exchanger.Reply{
+			Lender: l.life, Reason: string(answer.Reason), Used: answer.Reason != allotter.Starting,
+			Again: bound(answer.Until, now),
+		}
+	}
+	return exchanger.Reply{}
+}
+
+func bound(again, now time.Time) time.Time {
+	return now.Add(min(max(again.Sub(now), minPause), maxPause))
+}
+
+func (l *Lender) account(workspace string, now time.Time, part allotter.Part) *account {
+	found, ok := l.accounts[workspace]
+	if !ok {
+		found = &account{ledger: allotter.NewLedger(l.ready, now, part), short: make(map[string]time.Time)}
+		l.accounts[workspace] = found
+	}
+	return found
+}
+
+// settle takes the reports about own leases and keeps the others for their lenders.
+func (l *Lender) settle(message exchanger.Message) {
+	configuration := l.Configuration.Configuration()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for _, report := range message.Reports {
+		if report.Lender != l.life {
+			if home, ok := l.peers[l.homes[report.Lender]]; ok && !message.Relayed && len(home.reports) < reportsLimit {
+				home.reports = append(home.reports, report)
+			}
+			continue
+		}
+		account, ok := l.accounts[report.Workspace]
+		if !ok {
+			continue
+		}
+		workspace, _ := configuration.Workspace(report.Workspace)
+		part := allotter.Divide(workspace, l.Lenders, l.Name)
+		ledger, known := account.ledger.Settle(now, part, report.Report)
+		account.ledger = ledger
+		l.Log.Debug("lease settled", "workspace", report.Workspace, "lease", report.ID, "spent", report.Spent,
+			"returned", report.Returned, "known", known)
+	}
+}
+
+// Run sends reports on and drops idle accounts until ctx ends.
+func (l *Lender) Run(ctx context.Context) error {
+	flush, sweep := time.NewTicker(flushPeriod), time.NewTicker(sweepPeriod)
+	defer flush.Stop()
+	defer sweep.Stop()
+	ready := time.NewTimer(time.Until(l.ready))
+	defer ready.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ready.C:
+			l.Log.Info("lending starts", "lender", l.life, "reason", "leases of an earlier start have ended")
+		case <-flush.C:
+			l.flush(ctx)
+		case <-sweep.C:
+			l.sweep()
+		}
+	}
+}
+
+// sweep forgets the accounts that a new one would equal.
+func (l *Lender) sweep() {
+	configuration := l.Configuration.Configuration()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for name, account := range l.accounts {
+		workspace, _ := configuration.Workspace(name)
+		if account.ledger.Idle(now, allotter.Divide(workspace, l.Lenders, l.Name)) {
+			delete(l.accounts, name)
+		}
+	}
+}
--- /dev/null
+++ b/control/pkg/lender/lender_test.go
@@ -0,0 +1,116 @@
+package lender_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"samphiremount.example/control/pkg/lender"
+	"samphiremount.example/core/allotter"
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/exchanger"
+)
+
+// network connects lenders by their names, and counts what they send each other.
+type network struct {
+	mu       sync.Mutex
+	lenders  map[string]*lender.Lender
+	messages int
+}
+
+func (n *network) Borrow(ctx context.Context, address string, message exchanger.Message) (exchanger.Reply, error) {
+	n.mu.Lock()
+	n.messages++
+	found, ok := n.lenders[address]
+	n.mu.Unlock()
+	if !ok {
+		return exchanger.Reply{}, errors.New("cut")
+	}
+	return found.Borrow(ctx, message), nil
+}
+
+type fixed struct{ configuration configurer.Configuration }
+
+func (f fixed) Configuration() configurer.Configuration { return f.configuration }
+
+// start runs lenders called a and b that own parts of workspace, and started age ago.
+func start(t *testing.T, workspace configurer.Workspace, age time.Duration) *network {
+	t.Helper()
+	batch := configurer.Batch{Operation: "test", Changes: []configurer.Change{configurer.PutWorkspace{Workspace: workspace}}}
+	configuration, _, err := configurer.Configuration{}.With(batch)
+	assert.NilError(t, err)
+	n := &network{lenders: make(map[string]*lender.Lender)}
+	group, ctx := errgroup.WithContext(t.Context())
+	for name, peer := range map[string]string{"a": "b", "b": "a"} {
+		started := lender.New(time.Now().Add(-age), lender.Dependencies{
+			Name: name, Lenders: []string{"a", "b"}, Peers: []string{peer}, Configuration: fixed{configuration},
+			Borrower: n, Log: slog.New(slog.DiscardHandler),
+		})
+		n.lenders[name] = started
+		group.Go(func() error { return started.Run(ctx) })
+	}
+	t.Cleanup(func() { assert.NilError(t, group.Wait()) })
+	return n
+}
+
+func TestBurstOfOneIsLentThroughEitherLender(t *testing.T) {
+	workspace := configurer.Workspace{Name: "small", Rate: 100, Burst: 1}
+	n := start(t, workspace, time.Minute)
+	for _, name := range []string{"a", "b"} {
+		ask := exchanger.Message{Workspace: "small", Wanted: 3}
+		first := n.lenders[name].Borrow(t.Context(), ask)
+		assert.Equal(t, first.Tokens, 1)
+		second := n.lenders[name].Borrow(t.Context(), ask)
+		assert.Equal(t, second.Tokens, 0)
+		assert.Assert(t, second.Used)
+		assert.Equal(t, second.Reason, string(allotter.OnLoan))
+		// The report reaches the lender through the process that relayed the loan.
+		report := exchanger.Report{Lender: first.Lender, Workspace: "small", Report: allotter.Report{ID: first.ID, Spent: 1}}
+		n.lenders[name].Borrow(t.Context(), exchanger.Message{Reports: []exchanger.Report{report}})
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			reply := n.lenders[name].Borrow(t.Context(), ask)
+			if reply.Tokens == 0 {
+				return poll.Continue("nothing lent: %s", reply.Reason)
+			}
+			report.ID, report.Returned, report.Spent = reply.ID, true, 0
+			n.lenders[name].Borrow(t.Context(), exchanger.Message{Reports: []exchanger.Report{report}})
+			return poll.Success()
+		}, poll.WithTimeout(1500*time.Millisecond), poll.WithDelay(10*time.Millisecond))
+	}
+}
+
+func TestShortLenderSaysWhetherAllAreUsedUp(t *testing.T) {
+	workspace := configurer.Workspace{Name: "large", Rate: 0.001, Burst: 2}
+	ask := exchanger.Message{Workspace: "large", Wanted: 1}
+	n := start(t, workspace, time.Hour)
+	for range 2 {
+		assert.Equal(t, n.lenders["a"].Borrow(t.Context(), ask).Tokens, 1)
+	}
+	assert.Assert(t, n.lenders["a"].Borrow(t.Context(), ask).Used)
+
+	n = start(t, workspace, 0)
+	reply := n.lenders["a"].Borrow(t.Context(), ask)
+	assert.Equal(t, reply.Reason, string(allotter.Starting))
+	assert.Assert(t, !reply.Used)
+
+	n = start(t, workspace, time.Hour)
+	assert.Equal(t, n.lenders["a"].Borrow(t.Context(), ask).Tokens, 1)
+	n.mu.Lock()
+	delete(n.lenders, "b")
+	n.mu.Unlock()
+	reply = n.lenders["a"].Borrow(t.Context(), ask)
+	assert.Assert(t, reply.Tokens == 0 && !reply.Used)
+	assert.Equal(t, reply.Reason, "lender b is silent")
+	messages := n.messages
+	assert.Equal(t, n.lenders["a"].Borrow(t.Context(), ask).Reason, "lender b is silent")
+	assert.Equal(t, n.messages, messages)
+	reply = n.lenders["a"].Borrow(t.Context(), exchanger.Message{Workspace: "stranger", Wanted: 1})
+	assert.Equal(t, reply.Reason, "workspace unknown")
+}
--- /dev/null
+++ b/control/pkg/lender/relay.go
@@ -0,0 +1,94 @@
+package lender
+
+import (
+	"context"
+	"time"
+
+	"samphiremount.example/core/allotter"
+	"samphiremount.example/core/exchanger"
+)
+
+// relay asks the peers in turn on behalf of a node, until one lends. The lease is then between that peer and the node:
+// this process holds no part of it. Own is what this process answered.
+func (l *Lender) relay(ctx context.Context, workspace string, wanted int, own exchanger.Reply) exchanger.Reply {
+	ctx, cancel := context.WithTimeout(ctx, relaysLimit)
+	defer cancel()
+	combined := own
+	for _, address := range l.Peers {
+		reply := l.ask(ctx, address, workspace, wanted)
+		if reply.Tokens > 0 {
+			return reply
+		}
+		combined.Used = combined.Used && reply.Used
+		if !reply.Used && own.Used || combined.Reason == string(allotter.Unowned) {
+			combined.Reason = reply.Reason
+		}
+		if reply.Again.Before(combined.Again) {
+			combined.Again = reply.Again
+		}
+	}
+	return combined
+}
+
+// ask asks one peer, unless what it last said or its silence still holds.
+func (l *Lender) ask(ctx context.Context, address, workspace string, wanted int) exchanger.Reply {
+	short, silent := l.peerState(address, workspace)
+	now := time.Now()
+	if now.Before(silent) {
+		return exchanger.Reply{Reason: "lender " + address + " is silent", Again: now.Add(maxPause)}
+	}
+	if now.Before(short) {
+		return exchanger.Reply{Used: true, Reason: string(allotter.Exhausted), Again: short}
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayLimit)
+	defer cancel()
+	message := exchanger.Message{Workspace: workspace, Wanted: wanted, Relayed: true}
+	reply, err := l.Borrower.Borrow(ctx, address, message)
+	counters.Add("relayed", 1)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.peers[address].silent = time.Now().Add(peerPause)
+		l.Log.Warn("lender silent", "address", address, "workspace", workspace, "reason", err)
+		return exchanger.Reply{Reason: "lender " + address + " is silent", Again: now.Add(maxPause)}
+	}
+	if reply.Tokens > 0 {
+		l.homes[reply.Lender] = address
+		l.Log.Info("loan relayed", "workspace", workspace, "lender", reply.Lender, "tokens", reply.Tokens,
+			"reason", "the own part is used up")
+		return reply
+	}
+	if account, ok := l.accounts[workspace]; ok && reply.Used {
+		account.short[address] = reply.Again
+	}
+	return reply
+}
+
+func (l *Lender) peerState(address, workspace string) (short, silent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if account, ok := l.accounts[workspace]; ok {
+		short = account.short[address]
+	}
+	return short, l.peers[address].silent
+}
+
+// flush sends the reports that wait for peers. Reports that a peer does not get are lost: it counts their leases until
+// they end.
+func (l *Lender) flush(ctx context.Context) {
+	for _, address := range l.Peers {
+		l.mu.Lock()
+		reports := l.peers[address].reports
+		l.peers[address].reports = nil
+		l.mu.Unlock()
+		if len(reports) == 0 {
+			continue
+		}
+		sending, cancel := context.WithTimeout(ctx, relayLimit)
+		_, err := l.Borrower.Borrow(sending, address, exchanger.Message{Relayed: true, Reports: reports})
+		cancel()
+		if err != nil {
+			l.Log.Warn("reports lost", "address", address, "reports", len(reports), "reason", err)
+		}
+	}
+}
--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -8,7 +8,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/control/pkg/administrator"
+	"samphiremount.example/control/pkg/lender"
 	"samphiremount.example/control/pkg/proposer"
+	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	core "samphiremount.example/core/starter"
@@ -44,6 +46,12 @@
 	publisher := synchronizer.NewServer(hub, log.Part("publish"))
 	mux := messenger.Mux{}
 	publisher.Register(mux)
+	pool := messenger.NewPool(credentials)
+	rates := lender.New(time.Now(), lender.Dependencies{
+		Name: settings.Name, Lenders: settings.Lenders, Peers: settings.Peers, Configuration: hub,
+		Borrower: exchanger.NewClient(pool), Log: log.Part("lend"),
+	})
+	exchanger.Register(mux, rates)
 	handler := administrator.New(token, newProposer(settings, hub), hub, publisher, log.Part("operate")).Handler()
 	log.Part("control").Info("control started", "name", settings.Name, "fleet", fleet.Addr(),
 		"operators", operators.Addr(), "metrics", metrics.Addr())
@@ -53,7 +61,7 @@
 	group.Go(func() error { return core.ServeHTTP(ctx, operators, handler, stopGrace) })
 	group.Go(func() error { return messenger.NewServer(credentials, mux, log.Part("fleet")).Serve(ctx, fleet) })
 	group.Go(func() error { return publisher.Run(ctx) })
-	pool := messenger.NewPool(credentials)
+	group.Go(func() error { return rates.Run(ctx) })
 	for _, peer := range settings.Peers {
 		client := synchronizer.NewClient(pool, []string{peer}, hub, nil, log.Part("follow"))
 		group.Go(func() error { return client.Run(ctx) })
--- a/core/refuser/kind.go
+++ b/core/refuser/kind.go
@@ -17,6 +17,7 @@
 	KeyWithdrawn       Kind = "key-withdrawn"
 	ConfigurationStale Kind = "configuration-stale"
 	RateExceeded       Kind = "rate-exceeded"
+	AllowanceShort     Kind = "allowance-short"
 	Quarantined        Kind = "quarantined"
 	InProgress         Kind = "in-progress"
 	CapacityShort      Kind = "capacity-short"
--- a/core/refuser/table.go
+++ b/core/refuser/table.go
@@ -17,6 +17,7 @@
 	KeyWithdrawn:       {http.StatusUnauthorized, "the key is withdrawn", false},
 	ConfigurationStale: {http.StatusServiceUnavailable, "the node cannot confirm that the key is still valid", true},
 	RateExceeded:       {http.StatusTooManyRequests, "the workspace is past its rate", true},
+	AllowanceShort:     {http.StatusServiceUnavailable, "the node can get no share of the workspace's rate now", true},
 	Quarantined:        {http.StatusUnprocessableEntity, "requests with this content crashed targets", false},
 	InProgress:         {http.StatusConflict, "a request with this idempotency key is in progress", true},
 	CapacityShort:      {http.StatusServiceUnavailable, "no target has capacity", true},
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -11,7 +11,6 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rs/xid"
 
-	"samphiremount.example/core/limiter"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/router"
 	"samphiremount.example/node/pkg/carrier"
@@ -20,13 +19,13 @@
 
 // Dependencies are what an Acceptor needs.
 type Dependencies struct {
-	Viewer  *viewer.Viewer
-	Client  *carrier.Client
-	Router  router.Router
-	Random  *rand.Rand
-	Route   *slog.Logger
-	Admit   *slog.Logger
-	Limiter *limiter.Limiter
+	Viewer *viewer.Viewer
+	Client *carrier.Client
+	Router router.Router
+	Random *rand.Rand
+	Route  *slog.Logger
+	Admit  *slog.Logger
+	Drawer Drawer
 }
 
 // Acceptor serves callers.
@@ -78,7 +77,7 @@
 	if err != nil {
 		return carrier.Answer{}, err
 	}
-	if err := a.admit(view, admission, id); err != nil {
+	if err := a.admit(request.Context(), admission, id); err != nil {
 		return carrier.Answer{}, err
 	}
 	deadline := time.Now().Add(admission.route.Limit)
--- a/node/pkg/acceptor/admit.go
+++ b/node/pkg/acceptor/admit.go
@@ -1,27 +1,29 @@
 package acceptor
 
 import (
-	"time"
+	"context"
 
 	"samphiremount.example/core/refuser"
-	"samphiremount.example/node/pkg/viewer"
 )
 
-func (a *Acceptor) admit(view *viewer.View, admission admission, id string) error {
+// Drawer spends tokens of workspaces' rates.
+type Drawer interface {
+	// Draw spends one token of workspace and returns why it could, or a refusal.
+	Draw(ctx context.Context, workspace string) (reason string, err error)
+}
+
+func (a *Acceptor) admit(ctx context.Context, admission admission, id string) error {
 	if admission.route.Open {
 		return nil
 	}
-	nodes := 0
-	for _, node := range view.Directory.Nodes() {
-		if !node.Gone {
-			nodes++
-		}
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if !a.Limiter.Draw(time.Now(), admission.workspace, max(nodes, 1)) {
-		return refuser.Refuse(refuser.RateExceeded, "")
+	workspace := admission.workspace.Name
+	reason, err := a.Drawer.Draw(ctx, workspace)
+	if err != nil {
+		refusal := refuser.From(err)
+		a.Admit.Info("request not admitted", "request", id, "workspace", workspace, "kind", refusal.Kind,
+			"reason", refusal.Detail)
+		return err
 	}
-	a.Admit.Info("request admitted", "request", id, "workspace", admission.workspace.Name)
+	a.Admit.Info("request admitted", "request", id, "workspace", workspace, "reason", reason)
 	return nil
 }
--- /dev/null
+++ b/node/pkg/drawer/drawer.go
@@ -0,0 +1,184 @@
+// Package drawer draws a token for each request from the leases that the node holds, and keeps those leases filled.
+package drawer
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"samphiremount.example/core/allotter"
+	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/refuser"
+)
+
+const (
+	// drawLimit bounds how long a request waits for a token.
+	drawLimit   = 300 * time.Millisecond
+	tryLimit    = 200 * time.Millisecond
+	shortPause  = 50 * time.Millisecond
+	homePause   = 5 * time.Second
+	flushPeriod = 50 * time.Millisecond
+	sweepPeriod = 250 * time.Millisecond
+	idleTime    = 3 * time.Second
+	// returnTime is how much of a lease is left when its unspent tokens go back.
+	returnTime   = allotter.LeaseTime / 4
+	reportsLimit = 4096
+)
+
+var counters = expvar.NewMap("admit")
+
+// Borrower sends messages to lenders.
+type Borrower interface {
+	Borrow(ctx context.Context, address string, message exchanger.Message) (exchanger.Reply, error)
+}
+
+// Drawer holds the leases of the workspaces that are in use on this node.
+type Drawer struct {
+	borrower  Borrower
+	addresses []string
+	log       *slog.Logger
+	group     errgroup.Group
+
+	mu       sync.Mutex
+	accounts map[string]*account
+	reports  []exchanger.Report
+	current  int
+	home     time.Time
+	stopped  bool
+}
+
+// account is what the node knows of one workspace. Asking is closed when the message in flight was answered; it is nil
+// if there is none. Short is the last answer without tokens.
+type account struct {
+	holding allotter.Holding
+	demand  allotter.Demand
+	asking  chan struct{}
+	waiting int
+	short   exchanger.Reply
+	used    time.Time
+}
+
+// New returns a Drawer without leases that asks the lenders at addresses, the first if it answers.
+func New(borrower Borrower, addresses []string, log *slog.Logger) *Drawer {
+	return &Drawer{borrower: borrower, addresses: addresses, log: log, accounts: make(map[string]*account)}
+}
+
+// Draw spends one token of workspace, and returns why it could. Without a token it asks a lender and waits for at most
+// drawLimit. It refuses with RateExceeded if all lenders answered that the workspace's rate is used up, and with
+// AllowanceShort if that is not known.
+func (d *Drawer) Draw(ctx context.Context, workspace string) (string, error) {
+	deadline := time.NewTimer(drawLimit)
+	defer deadline.Stop()
+	for first := true; ; first = false {
+		reason, answered, err := d.try(workspace, first)
+		if answered == nil {
+			return reason, err
+		}
+		select {
+		case <-answered:
+			d.leave(workspace)
+		case <-deadline.C:
+			d.leave(workspace)
+			return "", refuse(false, "no lender answered in time")
+		case <-ctx.Done():
+			d.leave(workspace)
+			return "", refuse(false, "the caller left")
+		}
+	}
+}
+
+// try spends a token, or refuses, or returns what to wait for.
+func (d *Drawer) try(workspace string, first bool) (reason string, answered <-chan struct{}, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	a, ok := d.accounts[workspace]
+	if !ok {
+		a = &account{}
+		d.accounts[workspace] = a
+	}
+	a.used = now
+	if first {
+		a.demand = a.demand.With(now)
+	}
+	holding, lease, ok := a.holding.Draw(now)
+	a.holding = holding
+	if ok {
+		counters.Add("admitted", 1)
+		d.prefetch(workspace, a, now)
+		return fmt.Sprintf("lease %d of %s, %d left", lease.ID, lease.Lender, lease.Left()), nil, nil
+	}
+	if now.Before(a.short.Again) {
+		return "", nil, refuse(a.short.Used, a.short.Reason)
+	}
+	if d.stopped {
+		return "", nil, refuse(false, "the node is stopping")
+	}
+	a.waiting++
+	if a.asking == nil {
+		d.ask(workspace, a, max(a.demand.Wanted(now), a.waiting))
+	}
+	return "", a.asking, nil
+}
+
+func refuse(used bool, detail string) error {
+	if used {
+		counters.Add("refused_over", 1)
+		return refuser.Refuse(refuser.RateExceeded, detail)
+	}
+	counters.Add("refused_within", 1)
+	return refuser.Refuse(refuser.AllowanceShort, detail)
+}
+
+func (d *Drawer) leave(workspace string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a, ok := d.accounts[workspace]; ok {
+		a.waiting--
+	}
+}
+
+// prefetch asks for more before a busy workspace runs out, so that its requests wait for no answer. For others a token
+// that is held here is more likely missed elsewhere.
+func (d *Drawer) prefetch(workspace string, a *account, now time.Time) {
+	wanted := a.demand.Wanted(now)
+	if wanted > 1 && a.asking == nil && !d.stopped && !now.Before(a.short.Again) && 2*a.holding.Left(now) < wanted {
+		d.ask(workspace, a, wanted)
+	}
+}
+
+func (d *Drawer) ask(workspace string, a *account, wanted int) {
+	a.asking = make(chan struct{})
+	d.group.Go(func() error {
+		lease, reply := d.borrow(workspace, wanted)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if reply.Tokens > 0 {
+			a.holding = a.holding.With(lease)
+		} else {
+			a.short = reply
+		}
+		close(a.asking)
+		a.asking = nil
+		return nil
+	})
+}
+
+// borrow asks the lenders in turn, from the current one. The lease counts from before the message that got it.
+func (d *Drawer) borrow(workspace string, wanted int) (allotter.Lease, exchanger.Reply) {
+	ctx, cancel := context.WithTimeout(context.Background(), drawLimit)
+	defer cancel()
+	for range d.addresses {
+		asked := time.Now()
+		reply, err := d.send(ctx, exchanger.Message{Workspace: workspace, Wanted: wanted})
+		if err == nil {
+			return allotter.NewLease(asked, reply.Lender, reply.ID, reply.Tokens), reply
+		}
+	}
+	return allotter.Lease{}, exchanger.Reply{Reason: "no lender answered", Again: time.Now().Add(shortPause)}
+}
--- /dev/null
+++ b/node/pkg/drawer/drawer_test.go
@@ -0,0 +1,129 @@
+package drawer_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/node/pkg/drawer"
+)
+
+// stock lends what it has to whoever asks at its address, and takes back what is returned.
+type stock struct {
+	mu      sync.Mutex
+	address string
+	tokens  int
+	reply   exchanger.Reply
+	lent    map[uint64]int
+	spent   map[uint64]int
+	back    int
+}
+
+func newStock(tokens int) *stock {
+	return &stock{address: "near", tokens: tokens, lent: make(map[uint64]int), spent: make(map[uint64]int)}
+}
+
+func (s *stock) Borrow(_ context.Context, address string, message exchanger.Message) (exchanger.Reply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if address != s.address {
+		return exchanger.Reply{}, errors.New("cut")
+	}
+	for _, report := range message.Reports {
+		s.spent[report.ID] = max(s.spent[report.ID], report.Spent)
+		if report.Returned {
+			s.back += s.lent[report.ID] - report.Spent
+		}
+	}
+	tokens := min(message.Wanted, s.tokens)
+	if tokens == 0 {
+		return s.reply, nil
+	}
+	s.tokens -= tokens
+	id := uint64(len(s.lent) + 1)
+	s.lent[id] = tokens
+	return exchanger.Reply{Lender: "control", ID: id, Tokens: tokens}, nil
+}
+
+func (s *stock) answer(reply exchanger.Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reply = reply
+}
+
+func newDrawer(s *stock) *drawer.Drawer {
+	return drawer.New(s, []string{"near", "far"}, slog.New(slog.DiscardHandler))
+}
+
+func kindOf(err error) refuser.Kind {
+	if err == nil {
+		return ""
+	}
+	return refuser.From(err).Kind
+}
+
+func TestEachTokenIsSpentOnceAndTheRestIsReturned(t *testing.T) {
+	s := newStock(5000)
+	d := newDrawer(s)
+	ctx, stop := context.WithCancel(t.Context())
+	var running, callers errgroup.Group
+	running.Go(func() error { return d.Run(ctx) })
+	for range 8 {
+		callers.Go(func() error {
+			for range 200 {
+				if _, err := d.Draw(t.Context(), "kowhai"); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	assert.NilError(t, callers.Wait())
+	stop()
+	assert.NilError(t, running.Wait())
+	spent, lent := 0, 0
+	for id, tokens := range s.lent {
+		spent += s.spent[id]
+		lent += tokens
+	}
+	assert.Equal(t, spent, 8*200)
+	assert.Equal(t, s.back, lent-spent)
+	// Most requests found a token that had been asked for before.
+	assert.Assert(t, len(s.lent) < 400, "%d messages lent tokens", len(s.lent))
+}
+
+func TestRefusalSaysWhatIsKnown(t *testing.T) {
+	s := newStock(1)
+	d := newDrawer(s)
+	_, err := d.Draw(t.Context(), "kowhai")
+	assert.NilError(t, err)
+	later := time.Now().Add(time.Minute)
+	s.answer(exchanger.Reply{Used: true, Reason: "exhausted", Again: later})
+	_, err = d.Draw(t.Context(), "kowhai")
+	assert.Equal(t, kindOf(err), refuser.RateExceeded)
+	s.answer(exchanger.Reply{Reason: "starting", Again: later})
+	_, err = d.Draw(t.Context(), "caroni")
+	assert.Equal(t, kindOf(err), refuser.AllowanceShort)
+	// Before it may help to ask again, the node refuses by itself.
+	s.answer(exchanger.Reply{})
+	_, err = d.Draw(t.Context(), "kowhai")
+	assert.Equal(t, kindOf(err), refuser.RateExceeded)
+}
+
+func TestOtherLenderIsAskedWhenOneFails(t *testing.T) {
+	s := newStock(1)
+	s.address = "far"
+	_, err := newDrawer(s).Draw(t.Context(), "kowhai")
+	assert.NilError(t, err)
+	s.address = "none"
+	_, err = newDrawer(s).Draw(t.Context(), "caroni")
+	assert.Equal(t, kindOf(err), refuser.AllowanceShort)
+}
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"samphiremount.example/core/limiter"
+	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/router"
@@ -21,6 +21,7 @@
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/drawer"
 	"samphiremount.example/node/pkg/enroller"
 	"samphiremount.example/node/pkg/gatekeeper"
 	"samphiremount.example/node/pkg/reporter"
@@ -78,6 +79,7 @@
 	reporter *reporter.Reporter
 	enroller *enroller.Enroller
 	client   *synchronizer.Client
+	drawer   *drawer.Drawer
 	acceptor *acceptor.Acceptor
 	server   *messenger.Server
 }
@@ -94,14 +96,16 @@
 	targets := enroller.New(log.Part("enroll"), own.SetTargets)
 	mux := messenger.Mux{}
 	carrier.NewServer(gatekeeper.New(incarnation, targets, log.Part("gate"))).Register(mux)
+	tokens := drawer.New(exchanger.NewClient(pool), settings.Controls, log.Part("admit"))
 	return parts{
 		log:      log,
 		reporter: own,
 		enroller: targets,
 		client:   synchronizer.NewClient(pool, settings.Controls, view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
+		drawer:   tokens,
 		acceptor: acceptor.New(acceptor.Dependencies{
-			Viewer: view, Client: carrier.NewClient(pool), Limiter: limiter.New(),
+			Viewer: view, Client: carrier.NewClient(pool), Drawer: tokens,
 			Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
 			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 			Route:  log.Part("route"), Admit: log.Part("admit"),
@@ -119,6 +123,7 @@
 	group.Go(func() error { return core.ServeHTTP(background, listeners.local, p.enroller.Handler(), time.Second) })
 	group.Go(func() error { return p.enroller.Run(background) })
 	group.Go(func() error { return p.client.Run(background) })
+	group.Go(func() error { return p.drawer.Run(background) })
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
 		defer stopBackground()
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -45,7 +45,10 @@
 operators=(127.0.0.1:"${port[3]}" 127.0.0.1:"${port[4]}" 127.0.0.1:"${port[5]}")
 for i in 0 1 2; do
   peers=()
-  for j in 0 1 2; do [ "$i" = "$j" ] || peers+=(--peer "${fleet[j]}"); done
+  for j in 0 1 2; do
+    peers+=(--lender "control$j")
+    [ "$i" = "$j" ] || peers+=(--peer "${fleet[j]}")
+  done
   primary=()
   [ "$i" != 0 ] || primary=(--primary)
   start "control$i" "$bin/samphire-control" --name "control$i" --fleet "${fleet[i]}" --operators "${operators[i]}" \
@@ -92,6 +95,8 @@
   done | grep '^node' | sort -u | awk -v newest="$newest" '$3 == newest { n++ } END { exit n == 4 ? 0 : 1 }'
 }
 four_targets() { [ "$("$bin/samphire" nodes | grep -c '^target')" = 4 ]; }
+lenders() { [ "$(cat "$data"/control*.log | grep -c 'lend: lending starts')" = 3 ]; }
+until_ready "lenders" lenders
 until_ready "targets" four_targets
 until_ready "configuration on all nodes" in_force
 
--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -118,6 +118,9 @@
 		f.start(ts, fmt.Sprintf("node%d", i))
 		f.start(ts, fmt.Sprintf("target%d", i))
 	}
+	for i := range controls {
+		loggedCommand(ts, false, []string{fmt.Sprintf("control%d", i), "lend: lending starts"})
+	}
 	f.until(ts, "version", "samphire", "version")
 	ts.Check(ts.Exec("samphire", "sheet", "apply", ts.Getenv("ROOT")+"/examples/showbook.csv"))
 	for i := range nodes {
@@ -137,6 +140,7 @@
 		"--fleet", ts.Getenv(fmt.Sprintf("CONTROL%d", i)), "--operators", ts.Getenv(fmt.Sprintf("OPERATORS%d", i)),
 	}
 	for j := range controls {
+		args = append(args, "--lender", fmt.Sprintf("control%d", j))
 		if j != i {
 			args = append(args, "--peer", ts.Getenv(fmt.Sprintf("CONTROL%d", j)))
 		}
