Flood a workspace through all nodes in a scenario

Cause: the bound on a workspace's work had no run with real processes.

Change: command flood of the scenario language keeps when each served request was sent and answered; the admission lies between. For every window from a sending to an answer, the requests wholly inside it must fit burst + rate x window, so that the check states no timing of its own. rate.txtar floods 4 nodes, kills and restarts a control process and freezes a node for longer than its leases.

Seen beside it: a node that was frozen for 3 to 4 s stays "gone" in the directory, though it reports again: its connection survived and its record did not change.

--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -35,6 +35,7 @@
 	mu        sync.Mutex
 	processes map[string]*process
 	relays    map[string]*relay
+	flood     *flood
 }
 
 type process struct {
--- a/standin/scenarios/scenarios_test.go
+++ b/standin/scenarios/scenarios_test.go
@@ -36,6 +36,7 @@
 			"until":   untilCommand,
 			"ask":     askCommand,
 			"logged":  loggedCommand,
+			"flood":   floodCommand,
 		},
 	})
 }
