--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -9,7 +9,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/control/pkg/administrator"
+	"samphiremount.example/control/pkg/lender"
 	"samphiremount.example/control/pkg/storer"
+	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	core "samphiremount.example/core/starter"
@@ -48,6 +50,11 @@
 	mux := messenger.Mux{}
 	publisher.Register(mux)
 	replicated.Register(mux)
+	rates := lender.New(time.Now(), lender.Dependencies{
+		Name: settings.Name, Lenders: settings.Names(), Peers: settings.Others(), Configuration: hub,
+		Borrower: exchanger.NewClient(pool), Log: log.Part("lend"),
+	})
+	exchanger.Register(mux, rates)
 	handler := administrator.New(token, replicated, hub, publisher, log.Part("operate")).Handler()
 	log.Part("control").Info("control started", "name", settings.Name, "fleet", opened.fleet.Addr(),
 		"operators", opened.operators.Addr(), "metrics", opened.metrics.Addr())
@@ -58,10 +65,8 @@
 	group.Go(func() error { return messenger.NewServer(credentials, mux, log.Part("fleet")).Serve(ctx, opened.fleet) })
 	group.Go(func() error { return publisher.Run(ctx) })
 	group.Go(func() error { return replicated.Run(ctx) })
-	for name, address := range settings.Addresses() {
-		if name == settings.Name {
-			continue
-		}
+	group.Go(func() error { return rates.Run(ctx) })
+	for _, address := range settings.Others() {
 		client := synchronizer.NewClient(pool, func() []string { return []string{address} }, directorySink{hub}, nil, log.Part("follow"))
 		group.Go(func() error { return client.Run(ctx) })
 	}
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"samphiremount.example/core/limiter"
+	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/router"
@@ -22,6 +22,7 @@
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/drawer"
 	"samphiremount.example/node/pkg/enroller"
 	"samphiremount.example/node/pkg/gatekeeper"
 	"samphiremount.example/node/pkg/keeper"
@@ -103,6 +104,7 @@
 	prober   *prober.Prober
 	keeper   *keeper.Keeper
 	data     string
+	drawer   *drawer.Drawer
 	acceptor *acceptor.Acceptor
 	server   *messenger.Server
 }
@@ -128,6 +130,7 @@
 	if settings.Data != "" {
 		cache.Load(view)
 	}
+	tokens := drawer.New(exchanger.NewClient(pool), settings.Controls, log.Part("admit"))
 	return parts{
 		log:      log,
 		reporter: own,
@@ -137,8 +140,9 @@
 		data:     settings.Data,
 		client:   synchronizer.NewClient(pool, publishers(settings, view), view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
+		drawer:   tokens,
 		acceptor: acceptor.New(acceptor.Dependencies{
-			Viewer: view, Client: carrier.NewClient(pool), Limiter: limiter.New(),
+			Viewer: view, Client: carrier.NewClient(pool), Drawer: tokens,
 			Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
 			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 			Route:  log.Part("route"), Admit: log.Part("admit"),
@@ -160,6 +164,7 @@
 	if p.data != "" {
 		group.Go(func() error { return p.keeper.Run(background) })
 	}
+	group.Go(func() error { return p.drawer.Run(background) })
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
 		defer stopBackground()
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -90,6 +90,8 @@
   done | grep '^node' | sort -u | awk -v newest="$newest" '$3 == newest { n++ } END { exit n == 4 ? 0 : 1 }'
 }
 four_targets() { [ "$("$bin/samphire" nodes | grep -c '^target')" = 4 ]; }
+lenders() { [ "$(cat "$data"/control*.log | grep -c 'lend: lending starts')" = 3 ]; }
+until_ready "lenders" lenders
 until_ready "targets" four_targets
 until_ready "configuration on all nodes" in_force
 
--- a/standin/scenarios/scenarios_test.go
+++ b/standin/scenarios/scenarios_test.go
@@ -37,6 +37,7 @@
 			"post":    postCommand,
 			"ask":     askCommand,
 			"logged":  loggedCommand,
+			"flood":   floodCommand,
 		},
 	})
 }
