--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -12,6 +12,7 @@
 	"github.com/rs/xid"
 
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	"samphiremount.example/node/pkg/carrier"
 	"samphiremount.example/node/pkg/viewer"
@@ -19,13 +20,15 @@
 
 // Dependencies are what an Acceptor needs.
 type Dependencies struct {
-	Viewer *viewer.Viewer
-	Client *carrier.Client
-	Router router.Router
-	Random *rand.Rand
-	Route  *slog.Logger
-	Admit  *slog.Logger
-	Drawer Drawer
+	Name    string
+	Viewer  *viewer.Viewer
+	Client  *carrier.Client
+	Router  router.Router
+	Random  *rand.Rand
+	Route   *slog.Logger
+	Admit   *slog.Logger
+	Drawer  Drawer
+	Retrier *retrier.Retrier
 }
 
 // Acceptor serves callers.
@@ -85,7 +88,7 @@
 		ID: id, Service: admission.route.Service, Workspace: admission.workspace.Name,
 		Repeatable: admission.route.Repeatable, Deadline: deadline, Method: request.Method,
 		URI: request.URL.RequestURI(), Host: request.Host, Header: forwardHeader(request, id, admission),
-		Length: request.ContentLength,
+		Length: request.ContentLength, Trailer: trailerNames(request.Trailer),
 	}
-	return a.forward(request.Context(), view, head, request)
+	return a.forward(request.Context(), head, request, admission.presented)
 }
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,12 +17,14 @@
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
 	"samphiremount.example/core/synchronizer"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/connector"
 	"samphiremount.example/node/pkg/drawer"
 	"samphiremount.example/node/pkg/enroller"
 	"samphiremount.example/node/pkg/gatekeeper"
@@ -100,6 +103,7 @@
 	log      logger.Logger
 	reporter *reporter.Reporter
 	enroller *enroller.Enroller
+	conns    *connector.Connector
 	client   *synchronizer.Client
 	prober   *prober.Prober
 	keeper   *keeper.Keeper
@@ -121,7 +125,6 @@
 	})
 	targets := enroller.New(log.Part("enroll"), own.SetTargets)
 	mux := messenger.Mux{}
-	carrier.NewServer(gatekeeper.New(incarnation, targets, log.Part("gate"))).Register(mux)
 	age := func() time.Duration { return view.View().ControlAge(time.Now()) }
 	synchronizer.NewServer(hub, age, log.Part("publish")).Register(mux)
 	peers := prober.New(settings.Name, pool, view, rand.New(rand.NewPCG(incarnation, rand.Uint64())), log.Part("probe"))
@@ -131,6 +134,11 @@
 		cache.Load(view)
 	}
 	tokens := drawer.New(exchanger.NewClient(pool), settings.Controls, log.Part("admit"))
+	client := carrier.NewClient(pool, expvar.NewMap("entry"))
+	counts := expvar.NewMap("gate")
+	targetConns := connector.New(counts)
+	gate := gatekeeper.New(incarnation, targets, targetConns, counts, log.Part("gate"))
+	carrier.NewServer(gate, client).Register(mux)
 	return parts{
 		log:      log,
 		reporter: own,
@@ -138,11 +146,12 @@
 		prober:   peers,
 		keeper:   cache,
 		data:     settings.Data,
+		conns:    targetConns,
 		client:   synchronizer.NewClient(pool, publishers(settings, view), view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
 		drawer:   tokens,
 		acceptor: acceptor.New(acceptor.Dependencies{
-			Viewer: view, Client: carrier.NewClient(pool), Drawer: tokens,
+			Name: settings.Name, Viewer: view, Client: client, Drawer: tokens, Retrier: retrier.New(),
 			Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
 			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 			Route:  log.Part("route"), Admit: log.Part("admit"),
@@ -159,6 +168,7 @@
 	group.Go(func() error { return core.ServeMetrics(background, listeners.metrics) })
 	group.Go(func() error { return core.ServeHTTP(background, listeners.local, p.enroller.Handler(), time.Second) })
 	group.Go(func() error { return p.enroller.Run(background) })
+	group.Go(func() error { return p.conns.Run(background) })
 	group.Go(func() error { return p.client.Run(background) })
 	group.Go(func() error { return p.prober.Run(background) })
 	if p.data != "" {
