Choose targets by load per slot, spill gradually, bound the entries of a target

Cause: every node chose among all targets of the nearest data centre that had one, however loaded that was, gave a cold target its full share at once, and could open connections to each of 9,500 targets.

Change: core/router weighs candidates by the slots that they may use now and picks the less loaded of two. A tier (own data centre, own region, other region) is short above 0.7 requests in flight per slot; the share that goes on to the next tier grows linearly until 1.1, and only to a less loaded tier. A target that joins reaches its full share in 15 s. Each node uses a subset by rendezvous hashing, sized so that a target has at most 330 entry nodes. Ejected and tried targets are left out, those on trial get repeatable requests only. A gate says on each answer how many of the target's slots are in use, since at the target size a node's own requests in flight say nothing; a gate that is full counts as such for 5 s. The choice and its reason are logged where it is made.

Ruled out: a threshold with hysteresis between tiers, which swings all of a data centre's requests at once; loads by way of control, which are seconds old and 9,500 numbers a second to each of 860 nodes; balanced subsets numbered over all nodes, where one node that joins moves the others. Left: the bound cannot hold for a service with fewer targets than nodes per limit, since each node keeps one target in a tier.

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -2,22 +2,41 @@
 package router
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
+	"time"
 
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/tracker"
 )
 
+// Loads are in requests in flight per slot.
+const (
+	// spillFrom is the load of a tier above which requests start to go to the next tier.
+	spillFrom = 0.7
+	// spillAll is the load of a tier from which on every request may go to the next tier.
+	spillAll = 1.1
+)
+
 // Place is where a node stands.
 type Place struct {
 	Region string
 	Centre string
 }
 
+// Request is what the choice depends on. Tried are the names of the targets of its earlier attempts.
+type Request struct {
+	Repeatable bool
+	Tried      []string
+}
+
 // Candidate is a target that a request may go to. Load is the number of its requests in flight from this node.
 type Candidate struct {
 	Placement tracker.Placement
 	Load      int
+	Report    Report
+	Standing  Standing
 }
 
 // Choice is a chosen target, with the reason for the log.
@@ -37,48 +56,72 @@
 }
 
 // Choose picks one of candidates: the nearest tier (own data centre, own region, other region) that has a usable
-// target, and within it the less loaded of two drawn from random (power of two choices). Loads are compared in
-// requests in flight per slot. It returns a refusal of kind CapacityShort if no candidate is usable.
-func (r Router) Choose(random *rand.Rand, candidates []Candidate) (Choice, error) {
-	tiers := make([][]Candidate, len(tierNames))
+// target and is not short of capacity, and within it the less loaded of two drawn from random (power of two choices,
+// Mitzenmacher 2001). A target is usable unless it is leaving, ejected or was tried; one on trial only for a request
+// that is repeatable.
+//
+// A tier is short when its requests in flight per slot exceed spillFrom. The share of requests that moves on to the
+// next tier then grows linearly with the load, so that the division settles instead of swinging, and it moves on only
+// to a tier that is less loaded. Choose returns a refusal of kind CapacityShort if no candidate is usable.
+func (r Router) Choose(now time.Time, random *rand.Rand, request Request, candidates []Candidate) (Choice, error) {
+	var tiers [tierCount]tier
 	for _, candidate := range candidates {
-		if candidate.Placement.Target.Leaving {
+		weighed, ok := weigh(now, request, candidate)
+		if !ok {
 			continue
 		}
-		tier := r.tier(candidate.Placement.Node)
-		tiers[tier] = append(tiers[tier], candidate)
+		place := r.tierOf(candidate.Placement.Node)
+		tiers[place] = tiers[place].with(weighed)
 	}
-	for tier, usable := range tiers {
-		if len(usable) == 0 {
+	chosen, reason := -1, ""
+	for place := range tiers {
+		next := tiers[place]
+		if len(next.usable) == 0 || chosen >= 0 && next.load() >= tiers[chosen].load() {
 			continue
 		}
-		return Choice{pick(random, usable).Placement, tierNames[tier]}, nil
+		if chosen >= 0 {
+			reason = fmt.Sprintf(", since %s has %.2f of its slots in flight", tierNames[chosen], tiers[chosen].load())
+		}
+		chosen = place
+		if !spills(random, next.load()) {
+			break
+		}
 	}
-	return Choice{}, refuser.Refuse(refuser.CapacityShort, "no usable target")
-}
-
-var tierNames = [...]string{"own data centre", "own region", "other region"}
-
-func (r Router) tier(node tracker.Node) int {
-	switch {
-	case node.Region == r.place.Region && node.Centre == r.place.Centre:
-		return 0
-	case node.Region == r.place.Region:
-		return 1
-	default:
-		return 2
+	if chosen < 0 {
+		return Choice{}, refuser.Refuse(refuser.CapacityShort, "no usable target")
 	}
+	picked := tiers[chosen].pick(random)
+	reason = fmt.Sprintf("%s at %.2f in flight per slot%s", tierNames[chosen], picked.load(), reason)
+	if _, trial := picked.candidate.Standing.(Trial); trial {
+		reason += ", on trial"
+	}
+	return Choice{picked.candidate.Placement, reason}, nil
 }
 
-func pick(random *rand.Rand, usable []Candidate) Candidate {
-	first := usable[random.IntN(len(usable))]
-	second := usable[random.IntN(len(usable))]
-	if perSlot(second) < perSlot(first) {
-		return second
+func weigh(now time.Time, request Request, candidate Candidate) (weighed, bool) {
+	target := candidate.Placement.Target
+	if target.Leaving || slices.Contains(request.Tried, target.Name) {
+		return weighed{}, false
+	}
+	warmth := 0.0
+	switch standing := candidate.Standing.(type) {
+	case Serving:
+		warmth = standing.warmth(now)
+	case Trial:
+		if !request.Repeatable {
+			return weighed{}, false
+		}
+		warmth = trialWarmth
+	case Ejected:
+		return weighed{}, false
 	}
-	return first
+	return weighed{
+		candidate: candidate,
+		slots:     warmth * float64(max(target.Slots, 1)),
+		inFlight:  max(float64(candidate.Load), candidate.Report.inFlight(now)),
+	}, true
 }
 
-func perSlot(candidate Candidate) float64 {
-	return float64(candidate.Load) / float64(max(candidate.Placement.Target.Slots, 1))
+func spills(random *rand.Rand, load float64) bool {
+	return random.Float64() < (load-spillFrom)/(spillAll-spillFrom)
 }
--- /dev/null
+++ b/core/router/router_test.go
@@ -0,0 +1,194 @@
+package router_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/router"
+	"samphiremount.example/core/tracker"
+)
+
+var (
+	start = time.Unix(1_000_000, 0)
+	here  = router.Place{Region: "north", Centre: "auckland"}
+)
+
+func candidate(name, region, centre string, load int) router.Candidate {
+	return router.Candidate{
+		Placement: tracker.Placement{
+			Target: tracker.Target{Name: name, Slots: 10}, Node: tracker.Node{Region: region, Centre: centre},
+		},
+		Load: load, Standing: router.Serving{},
+	}
+}
+
+func shares(t *testing.T, request router.Request, candidates ...router.Candidate) map[string]float64 {
+	t.Helper()
+	random := rand.New(rand.NewPCG(1, 1))
+	counts := make(map[string]float64)
+	for range 10_000 {
+		choice, err := router.New(here).Choose(start, random, request, candidates)
+		assert.NilError(t, err)
+		assert.Assert(t, choice.Reason != "")
+		counts[choice.Placement.Target.Name] += 1.0 / 10_000
+	}
+	return counts
+}
+
+func TestTiersSpillGradually(t *testing.T) {
+	for _, c := range []struct{ near, region, far, wantNear, wantRegion float64 }{
+		{0, 0, 0, 1, 0},
+		{7, 0, 0, 1, 0},
+		{9, 0, 0, 0.5, 0.5},
+		{20, 0, 0, 0, 1},
+		{9, 9, 0, 0.5, 0},
+		{20, 9, 0, 0, 0.5},
+		{20, 20, 20, 1, 0},
+	} {
+		got := shares(
+			t, router.Request{}, candidate("near", "north", "auckland", int(c.near)),
+			candidate("region", "north", "hamilton", int(c.region)), candidate("far", "south", "dunedin", int(c.far)),
+		)
+		assert.Assert(t, math.Abs(got["near"]-c.wantNear) < 0.03, "%v: %v", c, got)
+		assert.Assert(t, math.Abs(got["region"]-c.wantRegion) < 0.03, "%v: %v", c, got)
+	}
+}
+
+// TestDivisionSettles offers a data centre more than its capacity and compares what it gets in successive seconds.
+func TestDivisionSettles(t *testing.T) {
+	random := rand.New(rand.NewPCG(2, 2))
+	near, far := candidate("near", "north", "auckland", 0), candidate("far", "north", "hamilton", 0)
+	var ends []time.Time
+	var names []string
+	var counts [30]float64
+	for i := range 30 * 130 {
+		now := start.Add(time.Duration(i) * time.Second / 130)
+		for len(ends) > 0 && !now.Before(ends[0]) {
+			if names[0] == "near" {
+				near.Load--
+			} else {
+				far.Load--
+			}
+			ends, names = ends[1:], names[1:]
+		}
+		choice, err := router.New(here).Choose(now, random, router.Request{}, []router.Candidate{near, far})
+		assert.NilError(t, err)
+		if choice.Placement.Target.Name == "near" {
+			near.Load++
+			counts[i/130]++
+		} else {
+			far.Load++
+		}
+		ends, names = append(ends, now.Add(100*time.Millisecond)), append(names, choice.Placement.Target.Name)
+	}
+	for second, count := range counts[5:] {
+		assert.Assert(t, count > 70 && count < 110, "second %d: %v of 130 requests", second, count)
+	}
+}
+
+func TestColdTargetStartsSlowly(t *testing.T) {
+	for _, c := range []struct {
+		age  time.Duration
+		want float64
+	}{{0, 0.1 / 1.1}, {router.SlowStart / 2, 0.55 / 1.55}, {router.SlowStart, 0.5}} {
+		cold := candidate("cold", "north", "auckland", 0)
+		cold.Standing = router.Serving{Since: start.Add(-c.age)}
+		got := shares(t, router.Request{}, cold, candidate("warm", "north", "auckland", 0))
+		assert.Assert(t, math.Abs(got["cold"]-c.want) < 0.03, "age %s: %v", c.age, got)
+	}
+	var arrivals router.Arrivals
+	arrivals.Update(start, []string{"a"})
+	arrivals.Update(start.Add(time.Hour), []string{"a", "b"})
+	assert.Equal(t, arrivals.Serving("a"), router.Serving{})
+	assert.Equal(t, arrivals.Serving("b"), router.Serving{Since: start.Add(time.Hour)})
+}
+
+// TestUnusable checks that no draw of states ever chooses a target that must not get the request, and that a refusal
+// comes only when there is no other.
+func TestUnusable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		request := router.Request{Repeatable: rapid.Bool().Draw(t, "repeatable")}
+		allowed := make(map[string]bool)
+		var candidates []router.Candidate
+		for i := range rapid.IntRange(0, 6).Draw(t, "targets") {
+			c := candidate(fmt.Sprint(i), "north", rapid.SampledFrom([]string{"auckland", "hamilton"}).Draw(t, "centre"),
+				rapid.IntRange(0, 30).Draw(t, "load"))
+			c.Placement.Target.Leaving = rapid.Bool().Draw(t, "leaving")
+			standings := []router.Standing{router.Serving{}, router.Serving{Since: start}, router.Trial{}, router.Ejected{}}
+			state := rapid.IntRange(0, 3).Draw(t, "standing")
+			c.Standing = standings[state]
+			tried := rapid.Bool().Draw(t, "tried")
+			if tried {
+				request.Tried = append(request.Tried, c.Placement.Target.Name)
+			}
+			allowed[c.Placement.Target.Name] = !tried && !c.Placement.Target.Leaving &&
+				(state < 2 || state == 2 && request.Repeatable)
+			candidates = append(candidates, c)
+		}
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		choice, err := router.New(here).Choose(start, random, request, candidates)
+		if err == nil {
+			assert.Assert(t, allowed[choice.Placement.Target.Name])
+			return
+		}
+		assert.Equal(t, refuser.From(err).Kind, refuser.CapacityShort)
+		for name, ok := range allowed {
+			assert.Assert(t, !ok, "%s is usable", name)
+		}
+	})
+}
+
+// TestSubsetBound counts the entries of each target at the target size: 860 nodes in 7 data centres of 2 regions.
+func TestSubsetBound(t *testing.T) {
+	for _, targets := range []int{14, 15, 16, 22, 60} {
+		var nodes []tracker.Node
+		for i := range 860 {
+			region := []string{"north", "south"}[i%7/4]
+			nodes = append(nodes, tracker.Node{Name: fmt.Sprint("node", i), Region: region, Centre: fmt.Sprint("centre", i%7)})
+		}
+		var placements []tracker.Placement
+		for i := range targets {
+			target := tracker.Target{Name: fmt.Sprint("target", i)}
+			placements = append(placements, tracker.Placement{Target: target, Node: nodes[i]})
+		}
+		entries := make(map[string]int)
+		for _, node := range nodes {
+			place := router.Place{Region: node.Region, Centre: node.Centre}
+			for _, used := range router.New(place).Subset(node.Name, router.Count(place, nodes), placements) {
+				entries[used.Target.Name]++
+			}
+		}
+		assert.Equal(t, len(entries), targets)
+		for name, count := range entries {
+			assert.Assert(t, count <= router.ConnectionLimit, "%s of %d is used by %d nodes", name, targets, count)
+		}
+	}
+}
+
+func TestReasonNamesTheShortTier(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	choice, err := router.New(here).Choose(start, random, router.Request{}, []router.Candidate{
+		candidate("near", "north", "auckland", 20), candidate("far", "south", "dunedin", 1),
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(choice.Reason, "since own data centre has 2.00"), choice.Reason)
+}
+
+func TestLessLoadedOfTwoIsChosen(t *testing.T) {
+	idle := candidate("idle", "north", "auckland", 1)
+	reported := candidate("reported", "north", "auckland", 0)
+	reported.Report = router.Report{InFlight: 5, At: start}
+	got := shares(t, router.Request{}, idle, reported)
+	assert.Assert(t, math.Abs(got["idle"]-0.75) < 0.03, "%v", got)
+	reported.Report.At = start.Add(-time.Minute)
+	got = shares(t, router.Request{}, idle, reported)
+	assert.Assert(t, math.Abs(got["reported"]-0.75) < 0.03, "%v", got)
+}
--- /dev/null
+++ b/core/router/standing.go
@@ -0,0 +1,80 @@
+package router
+
+import "time"
+
+const (
+	// SlowStart is how long a target that joins or returns takes to reach its full share.
+	SlowStart = 15 * time.Second
+
+	coldWarmth  = 0.1
+	trialWarmth = 0.05
+
+	// reportLifetime is how long a gate's word on a target's load counts, with falling weight.
+	reportLifetime = 5 * time.Second
+)
+
+// Standing says how far a target may be used. It is Serving, Trial or Ejected.
+type Standing interface {
+	standing()
+}
+
+// Serving is a target in use. Since is when it joined or returned, or zero if that was long ago.
+type Serving struct {
+	Since time.Time
+}
+
+// Trial is an ejected target that gets a few repeatable requests.
+type Trial struct{}
+
+// Ejected is a target that gets no requests.
+type Ejected struct{}
+
+func (Serving) standing() {}
+func (Trial) standing()   {}
+func (Ejected) standing() {}
+
+// warmth is the part of its slots that a target may use at now: it grows linearly over SlowStart.
+func (s Serving) warmth(now time.Time) float64 {
+	if s.Since.IsZero() || now.Sub(s.Since) >= SlowStart {
+		return 1
+	}
+	return coldWarmth + (1-coldWarmth)*float64(max(now.Sub(s.Since), 0))/float64(SlowStart)
+}
+
+// Report is what a target's gate last said of it: the number of slots in use at a time. The zero value says nothing.
+type Report struct {
+	InFlight int
+	At       time.Time
+}
+
+func (r Report) inFlight(now time.Time) float64 {
+	age := now.Sub(r.At)
+	if age >= reportLifetime {
+		return 0
+	}
+	return float64(r.InFlight) * (1 - float64(max(age, 0))/float64(reportLifetime))
+}
+
+// Arrivals remembers since when targets serve. It is not safe for concurrent use.
+type Arrivals struct {
+	since map[string]time.Time
+}
+
+// Update takes the names of all targets that serve at now. Those of the first call count as warm, since a node that
+// starts knows nothing of their age.
+func (a *Arrivals) Update(now time.Time, serving []string) {
+	since := make(map[string]time.Time, len(serving))
+	for _, name := range serving {
+		old, known := a.since[name]
+		if !known && a.since != nil {
+			old = now
+		}
+		since[name] = old
+	}
+	a.since = since
+}
+
+// Serving returns the standing of the target called name.
+func (a *Arrivals) Serving(name string) Serving {
+	return Serving{Since: a.since[name]}
+}
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -20,9 +20,10 @@
 
 // Dependencies are what an Acceptor needs.
 type Dependencies struct {
+	Name    string
 	Viewer  *viewer.Viewer
 	Client  *carrier.Client
-	Router  router.Router
+	Place   router.Place
 	Random  *rand.Rand
 	Route   *slog.Logger
 	Admit   *slog.Logger
@@ -33,13 +34,14 @@
 type Acceptor struct {
 	Dependencies
 
-	mu       sync.Mutex
-	inFlight map[string]int
+	chooser *chooser
+
+	mu sync.Mutex
 }
 
 // New returns an Acceptor without requests in flight.
 func New(dependencies Dependencies) *Acceptor {
-	return &Acceptor{Dependencies: dependencies, inFlight: make(map[string]int)}
+	return &Acceptor{Dependencies: dependencies, chooser: newChooser(dependencies)}
 }
 
 // Handler serves every method and path for callers.
--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// HeaderBusy is set by the gate on each answer: the number of the target's slots in use. It does not reach callers.
+const HeaderBusy = "Samphire-Busy"
+
 // Head describes a request on its way to a target. ID identifies this attempt in the whole fleet. Incarnation is that
 // of the node beside the target, as the sender knows it. Length is the body's length in bytes, or -1.
 type Head struct {
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,6 +93,7 @@
 		release()
 		return carrier.Answer{}, err
 	}
+	response.Header.Set(carrier.HeaderBusy, strconv.Itoa(g.busy(target.Name)))
 	return carrier.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -109,6 +111,13 @@
 	return true
 }
 
+// busy returns the number of slots in use.
+func (g *Gatekeeper) busy(name string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight[name]
+}
+
 func (g *Gatekeeper) release(name string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -101,8 +101,8 @@
 		client:   synchronizer.NewClient(pool, settings.Controls, view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
 		acceptor: acceptor.New(acceptor.Dependencies{
-			Viewer: view, Client: carrier.NewClient(pool), Limiter: limiter.New(),
-			Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
+			Name: settings.Name, Viewer: view, Client: carrier.NewClient(pool), Limiter: limiter.New(),
+			Place:  router.Place{Region: settings.Region, Centre: settings.Centre},
 			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 			Route:  log.Part("route"), Admit: log.Part("admit"),
 		}),
