--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -30,12 +30,12 @@
 	}
 }
 
-func shares(t *testing.T, request router.Request, candidates ...router.Candidate) map[string]float64 {
+func shares(t *testing.T, candidates ...router.Candidate) map[string]float64 {
 	t.Helper()
 	random := rand.New(rand.NewPCG(1, 1))
 	counts := make(map[string]float64)
 	for range 10_000 {
-		choice, err := router.New(here).Choose(start, random, request, candidates)
+		choice, err := router.New(here).Choose(start, random, router.Request{}, candidates)
 		assert.NilError(t, err)
 		assert.Assert(t, choice.Reason != "")
 		counts[choice.Placement.Target.Name] += 1.0 / 10_000
@@ -54,7 +54,7 @@
 		{20, 20, 20, 1, 0},
 	} {
 		got := shares(
-			t, router.Request{}, candidate("near", "north", "auckland", int(c.near)),
+			t, candidate("near", "north", "auckland", int(c.near)),
 			candidate("region", "north", "hamilton", int(c.region)), candidate("far", "south", "dunedin", int(c.far)),
 		)
 		assert.Assert(t, math.Abs(got["near"]-c.wantNear) < 0.03, "%v: %v", c, got)
@@ -101,7 +101,7 @@
 	}{{0, 0.1 / 1.1}, {router.SlowStart / 2, 0.55 / 1.55}, {router.SlowStart, 0.5}} {
 		cold := candidate("cold", "north", "auckland", 0)
 		cold.Standing = router.Serving{Since: start.Add(-c.age)}
-		got := shares(t, router.Request{}, cold, candidate("warm", "north", "auckland", 0))
+		got := shares(t, cold, candidate("warm", "north", "auckland", 0))
 		assert.Assert(t, math.Abs(got["cold"]-c.want) < 0.03, "age %s: %v", c.age, got)
 	}
 	var arrivals router.Arrivals
@@ -186,9 +186,9 @@
 	idle := candidate("idle", "north", "auckland", 1)
 	reported := candidate("reported", "north", "auckland", 0)
 	reported.Report = router.Report{InFlight: 5, At: start}
-	got := shares(t, router.Request{}, idle, reported)
+	got := shares(t, idle, reported)
 	assert.Assert(t, math.Abs(got["idle"]-0.75) < 0.03, "%v", got)
 	reported.Report.At = start.Add(-time.Minute)
-	got = shares(t, router.Request{}, idle, reported)
+	got = shares(t, idle, reported)
 	assert.Assert(t, math.Abs(got["reported"]-0.75) < 0.03, "%v", got)
 }
