--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -23,7 +22,7 @@
 	Name    string
 	Viewer  *viewer.Viewer
 	Client  *carrier.Client
-	Router  router.Router
+	Place   router.Place
 	Random  *rand.Rand
 	Route   *slog.Logger
 	Admit   *slog.Logger
@@ -35,13 +34,12 @@
 type Acceptor struct {
 	Dependencies
 
-	mu       sync.Mutex
-	inFlight map[string]int
+	chooser *chooser
 }
 
 // New returns an Acceptor without requests in flight.
 func New(dependencies Dependencies) *Acceptor {
-	return &Acceptor{Dependencies: dependencies, inFlight: make(map[string]int)}
+	return &Acceptor{Dependencies: dependencies, chooser: newChooser(dependencies)}
 }
 
 // Handler serves every method and path for callers.
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -123,6 +124,7 @@
 		g.finish(head.ID, refusal.Outcome != refuser.NotRun{})
 		return carrier.Answer{}, refusal
 	}
+	response.Header.Set(carrier.HeaderBusy, strconv.Itoa(g.busy(target.Name)))
 	return carrier.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -173,6 +175,13 @@
 	return true
 }
 
+// busy returns the number of slots in use.
+func (g *Gatekeeper) busy(name string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight[name]
+}
+
 func (g *Gatekeeper) release(name string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -152,7 +152,7 @@
 		drawer:   tokens,
 		acceptor: acceptor.New(acceptor.Dependencies{
 			Name: settings.Name, Viewer: view, Client: client, Drawer: tokens, Retrier: retrier.New(),
-			Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
+			Place:  router.Place{Region: settings.Region, Centre: settings.Centre},
 			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 			Route:  log.Part("route"), Admit: log.Part("admit"),
 		}),
