Measure how costs grow and state the capacity at the design size

Cause: nothing said what the fleet costs at 860 nodes, 81,000 workspaces and 180,000 requests/s, so no budget could be checked.

Ruled out: reading /proc/PID/stat, whose 10 ms ticks hide what an idle process spends; the kernel's processor clock of the process is read instead.

--- a/Makefile
+++ b/Makefile
@@ -56,7 +56,7 @@
 measure: build
 	./scripts/measure.sh
 
-slopes:
+slopes: build
 	./scripts/slopes.sh
 
 # The state machine tests again, longer and with a seed of the day.
--- /dev/null
+++ b/standin/pkg/commander/slopes.go
@@ -0,0 +1,82 @@
+package commander
+
+import (
+	"context"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/starter"
+	"samphiremount.example/standin/pkg/loader"
+	"samphiremount.example/standin/pkg/sloper"
+)
+
+type slopes struct {
+	ctx context.Context
+	out io.Writer
+
+	starter.Settings
+
+	Token     string `long:"token-file" env:"SAMPHIRE_TOKEN_FILE" required:"yes" description:"File with the operators' token"`
+	Leader    int    `long:"leader" required:"yes" description:"Process identifier of the control process that accepts changes"`
+	Follower  int    `long:"follower" required:"yes" description:"Process identifier of another control process"`
+	Fleet     string `long:"fleet" required:"yes" description:"IP address and port of the leader's listener for the fleet"`
+	Operators string `long:"operators" required:"yes" description:"IP address and port of the leader's listener for operators"`
+	Entry     int    `long:"entry" required:"yes" description:"Process identifier of a node without targets"`
+	Gate      int    `long:"gate" required:"yes" description:"Process identifier of the node beside the target"`
+	Callers   string `long:"callers" required:"yes" description:"IP address and port of the entry node's listener for callers"`
+	Direct    string `long:"direct" required:"yes" description:"IP address and port of the target"`
+	Local     string `long:"local" required:"yes" description:"IP address and port of the gate node's listener for announcements"`
+	Key       string `long:"key" required:"yes" description:"File with a key"`
+	Path      string `long:"path" required:"yes" description:"Path to ask for"`
+}
+
+// Execute implements flags.Commander.
+func (c *slopes) Execute([]string) error {
+	credentials, err := c.Credentials()
+	if err != nil {
+		return err
+	}
+	token, err := starter.ReadSecret("--token-file", c.Token)
+	if err != nil {
+		return err
+	}
+	key, err := os.ReadFile(c.Key)
+	if err != nil {
+		return errors.Wrap(err, "read key")
+	}
+	for _, measure := range []func() ([]sloper.Series, error){
+		func() ([]sloper.Series, error) { return c.traffic(strings.TrimSpace(string(key))) },
+		sloper.Memory,
+		sloper.Compute,
+		func() ([]sloper.Series, error) { return c.control(credentials, string(token)) },
+	} {
+		all, err := measure()
+		if err != nil {
+			return err
+		}
+		for _, series := range all {
+			if err := series.Print(c.out); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *slopes) traffic(key string) ([]sloper.Series, error) {
+	return sloper.Traffic{
+		Entry: c.Entry, Gate: c.Gate, Loader: loader.New([]string{c.Callers}, []string{c.Direct}), Key: key, Path: c.Path,
+		Local: c.Local,
+	}.Measure(c.ctx)
+}
+
+func (c *slopes) control(credentials messenger.Credentials, token string) ([]sloper.Series, error) {
+	return sloper.Control{
+		Process: c.Leader, Follower: c.Follower, Fleet: c.Fleet, Operators: c.Operators, Token: token,
+		Credentials: credentials,
+	}.Measure(c.ctx)
+}
--- /dev/null
+++ b/standin/pkg/sloper/fit.go
@@ -0,0 +1,84 @@
+// Package sloper measures how the fleet's costs grow with its size, and works out from the slopes what they come to
+// at the size that the fleet is designed for.
+package sloper
+
+import (
+	"fmt"
+	"io"
+	"math"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Point is one measured value at one size.
+type Point struct {
+	Size  float64
+	Value float64
+}
+
+// Line is the least squares fit of points. Residual is the largest distance of a point from the line, as a part of
+// the largest value.
+type Line struct {
+	Intercept float64
+	Slope     float64
+	Residual  float64
+}
+
+// Fit returns the line through points by least squares. It fails on fewer than three sizes.
+func Fit(points []Point) (Line, error) {
+	sizes := make(map[float64]bool)
+	var count, sumX, sumY, sumXX, sumXY, largest float64
+	for _, p := range points {
+		sizes[p.Size] = true
+		count++
+		sumX += p.Size
+		sumY += p.Value
+		sumXX += p.Size * p.Size
+		sumXY += p.Size * p.Value
+		largest = max(largest, math.Abs(p.Value))
+	}
+	if len(sizes) < 3 {
+		return Line{}, errors.Newf("a fit needs three sizes, not %d", len(sizes))
+	}
+	slope := (count*sumXY - sumX*sumY) / (count*sumXX - sumX*sumX)
+	line := Line{Slope: slope, Intercept: (sumY - slope*sumX) / count}
+	for _, p := range points {
+		if largest > 0 {
+			line.Residual = max(line.Residual, math.Abs(p.Value-line.At(p.Size))/largest)
+		}
+	}
+	return line, nil
+}
+
+// At returns the line's value at size.
+func (l Line) At(size float64) float64 {
+	return l.Intercept + l.Slope*size
+}
+
+// Series is one cost measured at several sizes. Unit is that of the values, Per names what a size counts, and Target
+// is the size at which the cost is wanted.
+type Series struct {
+	Name   string
+	Unit   string
+	Per    string
+	Target float64
+	Points []Point
+}
+
+// Print writes the points, the fit with its residual, and the value at the target size.
+func (s Series) Print(out io.Writer) error {
+	line, err := Fit(s.Points)
+	if err != nil {
+		return errors.Wrap(err, s.Name)
+	}
+	_, _ = fmt.Fprintf(out, "%s\n ", s.Name)
+	for _, p := range s.Points {
+		_, _ = fmt.Fprintf(out, " %.5g: %.4g", p.Size, p.Value)
+	}
+	_, _ = fmt.Fprintf(out, "  (%s by %s)\n", s.Unit, s.Per)
+	_, err = fmt.Fprintf(
+		out, "  slope %.4g, intercept %.4g, residual %.1f%%; at %.6g: %.4g %s\n\n",
+		line.Slope, line.Intercept, 100*line.Residual, s.Target, line.At(s.Target), s.Unit,
+	)
+	return errors.Wrap(err, "write")
+}
--- /dev/null
+++ b/standin/pkg/sloper/memory.go
@@ -0,0 +1,65 @@
+package sloper
+
+import (
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/matcher"
+	"samphiremount.example/core/tracker"
+)
+
+// Memory measures the heap that each kind of state takes in a process.
+func Memory() ([]Series, error) {
+	kinds := []struct {
+		name   string
+		per    string
+		target float64
+		sizes  []int
+		create func(size int) (any, error)
+	}{
+		{
+			"heap of workspaces", "workspaces", targetWorkspaces,
+			[]int{5000, 10000, 20000, 40000, 81000},
+			func(size int) (any, error) { return build(workspaceChanges(size)) },
+		},
+		{
+			"heap of keys, with a workspace each", "keys", targetWorkspaces,
+			[]int{5000, 10000, 20000, 40000, 81000},
+			func(size int) (any, error) { return build(workspaceChanges(size), keyChanges(size)) },
+		},
+		{
+			"heap of routes, with 620 services and the matcher", "routes", targetRoutes,
+			[]int{2000, 4000, 8000, 11000},
+			func(size int) (any, error) { return routesWithMatcher(size) },
+		},
+		{
+			"heap of the directory", "targets", targetTargets,
+			[]int{1100, 2200, 4400, 9460},
+			func(size int) (any, error) {
+				directory, _ := tracker.Directory{}.With(nodeRecords(size / targetsPerNode)...)
+				return directory, nil
+			},
+		},
+	}
+	var all []Series
+	for _, kind := range kinds {
+		series := Series{Name: kind.name, Unit: "bytes", Per: kind.per, Target: kind.target}
+		for _, size := range kind.sizes {
+			value, err := heapOf(func() (any, error) { return kind.create(size) })
+			if err != nil {
+				return nil, err
+			}
+			series.Points = append(series.Points, Point{float64(size), value})
+		}
+		all = append(all, series)
+	}
+	return all, nil
+}
+
+type routing struct {
+	configuration configurer.Configuration
+	matcher       matcher.Matcher
+}
+
+func routesWithMatcher(size int) (routing, error) {
+	configuration, err := build(serviceChanges(targetServices), routeChanges(size))
+	return routing{configuration, matcher.New(configuration.Routes())}, err
+}
--- /dev/null
+++ b/standin/pkg/sloper/post.go
@@ -0,0 +1,73 @@
+package sloper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/core/configurer"
+)
+
+const (
+	changeRetry  = 100 * time.Millisecond
+	changesLimit = 50
+)
+
+// change sends changes to the control process until it accepts them, and returns their version.
+func (c Control) change(ctx context.Context, changes []configurer.Change) (uint64, error) {
+	body, err := json.Marshal(map[string]any{
+		"operation": fmt.Sprintf("slopes-%d", time.Now().UnixNano()), "changes": configurer.NewRecords(changes),
+	})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode changes")
+	}
+	for range changesLimit {
+		var version uint64
+		if version, err = c.send(ctx, body); err == nil {
+			return version, nil
+		}
+		if err := pause(ctx, changeRetry); err != nil {
+			return 0, err
+		}
+	}
+	return 0, err
+}
+
+func (c Control) send(ctx context.Context, body []byte) (uint64, error) {
+	url := "http://" + c.Operators + "/changes"
+	response, err := post(ctx, url, c.Token, body)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var reply struct {
+		Version uint64 `json:"version"`
+		Detail  string `json:"detail"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+		return 0, errors.Wrap(err, "read receipt")
+	}
+	if response.StatusCode != http.StatusOK {
+		return 0, errors.Newf("change answered with status %d: %s", response.StatusCode, reply.Detail)
+	}
+	return reply.Version, nil
+}
+
+// post sends a JSON body. The caller closes the response's body.
+func post(ctx context.Context, url, token string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	return response, errors.Wrap(err, "send request")
+}
--- /dev/null
+++ b/standin/pkg/sloper/traffic.go
@@ -0,0 +1,123 @@
+package sloper
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/core/registrar"
+	"samphiremount.example/standin/pkg/loader"
+)
+
+const (
+	trafficSpan  = 5 * time.Second
+	announceSpan = 3 * time.Second
+)
+
+var (
+	trafficRates  = []int{100, 200, 400, 800}
+	announceRates = []int{20, 50, 100, 200}
+)
+
+// Traffic measures a running entry node and the node beside a target from outside.
+type Traffic struct {
+	Entry  int
+	Gate   int
+	Loader *loader.Loader
+	Key    string
+	Path   string
+	Local  string
+}
+
+// Measure returns the processor time that each node spends by the rate of requests, and what the fleet adds to a
+// request.
+func (t Traffic) Measure(ctx context.Context) ([]Series, error) {
+	share := float64(targetRate) / targetNodes
+	entry := Series{Name: "entry: processor time each second", Unit: "µs", Per: "requests/s", Target: share}
+	gate := Series{Name: "gate: processor time each second", Unit: "µs", Per: "requests/s", Target: share}
+	sent := Series{Name: "entry: bytes sent each second, logs included", Unit: "bytes", Per: "requests/s", Target: share}
+	added := Series{Name: "added to a request for 99 in 100, one pair of nodes", Unit: "µs", Per: "requests/s", Target: share}
+	for _, rate := range trafficRates {
+		var result loader.Result
+		entrySpent, gateSpent, seconds, err := t.during(func() error {
+			var err error
+			result, err = t.Loader.Run(ctx, t.step(rate))
+			return errors.Wrap(err, "load")
+		})
+		if err != nil {
+			return nil, err
+		}
+		if !result.OK() {
+			return nil, errors.Newf("at %d requests/s: outcomes %v", rate, result.Counts)
+		}
+		reached := float64(result.Step.Count) / seconds
+		entry.add(reached, micros(entrySpent.processor)/seconds)
+		gate.add(reached, micros(gateSpent.processor)/seconds)
+		sent.add(reached, entrySpent.sent/seconds)
+		added.add(reached, float64(result.Added.ValueAtQuantile(99)))
+	}
+	announcements, err := t.measureAnnouncements(ctx)
+	return []Series{entry, gate, sent, added, announcements}, err
+}
+
+// during returns what the entry and the gate use while work runs, and how long that takes in seconds.
+func (t Traffic) during(work func() error) (entry, gate usage, seconds float64, err error) {
+	var before, after [2]usage
+	read := func(into *[2]usage) {
+		for i, pid := range []int{t.Entry, t.Gate} {
+			var readErr error
+			into[i], readErr = readUsage(pid)
+			err = errors.CombineErrors(err, readErr)
+		}
+	}
+	read(&before)
+	started := time.Now()
+	err = errors.CombineErrors(err, work())
+	seconds = time.Since(started).Seconds()
+	read(&after)
+	return after[0].since(before[0]), after[1].since(before[1]), seconds, err
+}
+
+// measureAnnouncements repeats an announcement that changes nothing to the gate, as targets do to stay known.
+func (t Traffic) measureAnnouncements(ctx context.Context) (Series, error) {
+	series := Series{
+		Name: "gate: processor time each second while targets repeat their announcements", Unit: "µs",
+		Per: "announcements/s", Target: 2 * targetsPerNode,
+	}
+	body, err := json.Marshal(registrar.Announcement{
+		Name: "announced", Service: "announced", Address: "127.0.0.1:1", Slots: 1,
+	})
+	if err != nil {
+		return series, errors.Wrap(err, "encode announcement")
+	}
+	for _, rate := range announceRates {
+		_, spent, seconds, err := t.during(func() error {
+			for range rate * int(announceSpan.Seconds()) {
+				response, err := post(ctx, "http://"+t.Local+"/targets", "", body)
+				if err != nil {
+					return err
+				}
+				_ = response.Body.Close()
+				if err := pause(ctx, time.Second/time.Duration(rate)); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return series, err
+		}
+		series.add(float64(rate)*announceSpan.Seconds()/seconds, micros(spent.processor)/seconds)
+	}
+	return series, nil
+}
+
+func (t Traffic) step(rate int) loader.Step {
+	return loader.Step{
+		Name: "slopes", Method: http.MethodGet, Path: t.Path, Key: t.Key, Bytes: 0,
+		Count: rate * int(trafficSpan.Seconds()), Period: time.Second / time.Duration(rate), Expect: []string{"served"},
+	}
+}
