Check, compare, apply and export sheets, and explain requests

Cause: the sheet's reader took one form of CSV, overwrote weights and floors that a sheet did not mention, and nothing told what became of a request or where a version is not in force.

Change: - importer reads what spreadsheets export (byte order mark, CRLF, semicolons, tabs, decimal commas, blank rows, trailing columns, any column order) and names every wrong cell by line and column. - planner compares a sheet with the configuration: one batch on the version that was looked at, under an identity derived from both.

Ruled out: explain over the nodes' metrics listeners, which operators need not reach, and calls beside the log lines, which would go out of step with them: the log's handler feeds the record.

Failed first: a sheet without the column weight set weights to 0 (scenario sheet printed "put workspace tui" where nothing should change); kept now. The state machine of applied sheets failed while its oracle gave two keys one identifier.

--- a/control/pkg/administrator/administrator.go
+++ b/control/pkg/administrator/administrator.go
@@ -11,6 +11,7 @@
 
 	"samphiremount.example/control/pkg/proposer"
 	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/explainer"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/synchronizer"
 	"samphiremount.example/core/tracker"
@@ -20,18 +21,20 @@
 
 // Administrator answers operators.
 type Administrator struct {
-	token    []byte
-	proposer proposer.Proposer
-	hub      *synchronizer.Hub
-	server   *synchronizer.Server
-	log      *slog.Logger
+	token     []byte
+	proposer  proposer.Proposer
+	hub       *synchronizer.Hub
+	server    *synchronizer.Server
+	explainer *explainer.Explainer
+	log       *slog.Logger
 }
 
 // New returns an Administrator that admits holders of token.
 func New(
-	token []byte, proposer proposer.Proposer, hub *synchronizer.Hub, server *synchronizer.Server, log *slog.Logger,
+	token []byte, proposer proposer.Proposer, hub *synchronizer.Hub, server *synchronizer.Server,
+	explainer *explainer.Explainer, log *slog.Logger,
 ) *Administrator {
-	return &Administrator{token: token, proposer: proposer, hub: hub, server: server, log: log}
+	return &Administrator{token: token, proposer: proposer, hub: hub, server: server, explainer: explainer, log: log}
 }
 
 // Handler serves the operators' interface.
@@ -43,6 +46,7 @@
 	server.GET("/configuration", a.configuration)
 	server.GET("/nodes", a.nodes)
 	server.GET("/version", a.version)
+	server.GET("/requests/:id", a.explain)
 	return server
 }
 
--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -9,6 +9,7 @@
 
 	"samphiremount.example/control/pkg/administrator"
 	"samphiremount.example/control/pkg/proposer"
+	"samphiremount.example/core/explainer"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	core "samphiremount.example/core/starter"
@@ -44,7 +45,10 @@
 	publisher := synchronizer.NewServer(hub, log.Part("publish"))
 	mux := messenger.Mux{}
 	publisher.Register(mux)
-	handler := administrator.New(token, newProposer(settings, hub), hub, publisher, log.Part("operate")).Handler()
+	pool := messenger.NewPool(credentials)
+	handler := administrator.New(
+		token, newProposer(settings, hub), hub, publisher, explainer.New(pool), log.Part("operate"),
+	).Handler()
 	log.Part("control").Info("control started", "name", settings.Name, "fleet", fleet.Addr(),
 		"operators", operators.Addr(), "metrics", metrics.Addr())
 
@@ -53,7 +57,6 @@
 	group.Go(func() error { return core.ServeHTTP(ctx, operators, handler, stopGrace) })
 	group.Go(func() error { return messenger.NewServer(credentials, mux, log.Part("fleet")).Serve(ctx, fleet) })
 	group.Go(func() error { return publisher.Run(ctx) })
-	pool := messenger.NewPool(credentials)
 	for _, peer := range settings.Peers {
 		client := synchronizer.NewClient(pool, []string{peer}, hub, nil, log.Part("follow"))
 		group.Go(func() error { return client.Run(ctx) })
--- /dev/null
+++ b/core/explainer/explainer.go
@@ -0,0 +1,116 @@
+// Package explainer asks nodes what they decided about a request.
+package explainer
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/tracker"
+)
+
+const (
+	callExplain = "explain"
+
+	askLimit    = 2 * time.Second
+	askedAtOnce = 32
+)
+
+// Decision is one log line about a request, as the node wrote it. Time is that of the node's clock.
+type Decision struct {
+	Time    time.Time `cbor:"1,keyasint" json:"time"`
+	Node    string    `cbor:"2,keyasint" json:"node"`
+	Message string    `cbor:"3,keyasint" json:"message"`
+	Details []Detail  `cbor:"4,keyasint,omitempty" json:"details"`
+}
+
+// Detail is one attribute of a decision.
+type Detail struct {
+	Name  string `cbor:"1,keyasint" json:"name"`
+	Value string `cbor:"2,keyasint" json:"value"`
+}
+
+// Source remembers decisions of one node.
+type Source interface {
+	// Decisions returns what is remembered of the request called id, oldest first.
+	Decisions(id string) []Decision
+}
+
+type question struct {
+	Request string `cbor:"1,keyasint"`
+}
+
+type answer struct {
+	Decisions []Decision `cbor:"1,keyasint,omitempty"`
+}
+
+// Register lets other processes of the fleet ask source.
+func Register(mux messenger.Mux, source Source) {
+	mux[callExplain] = func(stream drpc.Stream) error {
+		var asked question
+		if err := stream.MsgRecv(&asked, messenger.Encoding{}); err != nil {
+			return errors.Wrap(err, "receive question")
+		}
+		reply := answer{source.Decisions(asked.Request)}
+		return errors.Wrap(stream.MsgSend(&reply, messenger.Encoding{}), "send decisions")
+	}
+}
+
+// Explainer asks all nodes of a directory.
+type Explainer struct {
+	pool *messenger.Pool
+}
+
+// New returns an Explainer that uses the connections of pool.
+func New(pool *messenger.Pool) *Explainer {
+	return &Explainer{pool: pool}
+}
+
+// Explain returns the decisions that nodes remember of the request called id, ordered by their clocks, and the names
+// of the nodes that did not answer.
+func (e *Explainer) Explain(ctx context.Context, nodes []tracker.Node, id string) ([]Decision, []string) {
+	var mu sync.Mutex
+	var decisions []Decision
+	var silent []string
+	var group errgroup.Group
+	group.SetLimit(askedAtOnce)
+	for _, node := range nodes {
+		group.Go(func() error {
+			known, err := e.ask(ctx, node.Address, id)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				silent = append(silent, node.Name)
+			}
+			for _, decision := range known {
+				decision.Node = node.Name
+				decisions = append(decisions, decision)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	slices.Sort(silent)
+	slices.SortStableFunc(decisions, func(a, b Decision) int {
+		if order := a.Time.Compare(b.Time); order != 0 {
+			return order
+		}
+		return strings.Compare(a.Node, b.Node)
+	})
+	return decisions, silent
+}
+
+func (e *Explainer) ask(ctx context.Context, address, id string) ([]Decision, error) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	var reply answer
+	err := e.pool.Get(ctx, address).Invoke(ctx, callExplain, messenger.Encoding{}, &question{id}, &reply)
+	return reply.Decisions, errors.Wrap(err, "ask node")
+}
--- a/core/logger/logger.go
+++ b/core/logger/logger.go
@@ -17,6 +17,11 @@
 	return Logger{handler: slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})}
 }
 
+// Through returns a Logger whose lines pass the handler that wrap puts around its own.
+func (l Logger) Through(wrap func(slog.Handler) slog.Handler) Logger {
+	return Logger{handler: wrap(l.handler)}
+}
+
 // Part returns the logger of one part. Each of its messages starts with "part: ".
 func (l Logger) Part(part string) *slog.Logger {
 	return slog.New(prefixHandler{Handler: l.handler, prefix: part + ": "})
--- /dev/null
+++ b/ctl/pkg/commander/apply.go
@@ -0,0 +1,97 @@
+package commander
+
+import (
+	"crypto/rand"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/ctl/pkg/issuer"
+	"samphiremount.example/ctl/pkg/operator"
+	"samphiremount.example/ctl/pkg/planner"
+)
+
+type sheetDiff struct {
+	sheetCompare
+}
+
+type diffReply struct {
+	Base     uint64              `json:"base"`
+	Removals []configurer.Record `json:"removals"`
+	Changes  []configurer.Record `json:"changes"`
+	Keys     []planner.Issue     `json:"keys"`
+	Dangers  []string            `json:"dangers"`
+}
+
+// Execute implements flags.Commander.
+func (c *sheetDiff) Execute([]string) error {
+	plan, _, err := c.compare()
+	if err != nil {
+		return err
+	}
+	reply := diffReply{plan.Base, plan.Removals, plan.Changes, plan.Issues, plan.Dangers(c.permission())}
+	return c.show(reply, func() error {
+		if plan.Empty(c.Remove) {
+			return errors.CombineErrors(c.printPlan(plan), c.print("nothing to change\n"))
+		}
+		return c.printPlan(plan)
+	})
+}
+
+type sheetApply struct {
+	sheetCompare
+
+	Keys string `long:"keys" description:"New file for the keys that the sheet asks for, readable by its owner only"`
+	Wait bool   `long:"wait" description:"Wait until the sheet is in force on all nodes"`
+}
+
+// Execute implements flags.Commander.
+func (c *sheetApply) Execute([]string) error {
+	plan, state, err := c.compare()
+	if err != nil {
+		return err
+	}
+	if err := c.printPlan(plan); err != nil {
+		return err
+	}
+	if dangers := plan.Dangers(c.permission()); len(dangers) > 0 {
+		return errors.Mark(errors.Newf("nothing was changed: %s", strings.Join(dangers, "; ")), errRefused)
+	}
+	if plan.Empty(c.Remove) {
+		return c.print("nothing to change\n")
+	}
+	keys, err := c.issue(plan, state)
+	if err != nil {
+		return err
+	}
+	records := plan.Records(c.Remove, keys)
+	operation, err := planner.Operation(plan.Base, records)
+	if err != nil {
+		return err
+	}
+	err = c.change(operator.Batch{Operation: operation, Base: plan.Base, Changes: records}, c.Wait)
+	var refusal *operator.Refusal
+	if errors.As(err, &refusal) && refusal.Kind == refuser.ChangeConflict {
+		return errors.Wrap(err, "nothing was changed; look at sheet diff again")
+	}
+	return err
+}
+
+// issue returns the keys that the plan asks for, after they were written to the key file.
+func (c *sheetApply) issue(plan planner.Plan, state planner.State) ([]configurer.Key, error) {
+	if len(plan.Issues) == 0 {
+		return nil, nil
+	}
+	if c.Keys == "" {
+		return nil, errors.Mark(errors.New("the sheet asks for keys: name a file for them by --keys"), errUsage)
+	}
+	known := make(map[string]bool)
+	for _, record := range state.Records {
+		if record.Kind == "key" {
+			known[record.Name] = true
+		}
+	}
+	return issuer.Prepare(c.Keys, plan.Issues, func(id string) bool { return known[id] }, rand.Reader)
+}
--- /dev/null
+++ b/ctl/pkg/commander/objects.go
@@ -0,0 +1,159 @@
+package commander
+
+import (
+	"strconv"
+
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/ctl/pkg/importer"
+	"samphiremount.example/ctl/pkg/planner"
+)
+
+// state returns the configuration and the directory. The configuration is asked for first, so that a change after it
+// is found as a conflict.
+func (t *tool) state() (planner.State, error) {
+	caller, err := t.operator()
+	if err != nil {
+		return planner.State{}, err
+	}
+	var state planner.State
+	err = t.watch("asking control", func() error {
+		configuration, err := caller.Configuration(t.ctx)
+		if err != nil {
+			return err
+		}
+		directory, err := caller.Nodes(t.ctx)
+		state = planner.State{Version: configuration.Version, Records: configuration.Records, Nodes: directory.Nodes}
+		return err
+	})
+	return state, err
+}
+
+func (t *tool) exported() (importer.Sheet, planner.State, error) {
+	state, err := t.state()
+	if err != nil {
+		return importer.Sheet{}, state, err
+	}
+	sheet, err := planner.Export(state)
+	return sheet, state, err
+}
+
+type workspaces struct {
+	*tool `no-flag:"true"`
+}
+
+type workspaceRow struct {
+	Name   string               `json:"name"`
+	Rate   configurer.PerSecond `json:"rate"`
+	Burst  int                  `json:"burst"`
+	Weight int                  `json:"weight"`
+	Keys   int                  `json:"keys"`
+}
+
+// Execute implements flags.Commander.
+func (c *workspaces) Execute([]string) error {
+	sheet, _, err := c.exported()
+	if err != nil {
+		return err
+	}
+	found := []workspaceRow{}
+	for _, w := range sheet.Workspaces {
+		found = append(found, workspaceRow{w.Name, w.Rate, w.Burst, w.Weight, w.Keys})
+	}
+	return c.show(found, func() error {
+		var rows [][]string
+		for _, w := range found {
+			rate := strconv.FormatFloat(float64(w.Rate), 'g', -1, 64)
+			rows = append(rows, []string{w.Name, rate, strconv.Itoa(w.Burst), strconv.Itoa(w.Weight), strconv.Itoa(w.Keys)})
+		}
+		return c.table("WORKSPACE RATE BURST WEIGHT KEYS", rows)
+	})
+}
+
+type routes struct {
+	*tool `no-flag:"true"`
+}
+
+type routeRow struct {
+	Name       string `json:"name"`
+	Host       string `json:"host"`
+	Prefix     string `json:"prefix"`
+	Service    string `json:"service"`
+	Open       bool   `json:"open"`
+	Repeatable bool   `json:"repeatable"`
+	Limit      int64  `json:"milliseconds"`
+}
+
+// Execute implements flags.Commander.
+func (c *routes) Execute([]string) error {
+	sheet, _, err := c.exported()
+	if err != nil {
+		return err
+	}
+	found := []routeRow{}
+	for _, r := range sheet.Routes {
+		limit := r.Limit.Milliseconds()
+		found = append(found, routeRow{r.Name, r.Host, r.Prefix, r.Service, r.Open, r.Repeatable, limit})
+	}
+	return c.show(found, func() error {
+		var rows [][]string
+		for _, r := range found {
+			rows = append(rows, []string{
+				r.Name, orDash(r.Host), r.Prefix, r.Service, strconv.FormatBool(r.Open), strconv.FormatBool(r.Repeatable),
+				strconv.FormatInt(r.Limit, 10),
+			})
+		}
+		return c.table("ROUTE HOST PREFIX SERVICE OPEN REPEATABLE MILLISECONDS", rows)
+	})
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+type services struct {
+	*tool `no-flag:"true"`
+}
+
+type serviceRow struct {
+	Name    string `json:"name"`
+	Floor   int    `json:"floor"`
+	Slots   int    `json:"slots"`
+	Targets int    `json:"targets"`
+	Routes  int    `json:"routes"`
+}
+
+// Execute implements flags.Commander.
+func (c *services) Execute([]string) error {
+	sheet, state, err := c.exported()
+	if err != nil {
+		return err
+	}
+	targets, routes := make(map[string]int), make(map[string]int)
+	for _, node := range state.Nodes {
+		for _, target := range node.Targets {
+			if targetState(node, target) == "present" {
+				targets[target.Service]++
+			}
+		}
+	}
+	for _, route := range sheet.Routes {
+		routes[route.Service]++
+	}
+	capacity := planner.Capacity(state.Nodes)
+	found := []serviceRow{}
+	for _, s := range sheet.Services {
+		found = append(found, serviceRow{s.Name, s.Floor, capacity[s.Name], targets[s.Name], routes[s.Name]})
+	}
+	return c.show(found, func() error {
+		var rows [][]string
+		for _, s := range found {
+			rows = append(rows, []string{
+				s.Name, strconv.Itoa(s.Floor), strconv.Itoa(s.Slots), strconv.Itoa(s.Targets), strconv.Itoa(s.Routes),
+			})
+		}
+		return c.table("SERVICE FLOOR SLOTS TARGETS ROUTES", rows)
+	})
+}
--- /dev/null
+++ b/ctl/pkg/issuer/issuer_test.go
@@ -0,0 +1,37 @@
+package issuer_test
+
+import (
+	"crypto/rand"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/ctl/pkg/issuer"
+	"samphiremount.example/ctl/pkg/planner"
+)
+
+func TestAResentSheetIssuesNoSecondSetOfKeys(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "keys")
+	none := func(string) bool { return false }
+	issues := []planner.Issue{{Workspace: "a", Count: 2}, {Workspace: "b", Count: 1}}
+	first, err := issuer.Prepare(path, issues, none, rand.Reader)
+	assert.NilError(t, err)
+	assert.Equal(t, len(first), 3)
+	info, err := os.Stat(path)
+	assert.NilError(t, err)
+	assert.Equal(t, info.Mode().Perm(), os.FileMode(0o600))
+	again, err := issuer.Prepare(path, issues, none, rand.Reader)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again, first)
+
+	_, err = issuer.Prepare(path, issues[:1], none, rand.Reader)
+	assert.ErrorContains(t, err, "other keys")
+	inForce := func(id string) bool { return id == first[0].ID }
+	_, err = issuer.Prepare(path, issues, inForce, rand.Reader)
+	assert.ErrorContains(t, err, "name a new file")
+	assert.NilError(t, os.Chmod(path, 0o640))
+	_, err = issuer.Prepare(path, issues, none, rand.Reader)
+	assert.ErrorContains(t, err, "others than its owner")
+}
--- /dev/null
+++ b/ctl/pkg/operator/each.go
@@ -0,0 +1,67 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	eachLimit  = 3 * time.Second
+	eachRounds = 3
+)
+
+// Result is what one control process answered. Err is nil if it answered as asked.
+type Result[T any] struct {
+	Address string
+	Reply   T
+	Err     error
+}
+
+// Versions asks every control process for its versions.
+func (o *Operator) Versions(ctx context.Context) []Result[Version] {
+	return each[Version](ctx, o, http.MethodGet, "/version", nil)
+}
+
+// ChangeEach sends batch to every control process. It is meant for changes that commute, such as a withdrawal.
+func (o *Operator) ChangeEach(ctx context.Context, batch Batch) ([]Result[Receipt], error) {
+	body, err := json.Marshal(batch)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode changes")
+	}
+	return each[Receipt](ctx, o, http.MethodPost, "/changes", body), nil
+}
+
+func each[T any](ctx context.Context, o *Operator, method, path string, body []byte) []Result[T] {
+	results := make([]Result[T], len(o.addresses))
+	var group errgroup.Group
+	for i, address := range o.addresses {
+		results[i].Address = address
+		group.Go(func() error {
+			results[i].Err = o.persist(ctx, method, address, path, body, &results[i].Reply)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return results
+}
+
+// persist tries one address a few times.
+func (o *Operator) persist(ctx context.Context, method, address, path string, body []byte, reply any) error {
+	var last error
+	for range eachRounds {
+		limited, cancel := context.WithTimeout(ctx, eachLimit)
+		last = o.try(limited, method, address, path, body, reply)
+		cancel()
+		var refusal *Refusal
+		if last == nil || errors.As(last, &refusal) || ctx.Err() != nil {
+			return last
+		}
+		time.Sleep(pause)
+	}
+	return last
+}
--- a/ctl/pkg/operator/operator.go
+++ b/ctl/pkg/operator/operator.go
@@ -7,13 +7,12 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/refuser"
-	"samphiremount.example/core/tracker"
 )
 
 const (
@@ -47,35 +46,6 @@
 	return fmt.Sprintf("%s: %s: %s", r.Kind, r.Message, r.Detail)
 }
 
-// Batch is a set of changes under one operation identity. Sending it again is safe.
-type Batch struct {
-	Operation string              `json:"operation"`
-	Base      uint64              `json:"base"`
-	Changes   []configurer.Record `json:"changes"`
-}
-
-// Receipt tells the version that contains a batch.
-type Receipt struct {
-	Version uint64 `json:"version"`
-}
-
-// Configuration is the configuration as records.
-type Configuration struct {
-	Version uint64              `json:"version"`
-	Records []configurer.Record `json:"records"`
-}
-
-// Nodes is the directory.
-type Nodes struct {
-	Nodes []tracker.Node `json:"nodes"`
-}
-
-// Version tells the newest version and the one in force on each node that reports to the process asked.
-type Version struct {
-	Version uint64            `json:"version"`
-	Applied map[string]uint64 `json:"applied"`
-}
-
 // Change sends batch until it is accepted or refused for good.
 func (o *Operator) Change(ctx context.Context, batch Batch) (Receipt, error) {
 	var receipt Receipt
@@ -104,13 +74,18 @@
 	return reply, o.call(ctx, http.MethodGet, "/version", nil, &reply)
 }
 
+// Explain returns what the fleet did with the request called id, as the first control process that answers learnt it.
+func (o *Operator) Explain(ctx context.Context, id string) (Explanation, error) {
+	var reply Explanation
+	return reply, o.call(ctx, http.MethodGet, "/requests/"+url.PathEscape(id), nil, &reply)
+}
+
 func (o *Operator) call(ctx context.Context, method, path string, body []byte, reply any) error {
 	var last error
 	for range rounds {
 		for _, address := range o.addresses {
 			last = o.try(ctx, method, address, path, body, reply)
-			var refusal *Refusal
-			if last == nil || errors.As(last, &refusal) && !refusal.Kind.Answer().Again {
+			if last == nil || final(last) {
 				return last
 			}
 		}
@@ -123,6 +98,12 @@
 	return last
 }
 
+// final reports whether another try cannot change err.
+func final(err error) bool {
+	var refusal *Refusal
+	return errors.As(err, &refusal) && !refusal.Kind.Answer().Again
+}
+
 func (o *Operator) try(ctx context.Context, method, address, path string, body []byte, reply any) error {
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"samphiremount.example/core/explainer"
 	"samphiremount.example/core/limiter"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
@@ -23,6 +24,7 @@
 	"samphiremount.example/node/pkg/carrier"
 	"samphiremount.example/node/pkg/enroller"
 	"samphiremount.example/node/pkg/gatekeeper"
+	"samphiremount.example/node/pkg/recorder"
 	"samphiremount.example/node/pkg/reporter"
 	"samphiremount.example/node/pkg/viewer"
 )
@@ -83,7 +85,8 @@
 }
 
 func assemble(settings Settings, listeners listeners, credentials messenger.Credentials) parts {
-	log := logger.New(os.Stderr, settings.LogLevel())
+	decisions := recorder.New(settings.Decisions)
+	log := logger.New(os.Stderr, settings.LogLevel()).Through(decisions.Handler)
 	pool := messenger.NewPool(credentials)
 	incarnation := uint64(time.Now().UnixNano())
 	view := viewer.New()
@@ -93,6 +96,7 @@
 	})
 	targets := enroller.New(log.Part("enroll"), own.SetTargets)
 	mux := messenger.Mux{}
+	explainer.Register(mux, decisions)
 	carrier.NewServer(gatekeeper.New(incarnation, targets, log.Part("gate"))).Register(mux)
 	return parts{
 		log:      log,
--- a/node/pkg/starter/settings.go
+++ b/node/pkg/starter/settings.go
@@ -18,6 +18,7 @@
 	Fleet     string   `long:"fleet" env:"SAMPHIRE_FLEET" default:"127.0.0.1:8081" description:"IP address and port of the listener for other nodes; it must be reachable from them"`
 	Advertise string   `long:"advertise" env:"SAMPHIRE_ADVERTISE" description:"IP address and port under which other nodes reach --fleet, if it differs"`
 	Local     string   `long:"local" env:"SAMPHIRE_LOCAL" default:"127.0.0.1:8082" description:"IP address and port of the listener for announcements of targets on this VM"`
+	Decisions int      `long:"decisions" env:"SAMPHIRE_DECISIONS" default:"16384" description:"Number of newest log lines about requests that the node keeps for samphire explain"`
 	Controls  []string `long:"control" env:"SAMPHIRE_CONTROLS" env-delim:"," description:"IP address and port of a control process; repeat it, own data centre first"`
 }
 
@@ -35,6 +36,9 @@
 	if s.Advertise != "" {
 		wrong = append(wrong, core.CheckPeer("--advertise", s.Advertise)...)
 	}
+	if s.Decisions < 0 {
+		wrong = append(wrong, errors.New("--decisions must not be below 0"))
+	}
 	if len(s.Controls) == 0 {
 		wrong = append(wrong, errors.New("--control must be given at least once"))
 	}
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -72,7 +72,7 @@
 export SAMPHIRE_OPERATORS
 SAMPHIRE_OPERATORS=$(IFS=, && echo "${operators[*]}")
 until_ready "control processes" "$bin/samphire" version
-"$bin/samphire" sheet apply "$root/examples/showbook.csv"
+"$bin/samphire" sheet apply --floors "$root/examples/showbook.csv"
 
 issue() {
   (umask 077 && "$bin/samphire" keys issue --workspace "$1" | tail -n 1 >"$data/$2.key")
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -60,7 +60,7 @@
 workspace,kowhai,100000,100000,1,,,,
 route,bookings,,,,/bookings,bookings,10000,
 SHEET
-"$bin/samphire" sheet apply "$data/sheet.csv" >/dev/null
+"$bin/samphire" sheet apply --floors "$data/sheet.csv" >/dev/null
 (umask 077 && "$bin/samphire" keys issue --workspace kowhai | tail -n 1 >"$data/key")
 served() { curl -sf -H "Authorization: Bearer $(cat "$data/key")" "http://$(at 4)/bookings/slots"; }
 until_ready "a request through the fleet" served
