--- a/ctl/pkg/commander/commander.go
+++ b/ctl/pkg/commander/commander.go
@@ -89,6 +89,11 @@
 	add(root, "routes", "List routes", &routes{tool: shared})
 	add(root, "explain", "Tell what the fleet did with a request", &explain{tool: shared})
 	add(root, "version", "Show the versions in force", &version{tool: shared})
+	members := add(root, "members", "List control processes", &members{tool: shared})
+	if members != nil {
+		members.SubcommandsOptional = true
+		add(members, "replace", "Replace a control process that lost its disk", &membersReplace{tool: shared})
+	}
 	add(root, "help", "Show this help", &help{parser: parser})
 	if keys := add(root, "keys", "Issue and withdraw keys", &struct{}{}); keys != nil {
 		add(keys, "issue", "Issue a key and show it once", &keysIssue{tool: shared})
--- a/ctl/pkg/commander/keys.go
+++ b/ctl/pkg/commander/keys.go
@@ -8,7 +8,6 @@
 
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/keyer"
-	"samphiremount.example/core/refuser"
 	"samphiremount.example/ctl/pkg/operator"
 )
 
@@ -50,42 +49,51 @@
 }
 
 // Execute implements flags.Commander. A withdrawal commutes with every other change, so each control process is asked
-// to take it, and the ones that were not reached are named.
+// to take it at once, the ones that were not reached are named, and then it is made part of the configuration.
 func (c *keysWithdraw) Execute([]string) error {
 	caller, err := c.operator()
 	if err != nil {
 		return err
 	}
-	record := configurer.NewRecord(configurer.WithdrawKey{ID: c.Arguments.ID})
-	batch := operator.Batch{Operation: uuid.NewString(), Changes: []configurer.Record{record}}
-	var taken, missed int
-	err = c.watch("withdrawing", func() error {
-		results, err := caller.ChangeEach(c.ctx, batch)
-		for _, result := range results {
-			var refusal *operator.Refusal
-			switch {
-			case result.Err == nil:
-				taken++
-				err = c.print("%s: accepted in version %d\n", result.Address, result.Reply.Version)
-			case errors.As(result.Err, &refusal) && refusal.Kind == refuser.LeaderUnknown:
-				err = c.print("%s: reached, follows another process\n", result.Address)
-			case errors.As(result.Err, &refusal):
-				err = errors.CombineErrors(err, result.Err)
-			default:
-				missed++
-				err = c.print("%s: not reached: %v\n", result.Address, result.Err)
-			}
-		}
+	missed, err := c.spread(caller)
+	if err != nil {
 		return err
-	})
+	}
+	record := configurer.NewRecord(configurer.WithdrawKey{ID: c.Arguments.ID})
+	err = c.change(operator.Batch{Operation: uuid.NewString(), Changes: []configurer.Record{record}}, false)
+	var refusal *operator.Refusal
 	switch {
-	case err != nil:
+	case errors.As(err, &refusal) && !refusal.Kind.Answer().Again:
 		return err
-	case taken == 0:
-		return errors.New("no control process took the withdrawal: the key may still work everywhere; send it again")
+	case err != nil:
+		err = errors.CombineErrors(errors.New("withdrawn, but not part of the configuration yet; send it again"), err)
+		return errors.Mark(err, errNotInForce)
 	case missed > 0:
 		return errors.Wrapf(errNotInForce, "%d control processes were not reached: the key may work where only they are heard", missed)
 	default:
 		return nil
 	}
 }
+
+// spread returns the number of control processes that did not take the withdrawal. It fails if none took it.
+func (c *keysWithdraw) spread(caller *operator.Operator) (int, error) {
+	var results []operator.Result[struct{}]
+	err := c.watch("withdrawing", func() error {
+		var err error
+		results, err = caller.Withdraw(c.ctx, operator.Withdrawal{Keys: []string{c.Arguments.ID}})
+		return err
+	})
+	missed := 0
+	for _, result := range results {
+		if result.Err == nil {
+			err = errors.CombineErrors(err, c.print("%s: withdrawn\n", result.Address))
+			continue
+		}
+		missed++
+		err = errors.CombineErrors(err, c.print("%s: not reached: %v\n", result.Address, result.Err))
+	}
+	if err == nil && missed == len(results) {
+		return missed, errors.New("no control process took the withdrawal: the key may still work everywhere; send it again")
+	}
+	return missed, err
+}
--- a/ctl/pkg/operator/each.go
+++ b/ctl/pkg/operator/each.go
@@ -27,13 +27,13 @@
 	return each[Version](ctx, o, http.MethodGet, "/version", nil)
 }
 
-// ChangeEach sends batch to every control process. It is meant for changes that commute, such as a withdrawal.
-func (o *Operator) ChangeEach(ctx context.Context, batch Batch) ([]Result[Receipt], error) {
-	body, err := json.Marshal(batch)
+// Withdraw asks every control process to take the withdrawal of keys without the leader.
+func (o *Operator) Withdraw(ctx context.Context, withdrawal Withdrawal) ([]Result[struct{}], error) {
+	body, err := json.Marshal(withdrawal)
 	if err != nil {
-		return nil, errors.Wrap(err, "encode changes")
+		return nil, errors.Wrap(err, "encode withdrawal")
 	}
-	return each[Receipt](ctx, o, http.MethodPost, "/changes", body), nil
+	return each[struct{}](ctx, o, http.MethodPost, "/withdrawals", body), nil
 }
 
 func each[T any](ctx context.Context, o *Operator, method, path string, body []byte) []Result[T] {
--- a/ctl/pkg/operator/message.go
+++ b/ctl/pkg/operator/message.go
@@ -41,3 +41,23 @@
 	Decisions []explainer.Decision `json:"decisions"`
 	Silent    []string             `json:"silent"`
 }
+
+// Withdrawal names keys that are withdrawn without the leader.
+type Withdrawal struct {
+	Keys []string `json:"keys"`
+}
+
+// Members are the control processes: voters, learners that catch up, and newcomers with an empty data folder.
+type Members struct {
+	Leader  string   `json:"leader"`
+	Term    uint64   `json:"term"`
+	Commit  uint64   `json:"commit"`
+	Members []Member `json:"members"`
+}
+
+// Member is one control process.
+type Member struct {
+	Name     string `json:"name"`
+	Identity string `json:"identity"`
+	Role     string `json:"role"`
+}
--- a/ctl/pkg/operator/operator.go
+++ b/ctl/pkg/operator/operator.go
@@ -80,6 +80,22 @@
 	return reply, o.call(ctx, http.MethodGet, "/requests/"+url.PathEscape(id), nil, &reply)
 }
 
+// Members returns the control processes as the first one that answers knows them.
+func (o *Operator) Members(ctx context.Context) (Members, error) {
+	var reply Members
+	return reply, o.call(ctx, http.MethodGet, "/members", nil, &reply)
+}
+
+// Replace starts to replace the member called name by the newcomer of that name.
+func (o *Operator) Replace(ctx context.Context, name string) (Members, error) {
+	var reply Members
+	body, err := json.Marshal(map[string]string{"name": name})
+	if err != nil {
+		return reply, errors.Wrap(err, "encode name")
+	}
+	return reply, o.call(ctx, http.MethodPost, "/members", body, &reply)
+}
+
 func (o *Operator) call(ctx context.Context, method, path string, body []byte, reply any) error {
 	var last error
 	for range rounds {
@@ -116,6 +132,9 @@
 		return errors.Wrap(err, "ask control process")
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusNoContent {
+		return nil
+	}
 	decoder := json.NewDecoder(response.Body)
 	if response.StatusCode != http.StatusOK {
 		refusal := &Refusal{}
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Measures how the costs of a small fleet on the loopback address grow with its size: 2 control processes, an entry node
-# and a node beside a target, with stand-ins in place of more nodes. Prints each fit with its residual. It takes about
-# two minutes and a few hundred connections.
+# Measures how the costs of a small fleet on the loopback address grow with its size: 3 control processes, an entry
+# node and a node beside a target, with stand-ins in place of more nodes. Prints each fit with its residual. It takes
+# about two minutes and a few hundred connections.
 set -euo pipefail
 
 root=$(cd "$(dirname "$0")/.." && pwd)
@@ -37,23 +37,27 @@
   exit 1
 }
 
-mapfile -t port < <("$bin/samphire-standin" ports 11)
-at() { echo "127.0.0.1:${port[$1]}"; }
+mapfile -t free < <("$bin/samphire-standin" addresses 14)
 (umask 077 && head -c 32 /dev/urandom | base64 >"$data/secret" && head -c 32 /dev/urandom | base64 >"$data/token")
 export SAMPHIRE_SECRET_FILE=$data/secret SAMPHIRE_TOKEN_FILE=$data/token
 
-start leader "$bin/samphire-control" --name leader --fleet "$(at 0)" --operators "$(at 1)" --peer "$(at 2)" --primary
-start follower "$bin/samphire-control" --name follower --fleet "$(at 2)" --operators "$(at 3)" --peer "$(at 0)"
+members=()
+for i in 0 1 2; do members+=(--member "control$i=${free[i]}"); done
+for i in 0 1 2; do
+  start "control$i" "$bin/samphire-control" --name "control$i" --fleet "${free[i]}" --operators "${free[3 + i]}" \
+    --data "$data/control$i" "${members[@]}"
+done
+export SAMPHIRE_OPERATORS=${free[3]},${free[4]},${free[5]}
+until_ready "control" "$bin/samphire" version
+leader=$("$bin/samphire" members | sed -n 's/^leader control//p')
+follower=$(((leader + 1) % 3))
 for i in 0 1; do
-  start "node$i" "$bin/samphire-node" --name "node$i" --region north --centre "centre$i" --entry "$(at $((4 + i)))" \
-    --fleet "$(at $((6 + i)))" --local "$(at $((8 + i)))" --control "$(at 0)"
+  start "node$i" "$bin/samphire-node" --name "node$i" --region north --centre "centre$i" --entry "${free[6 + i]}" \
+    --fleet "${free[8 + i]}" --local "${free[10 + i]}" --control "${free[leader]}"
 done
-start target "$bin/samphire-standin" target --name target --service bookings --listen "$(at 10)" --local "$(at 9)" \
+start target "$bin/samphire-standin" target --name target --service bookings --listen "${free[12]}" --local "${free[11]}" \
   --slots 500
 
-export SAMPHIRE_OPERATORS
-SAMPHIRE_OPERATORS=$(at 1)
-until_ready "control" "$bin/samphire" version
 cat >"$data/sheet.csv" <<'SHEET'
 kind,name,rate,burst,weight,prefix,service,milliseconds,floor
 service,bookings,,,,,,,1
@@ -62,9 +66,9 @@
 SHEET
 "$bin/samphire" sheet apply --floors "$data/sheet.csv" >/dev/null
 (umask 077 && "$bin/samphire" keys issue --workspace kowhai | tail -n 1 >"$data/key")
-served() { curl -sf -H "Authorization: Bearer $(cat "$data/key")" "http://$(at 4)/bookings/slots"; }
+served() { curl -sf -H "Authorization: Bearer $(cat "$data/key")" "http://${free[6]}/bookings/slots"; }
 until_ready "a request through the fleet" served
 
-"$bin/samphire-standin" slopes --leader "${pids[0]}" --follower "${pids[1]}" --fleet "$(at 0)" --operators "$(at 1)" \
-  --entry "${pids[2]}" --gate "${pids[3]}" --callers "$(at 4)" --direct "$(at 10)" --key "$data/key" \
-  --path /bookings/slots --local "$(at 9)"
+"$bin/samphire-standin" slopes --leader "${pids[leader]}" --follower "${pids[follower]}" --fleet "${free[leader]}" \
+  --operators "${free[3 + leader]}" --entry "${pids[3]}" --gate "${pids[4]}" --callers "${free[6]}" \
+  --direct "${free[12]}" --local "${free[11]}" --key "$data/key" --path /bookings/slots
--- a/standin/pkg/sloper/compute.go
+++ b/standin/pkg/sloper/compute.go
@@ -21,7 +21,7 @@
 			applyChange,
 		},
 		{
-			"one snapshot installed (FromRecords)", "records", 2*targetWorkspaces + targetRoutes + targetServices,
+			"one snapshot decoded and installed", "records", 2*targetWorkspaces + targetRoutes + targetServices,
 			[]int{10000, 20000, 40000, 80000},
 			installSnapshot,
 		},
@@ -58,9 +58,12 @@
 
 func installSnapshot(size int) (func() error, error) {
 	configuration, err := build(workspaceChanges(size/2), keyChanges(size/2))
-	records := configuration.Records()
+	if err != nil {
+		return nil, err
+	}
+	encoded, err := configuration.Encode()
 	return func() error {
-		_, err := configurer.FromRecords(1, records)
+		_, err := configurer.Decode(encoded)
 		return err
 	}, err
 }
--- a/standin/pkg/sloper/subscribers.go
+++ b/standin/pkg/sloper/subscribers.go
@@ -64,6 +64,12 @@
 	return nil
 }
 
+// Withdraw implements synchronizer.Sink.
+func (s *subscriber) Withdraw(...string) []string { return nil }
+
+// Heard implements synchronizer.Sink.
+func (s *subscriber) Heard(time.Duration) {}
+
 // Node implements synchronizer.Reporter.
 func (s *subscriber) Node() *tracker.Node {
 	s.mu.Lock()
@@ -104,7 +110,7 @@
 		member := newSubscriber(first + i)
 		c.members = append(c.members, member)
 		log := slog.New(slog.DiscardHandler)
-		client := synchronizer.NewClient(messenger.NewPool(credentials), []string{address}, member, member, log)
+		client := synchronizer.NewClient(messenger.NewPool(credentials), func() []string { return []string{address} }, member, member, log)
 		group.Go(func() error { return client.Run(ctx) })
 	}
 	return c
