--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -12,6 +12,7 @@
 	"samphiremount.example/control/pkg/lender"
 	"samphiremount.example/control/pkg/storer"
 	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/explainer"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	core "samphiremount.example/core/starter"
@@ -55,7 +56,7 @@
 		Borrower: exchanger.NewClient(pool), Log: log.Part("lend"),
 	})
 	exchanger.Register(mux, rates)
-	handler := administrator.New(token, replicated, hub, publisher, log.Part("operate")).Handler()
+	handler := administrator.New(token, replicated, hub, publisher, explainer.New(pool), log.Part("operate")).Handler()
 	log.Part("control").Info("control started", "name", settings.Name, "fleet", opened.fleet.Addr(),
 		"operators", opened.operators.Addr(), "metrics", opened.metrics.Addr())
 
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/explainer"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/retrier"
@@ -30,6 +31,7 @@
 	"samphiremount.example/node/pkg/gatekeeper"
 	"samphiremount.example/node/pkg/keeper"
 	"samphiremount.example/node/pkg/prober"
+	"samphiremount.example/node/pkg/recorder"
 	"samphiremount.example/node/pkg/reporter"
 	"samphiremount.example/node/pkg/viewer"
 )
@@ -114,7 +116,8 @@
 }
 
 func assemble(settings Settings, listeners listeners, credentials messenger.Credentials) parts {
-	log := logger.New(os.Stderr, settings.LogLevel())
+	decisions := recorder.New(settings.Decisions)
+	log := logger.New(os.Stderr, settings.LogLevel()).Through(decisions.Handler)
 	pool := messenger.NewPool(credentials)
 	incarnation := uint64(time.Now().UnixNano())
 	hub := synchronizer.NewHub()
@@ -125,6 +128,7 @@
 	})
 	targets := enroller.New(log.Part("enroll"), own.SetTargets)
 	mux := messenger.Mux{}
+	explainer.Register(mux, decisions)
 	age := func() time.Duration { return view.View().ControlAge(time.Now()) }
 	synchronizer.NewServer(hub, age, log.Part("publish")).Register(mux)
 	peers := prober.New(settings.Name, pool, view, rand.New(rand.NewPCG(incarnation, rand.Uint64())), log.Part("probe"))
