Let nodes lend parts of the rates, so that requests go on without control

Ruled out: longer leases (a lost holder would then keep tokens for hours); choosing substitute lenders by the directory in an outage (two views choose two lenders, and a control process that is only cut off still lends: more than the rate would be admitted).

The list is alike everywhere, so the parts add up to the rate without any contact. Nodes borrow from control first and from the other lenders when it is away; in an outage of control a workspace keeps the node lenders' share of its rate. NAME=ADDRESS settings are read in one place.

--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -9,10 +9,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/control/pkg/administrator"
-	"samphiremount.example/control/pkg/lender"
 	"samphiremount.example/control/pkg/storer"
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/explainer"
+	"samphiremount.example/core/lender"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	core "samphiremount.example/core/starter"
@@ -52,7 +52,7 @@
 	publisher.Register(mux)
 	replicated.Register(mux)
 	rates := lender.New(time.Now(), lender.Dependencies{
-		Name: settings.Name, Lenders: settings.Names(), Peers: settings.Others(), Configuration: hub,
+		Name: settings.Name, Lenders: settings.AllLenders().Names(), Peers: settings.AllLenders().Others(settings.Name), Configuration: hub,
 		Borrower: exchanger.NewClient(pool), Log: log.Part("lend"),
 	})
 	exchanger.Register(mux, rates)
@@ -67,7 +67,7 @@
 	group.Go(func() error { return publisher.Run(ctx) })
 	group.Go(func() error { return replicated.Run(ctx) })
 	group.Go(func() error { return rates.Run(ctx) })
-	for _, address := range settings.Others() {
+	for _, address := range settings.Addresses().Others(settings.Name) {
 		client := synchronizer.NewClient(pool, func() []string { return []string{address} }, directorySink{hub}, nil, log.Part("follow"))
 		group.Go(func() error { return client.Run(ctx) })
 	}
--- a/control/pkg/starter/settings.go
+++ b/control/pkg/starter/settings.go
@@ -3,8 +3,6 @@
 
 import (
 	"maps"
-	"slices"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -20,6 +18,7 @@
 	Operators string   `long:"operators" env:"SAMPHIRE_OPERATORS" default:"127.0.0.1:8180" description:"IP address and port of the listener for operators"`
 	Token     string   `long:"token-file" env:"SAMPHIRE_TOKEN_FILE" description:"File with the token that operators present"`
 	Members   []string `long:"member" env:"SAMPHIRE_MEMBERS" env-delim:"," description:"NAME=ADDRESS of a control process, this one included, with the IP address and port of its --fleet; repeat it"`
+	Lenders   []string `long:"lender" env:"SAMPHIRE_LENDERS" env-delim:"," description:"NAME=ADDRESS of a node that lends parts of the workspaces' rates beside the control processes; repeat it, alike on all processes"`
 	Data      string   `long:"data" env:"SAMPHIRE_DATA" description:"Folder for the state that must survive a restart; no other process may use it"`
 }
 
@@ -41,55 +40,24 @@
 }
 
 func (s *Settings) checkMembers() []error {
-	var wrong []error
-	addresses := make(map[string]string)
-	for _, text := range s.Members {
-		name, address, found := strings.Cut(text, "=")
-		if !found || name == "" {
-			wrong = append(wrong, errors.Newf("--member must have the form NAME=ADDRESS: %q", text))
-			continue
-		}
-		if _, ok := addresses[name]; ok {
-			wrong = append(wrong, errors.Newf("--member names %s twice", name))
-		}
-		for other, taken := range addresses {
-			if taken == address {
-				wrong = append(wrong, errors.Newf("--member gives %s and %s the same address", other, name))
-			}
-		}
-		addresses[name] = address
-		wrong = append(wrong, core.CheckPeer("--member "+name, address)...)
-	}
-	if _, ok := addresses[s.Name]; s.Name != "" && !ok {
+	members, wrong := core.ParsePeers("--member", s.Members)
+	if _, ok := members[s.Name]; s.Name != "" && !ok {
 		wrong = append(wrong, errors.Newf("--member must name this process, %s, too", s.Name))
 	}
-	return wrong
+	_, wrongLenders := core.ParsePeers("--lender", s.Lenders)
+	return append(wrong, wrongLenders...)
 }
 
 // Addresses returns the IP address and port of each member by its name.
-func (s *Settings) Addresses() map[string]string {
-	addresses := make(map[string]string)
-	for _, text := range s.Members {
-		name, address, _ := strings.Cut(text, "=")
-		addresses[name] = address
-	}
-	return addresses
+func (s *Settings) Addresses() core.Peers {
+	members, _ := core.ParsePeers("--member", s.Members)
+	return members
 }
 
-// Names returns the names of all members, sorted. The workspaces' rates are divided by them, so they must be alike on
-// all control processes.
-func (s *Settings) Names() []string {
-	return slices.Sorted(maps.Keys(s.Addresses()))
-}
-
-// Others returns the addresses of the other members, sorted by their names.
-func (s *Settings) Others() []string {
-	var others []string
-	addresses := s.Addresses()
-	for _, name := range s.Names() {
-		if name != s.Name {
-			others = append(others, addresses[name])
-		}
-	}
-	return others
+// AllLenders returns the members and the lenders beside them. The workspaces' rates are divided by their names, so they
+// must be alike on all processes.
+func (s *Settings) AllLenders() core.Peers {
+	lenders, _ := core.ParsePeers("--lender", s.Lenders)
+	maps.Copy(lenders, s.Addresses())
+	return lenders
 }
--- a/control/pkg/lender/lender_test.go
+++ b/core/lender/lender_test.go
@@ -12,10 +12,10 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"samphiremount.example/control/pkg/lender"
 	"samphiremount.example/core/allotter"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/lender"
 )
 
 // network connects lenders by their names, and counts what they send each other.
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -16,6 +16,7 @@
 
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/explainer"
+	"samphiremount.example/core/lender"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/retrier"
@@ -111,6 +112,7 @@
 	keeper   *keeper.Keeper
 	data     string
 	drawer   *drawer.Drawer
+	lender   *lender.Lender
 	acceptor *acceptor.Acceptor
 	server   *messenger.Server
 }
@@ -137,7 +139,8 @@
 	if settings.Data != "" {
 		cache.Load(view)
 	}
-	tokens := drawer.New(exchanger.NewClient(pool), settings.Controls, log.Part("admit"))
+	rates := newLender(settings, mux, pool, hub, log)
+	tokens := drawer.New(exchanger.NewClient(pool), settings.lenderAddresses(), log.Part("admit"))
 	client := carrier.NewClient(pool, expvar.NewMap("entry"))
 	counts := expvar.NewMap("gate")
 	targetConns := connector.New(counts)
@@ -154,6 +157,7 @@
 		client:   synchronizer.NewClient(pool, publishers(settings, view), view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
 		drawer:   tokens,
+		lender:   rates,
 		acceptor: acceptor.New(acceptor.Dependencies{
 			Name: settings.Name, Viewer: view, Client: client, Drawer: tokens, Retrier: retrier.New(),
 			Place:  router.Place{Region: settings.Region, Centre: settings.Centre},
@@ -163,6 +167,22 @@
 	}
 }
 
+// newLender returns the lender of a node that is named as one, and nil on all others.
+func newLender(
+	settings Settings, mux messenger.Mux, pool *messenger.Pool, hub *synchronizer.Hub, log logger.Logger,
+) *lender.Lender {
+	lenders := settings.AllLenders()
+	if _, ok := lenders[settings.Name]; !ok {
+		return nil
+	}
+	rates := lender.New(time.Now(), lender.Dependencies{
+		Name: settings.Name, Lenders: lenders.Names(), Peers: lenders.Others(settings.Name), Configuration: hub,
+		Borrower: exchanger.NewClient(pool), Log: log.Part("lend"),
+	})
+	exchanger.Register(mux, rates)
+	return rates
+}
+
 // run stops the parts in order: the node leaves the directory first, then callers' connections finish, then the gate
 // closes, and the stream to control last.
 func (p parts) run(ctx context.Context, listeners listeners) error {
@@ -179,6 +199,9 @@
 		group.Go(func() error { return p.keeper.Run(background) })
 	}
 	group.Go(func() error { return p.drawer.Run(background) })
+	if p.lender != nil {
+		group.Go(func() error { return p.lender.Run(background) })
+	}
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
 		defer stopBackground()
--- a/node/pkg/starter/settings.go
+++ b/node/pkg/starter/settings.go
@@ -2,6 +2,8 @@
 package starter
 
 import (
+	"slices"
+
 	"github.com/cockroachdb/errors"
 
 	core "samphiremount.example/core/starter"
@@ -21,6 +23,7 @@
 	Decisions int      `long:"decisions" env:"SAMPHIRE_DECISIONS" default:"16384" description:"Number of newest log lines about requests that the node keeps for samphire explain"`
 	Controls  []string `long:"control" env:"SAMPHIRE_CONTROLS" env-delim:"," description:"IP address and port of a control process; repeat it, own data centre first"`
 	Data      string   `long:"data" env:"SAMPHIRE_DATA" description:"Folder on a disk in which the node keeps what it knows of the fleet; empty for a VM without a disk"`
+	Lenders   []string `long:"lender" env:"SAMPHIRE_LENDERS" env-delim:"," description:"NAME=ADDRESS of a process that lends parts of the workspaces' rates, control processes included; repeat it, alike on all processes. A node that is named lends"`
 	Peers     []string `long:"peer" env:"SAMPHIRE_PEERS" env-delim:"," description:"IP address and port of another node to ask for the configuration while no control process answers; repeat it"`
 }
 
@@ -45,6 +48,8 @@
 		wrong = append(wrong, errors.New("--control must be given at least once"))
 	}
 	wrong = append(wrong, core.CheckFolder("--data", s.Data)...)
+	_, wrongLenders := core.ParsePeers("--lender", s.Lenders)
+	wrong = append(wrong, wrongLenders...)
 	for _, address := range s.Peers {
 		wrong = append(wrong, core.CheckPeer("--peer", address)...)
 	}
@@ -53,3 +58,21 @@
 	}
 	return wrong
 }
+
+// AllLenders returns the processes that lend parts of the workspaces' rates.
+func (s *Settings) AllLenders() core.Peers {
+	lenders, _ := core.ParsePeers("--lender", s.Lenders)
+	return lenders
+}
+
+// lenderAddresses returns whom the node borrows from: the control processes first, then the other lenders, which are
+// all that is left in an outage of control.
+func (s *Settings) lenderAddresses() []string {
+	addresses := slices.Clone(s.Controls)
+	for _, address := range s.AllLenders().Others("") {
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -44,10 +44,16 @@
 fleet=("${free[0]}" "${free[1]}" "${free[2]}")
 operators=("${free[3]}" "${free[4]}" "${free[5]}")
 members=()
-for i in 0 1 2; do members+=(--member "control$i=${fleet[i]}"); done
+lenders=()
+for i in 0 1 2; do
+  members+=(--member "control$i=${fleet[i]}")
+  lenders+=(--lender "control$i=${fleet[i]}")
+done
+# One node of each data centre lends parts of the rates too, so that requests go on while control is away.
+node_lenders=(--lender "node0=${free[10]}" --lender "node2=${free[12]}")
 for i in 0 1 2; do
   start "control$i" "$bin/samphire-control" --name "control$i" --fleet "${fleet[i]}" --operators "${operators[i]}" \
-    --data "$data/control$i" "${members[@]}"
+    --data "$data/control$i" "${members[@]}" "${node_lenders[@]}"
 done
 
 entries=()
@@ -58,7 +64,7 @@
   entry=${free[6 + i]} local=${free[14 + i]} target=${free[18 + i]}
   entries+=(--entry "$entry")
   start "node$i" "$bin/samphire-node" --name "node$i" --region north --centre "$centre" --entry "$entry" \
-    --fleet "${free[10 + i]}" --local "$local" \
+    --fleet "${free[10 + i]}" --local "$local" "${lenders[@]}" "${node_lenders[@]}" \
     --control "${fleet[i % 3]}" --control "${fleet[(i + 1) % 3]}" --control "${fleet[(i + 2) % 3]}"
   service=bookings
   [ $((i % 2)) = 0 ] || service=catalogue
--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -27,6 +27,9 @@
 	tailBytes = 1500
 )
 
+// lendingNodes lend parts of the rates beside the control processes, one in each data centre.
+var lendingNodes = []int{0, 2}
+
 type fleetKey struct{}
 
 // fleet is the set of processes that one scenario started.
@@ -124,6 +127,9 @@
 	for i := range controls {
 		loggedCommand(ts, false, []string{fmt.Sprintf("control%d", i), "lend: lending starts"})
 	}
+	for _, i := range lendingNodes {
+		loggedCommand(ts, false, []string{fmt.Sprintf("node%d", i), "lend: lending starts"})
+	}
 	f.until(ts, "version", "samphire", "version")
 	ts.Check(ts.Exec("samphire", "sheet", "apply", "--floors", ts.Getenv("ROOT")+"/examples/showbook.csv"))
 	for i := range nodes {
@@ -164,6 +170,9 @@
 	for j := range controls {
 		args = append(args, "--member", fmt.Sprintf("control%d=%s", j, ts.Getenv(fmt.Sprintf("CONTROL%d", j))))
 	}
+	for _, j := range lendingNodes {
+		args = append(args, "--lender", fmt.Sprintf("node%d=%s", j, ts.Getenv(fmt.Sprintf("FLEET%d", j))))
+	}
 	f.commands[fmt.Sprintf("control%d", i)] = args
 }
 
@@ -177,6 +186,10 @@
 	}
 	for j := range controls {
 		args = append(args, "--control", ts.Getenv(fmt.Sprintf("CONTROL%d", (i+j)%controls)))
+		args = append(args, "--lender", fmt.Sprintf("control%d=%s", j, ts.Getenv(fmt.Sprintf("CONTROL%d", j))))
+	}
+	for _, j := range lendingNodes {
+		args = append(args, "--lender", fmt.Sprintf("node%d=%s", j, ts.Getenv(fmt.Sprintf("FLEET%d", j))))
 	}
 	f.commands[fmt.Sprintf("node%d", i)] = args
 	f.commands[fmt.Sprintf("target%d", i)] = []string{
