--- /dev/null
+++ b/core/messenger/server_test.go
@@ -0,0 +1,137 @@
+package messenger_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/messenger"
+)
+
+const secret = "a-secret-of-the-fleet"
+
+type echoMessage struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+// serve runs a server that echoes messages and returns its address.
+func serve(t *testing.T) string {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	mux := messenger.Mux{"echo": func(stream drpc.Stream) error {
+		var message echoMessage
+		if err := stream.MsgRecv(&message, messenger.Encoding{}); err != nil {
+			return err
+		}
+		return stream.MsgSend(&message, messenger.Encoding{})
+	}}
+	server := messenger.NewServer(messenger.NewCredentials("test", []byte(secret)), mux, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return listener.Addr().String()
+}
+
+func echo(address string, credentials messenger.Credentials, rpc string) (string, error) {
+	pool := messenger.NewPool(credentials)
+	defer func() { _ = pool.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	conn, err := pool.Dial(ctx, address)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close() }()
+	var answer echoMessage
+	err = conn.Invoke(ctx, rpc, messenger.Encoding{}, &echoMessage{"whole"}, &answer)
+	return answer.Text, err
+}
+
+func TestOnlyTheFleetIsAdmitted(t *testing.T) {
+	address := serve(t)
+	cases := map[string]struct {
+		credentials messenger.Credentials
+		admitted    bool
+	}{
+		"same secret and cluster": {messenger.NewCredentials("test", []byte(secret)), true},
+		"other secret":            {messenger.NewCredentials("test", []byte("another-secret-entirely")), false},
+		"other cluster":           {messenger.NewCredentials("production", []byte(secret)), false},
+		"no secret":               {messenger.NewCredentials("test", nil), false},
+		"nothing":                 {messenger.Credentials{}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			text, err := echo(address, c.credentials, "echo")
+			if c.admitted {
+				assert.NilError(t, err)
+				assert.Equal(t, text, "whole")
+				return
+			}
+			assert.Assert(t, errors.Is(err, messenger.ErrStranger), "%v", err)
+		})
+	}
+}
+
+func TestUnknownCallIsRefused(t *testing.T) {
+	_, err := echo(serve(t), messenger.NewCredentials("test", []byte(secret)), "nothing")
+	assert.ErrorContains(t, err, `no call is named "nothing"`)
+}
+
+// TestBadBytesLeaveTheServerUp sends what no process of the fleet would send. The server must close the connection and
+// go on to serve others.
+func TestBadBytesLeaveTheServerUp(t *testing.T) {
+	address := serve(t)
+	cases := map[string][]byte{
+		"nothing":              nil,
+		"half a greeting":      []byte("samphire/1 and"),
+		"another protocol":     []byte("GET / HTTP/1.1\r\nHost: samphire\r\n\r\n" + string(make([]byte, 64))),
+		"endless zeros":        make([]byte, 1<<20),
+		"a greeting, no proof": append([]byte("samphire/1"), bytes.Repeat([]byte{7}, 32+32)...),
+	}
+	for name, content := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", address)
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, _ = conn.Write(content)
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(5*messenger.GreetingTimeout)))
+			_, err = io.Copy(io.Discard, conn)
+			var timeout net.Error
+			assert.Assert(t, !errors.As(err, &timeout) || !timeout.Timeout(), "the server holds a stranger's connection")
+			text, err := echo(address, messenger.NewCredentials("test", []byte(secret)), "echo")
+			assert.NilError(t, err)
+			assert.Equal(t, text, "whole")
+		})
+	}
+}
+
+// FuzzUnmarshal feeds damaged messages to the codec: it must answer with an error or a value, with bounded memory.
+func FuzzUnmarshal(f *testing.F) {
+	whole, err := messenger.Marshal(&echoMessage{"whole"})
+	assert.NilError(f, err)
+	f.Add(whole)
+	f.Add(whole[:len(whole)-1])
+	// An array that claims 2^32 elements.
+	f.Add(binary.BigEndian.AppendUint32([]byte{0x9a}, 1<<32-1))
+	f.Add([]byte{0xbf, 0xff})
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		var message echoMessage
+		_ = messenger.Unmarshal(content, &message)
+		var list []echoMessage
+		_ = messenger.Unmarshal(content, &list)
+	})
+}
--- /dev/null
+++ b/core/synchronizer/synchronizer_test.go
@@ -0,0 +1,199 @@
+package synchronizer_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/synchronizer"
+	"samphiremount.example/core/tracker"
+)
+
+var credentials = messenger.NewCredentials("test", []byte("a-secret-of-the-fleet"))
+
+// publisher is a control process that can be stopped and started at the same address.
+type publisher struct {
+	hub     *synchronizer.Hub
+	address string
+	stop    func()
+}
+
+func publish(t *testing.T, hub *synchronizer.Hub, address string) *publisher {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	assert.NilError(t, err)
+	log := slog.New(slog.DiscardHandler)
+	mux := messenger.Mux{}
+	server := synchronizer.NewServer(hub, func() time.Duration { return 0 }, log)
+	server.Register(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = messenger.NewServer(credentials, mux, log).Serve(ctx, listener) })
+	group.Go(func() { _ = server.Run(ctx) })
+	stop := sync.OnceFunc(func() {
+		cancel()
+		group.Wait()
+	})
+	t.Cleanup(stop)
+	return &publisher{hub, listener.Addr().String(), stop}
+}
+
+// sink is a Hub that checks that its version never goes back.
+type sink struct {
+	*synchronizer.Hub
+
+	t      *testing.T
+	mu     sync.Mutex
+	newest uint64
+	heard  int
+}
+
+func (s *sink) Install(configuration configurer.Configuration) bool {
+	installed := s.Hub.Install(configuration)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version := s.Configuration().Version(); version < s.newest {
+		s.t.Errorf("version went from %d back to %d", s.newest, version)
+	} else {
+		s.newest = version
+	}
+	return installed
+}
+
+func (s *sink) Heard(time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard++
+}
+
+func subscribe(t *testing.T, addresses ...string) *sink {
+	t.Helper()
+	s := &sink{Hub: synchronizer.NewHub(), t: t}
+	client := synchronizer.NewClient(messenger.NewPool(credentials), func() []string { return addresses }, s, nil,
+		slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = client.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	return s
+}
+
+func change(t *testing.T, hub *synchronizer.Hub, changes ...configurer.Change) {
+	t.Helper()
+	operation := fmt.Sprintf("operation-%d", hub.Configuration().Version())
+	_, err := hub.Apply(configurer.Batch{Operation: operation, Changes: changes})
+	assert.NilError(t, err)
+}
+
+func workspace(name string) configurer.Change {
+	return configurer.PutWorkspace{Workspace: configurer.Workspace{Name: name, Rate: 1, Burst: 1}}
+}
+
+func waitForVersion(t *testing.T, s *sink, version uint64) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := s.Configuration().Version(); got != version {
+			return poll.Continue("version %d, not %d", got, version)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// TestSubscriberCatchesUp lets a subscriber miss a few changes, more changes than a publisher keeps, and one too large
+// for a single message.
+func TestSubscriberCatchesUp(t *testing.T) {
+	hub := synchronizer.NewHub()
+	first := publish(t, hub, "127.0.0.1:0")
+	s := subscribe(t, first.address)
+	change(t, hub, workspace("one"))
+	waitForVersion(t, s, 1)
+	first.stop()
+	for i := range 3 {
+		change(t, hub, workspace(fmt.Sprint(i)))
+	}
+	second := publish(t, hub, first.address)
+	waitForVersion(t, s, 4)
+	second.stop()
+	for i := range 1500 {
+		change(t, hub, workspace(fmt.Sprint(i)))
+	}
+	var many []configurer.Change
+	for i := range 20000 {
+		many = append(many, workspace(fmt.Sprintf("many-%d", i)))
+	}
+	change(t, hub, many...)
+	publish(t, hub, first.address)
+	waitForVersion(t, s, 1505)
+	assert.DeepEqual(t, s.Configuration().Records(), hub.Configuration().Records())
+}
+
+// TestStalePublisherChangesNothing connects a subscriber to a control process that was away for long.
+func TestStalePublisherChangesNothing(t *testing.T) {
+	newHub, oldHub := synchronizer.NewHub(), synchronizer.NewHub()
+	key := configurer.IssueKey{Key: configurer.Key{ID: "k", Workspace: "a"}}
+	for _, hub := range []*synchronizer.Hub{newHub, oldHub} {
+		change(t, hub, workspace("a"), key)
+	}
+	change(t, newHub, configurer.WithdrawKey{ID: "k"})
+	fresh := publish(t, newHub, "127.0.0.1:0")
+	stale := publish(t, oldHub, "127.0.0.1:0")
+	s := subscribe(t, fresh.address, stale.address)
+	waitForVersion(t, s, 2)
+	fresh.stop()
+	s.mu.Lock()
+	before := s.heard
+	s.mu.Unlock()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.heard < before+2 {
+			return poll.Continue("the stale publisher is not heard yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(15*time.Second))
+	stored, _ := s.Configuration().Key("k")
+	assert.Assert(t, stored.Withdrawn, "a stale publisher brought a key back")
+	assert.Equal(t, s.Configuration().Version(), uint64(2))
+}
+
+// TestWithdrawalOutlivesOlderConfiguration withdraws a key without the leader, then takes a configuration in which the
+// key is in force, and one that holds the withdrawal.
+func TestWithdrawalOutlivesOlderConfiguration(t *testing.T) {
+	hub := synchronizer.NewHub()
+	assert.DeepEqual(t, hub.Withdraw("k"), []string{"k"})
+	assert.Equal(t, len(hub.Withdraw("k")), 0, "a repetition is no news")
+	change(t, hub, workspace("a"), configurer.IssueKey{Key: configurer.Key{ID: "k", Workspace: "a"}})
+	assert.DeepEqual(t, hub.Withdrawn(), []string{"k"})
+	change(t, hub, configurer.WithdrawKey{ID: "k"})
+	assert.Equal(t, len(hub.Withdrawn()), 0, "the configuration holds the withdrawal")
+	assert.Equal(t, len(hub.Withdraw("k")), 0)
+}
+
+// TestDirectoryReachesSubscribers passes a record on through two processes.
+func TestDirectoryReachesSubscribers(t *testing.T) {
+	hub := synchronizer.NewHub()
+	first := publish(t, hub, "127.0.0.1:0")
+	middle := subscribe(t, first.address)
+	second := publish(t, middle.Hub, "127.0.0.1:0")
+	last := subscribe(t, second.address)
+	hub.Merge(tracker.Node{Name: "n", Incarnation: 1, Sequence: 1})
+	hub.Withdraw("k")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, ok := last.Directory().Node("n"); !ok || len(last.Withdrawn()) != 1 {
+			return poll.Continue("the record is not there yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(15*time.Second))
+}
--- /dev/null
+++ b/core/tracker/directory_test.go
@@ -0,0 +1,45 @@
+package tracker_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"samphiremount.example/core/tracker"
+)
+
+// TestDirectoryDoesNotDependOnOrder merges the same records in two orders, with repetitions. Both directories must hold
+// the newest record of each node.
+func TestDirectoryDoesNotDependOnOrder(t *testing.T) {
+	node := rapid.Custom(func(t *rapid.T) tracker.Node {
+		n := tracker.Node{
+			Name:        fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "name")),
+			Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+			Sequence:    rapid.Uint64Range(1, 3).Draw(t, "sequence"),
+			Gone:        rapid.Bool().Draw(t, "gone"),
+		}
+		// What a node says is a function of its incarnation and sequence.
+		n.Targets = []tracker.Target{{Name: fmt.Sprint(n.Incarnation, n.Sequence), Service: "s"}}
+		return n
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOf(node).Draw(t, "records")
+		shuffled := rapid.Permutation(append(records, records...)).Draw(t, "shuffled")
+		var one, other tracker.Directory
+		for _, record := range records {
+			one, _ = one.With(record)
+		}
+		for _, record := range shuffled {
+			other, _ = other.With(record)
+		}
+		assert.DeepEqual(t, one.Nodes(), other.Nodes())
+		again, changed := one.With(records...)
+		assert.Equal(t, len(changed), 0, "old records count as news")
+		assert.DeepEqual(t, again.Placements("s"), one.Placements("s"))
+		for _, placement := range one.Placements("s") {
+			assert.Assert(t, !placement.Node.Gone)
+		}
+	})
+}
--- a/ctl/pkg/commander/tool.go
+++ b/ctl/pkg/commander/tool.go
@@ -18,7 +18,7 @@
 
 // Settings are the flags and environment variables that every command takes.
 type Settings struct {
-	Controls []string `long:"control" env:"SAMPHIRE_OPERATORS" env-delim:"," description:"IP address and port of a control process's listener for operators; repeat it"`
+	Controls []string `long:"control" env:"SAMPHIRE_ADDRESSES" env-delim:"," description:"IP address and port of a control process's listener for operators; repeat it"`
 	Token    string   `long:"token-file" env:"SAMPHIRE_TOKEN_FILE" description:"File with the operators' token"`
 	JSON     bool     `long:"json" description:"Print JSON in place of text"`
 }
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -73,8 +73,8 @@
     --local "$local" --slots 50
 done
 
-export SAMPHIRE_OPERATORS
-SAMPHIRE_OPERATORS=$(IFS=, && echo "${operators[*]}")
+export SAMPHIRE_ADDRESSES
+SAMPHIRE_ADDRESSES=$(IFS=, && echo "${operators[*]}")
 until_ready "control processes" "$bin/samphire" version
 "$bin/samphire" sheet apply --floors "$root/examples/showbook.csv"
 
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -47,7 +47,7 @@
   start "control$i" "$bin/samphire-control" --name "control$i" --fleet "${free[i]}" --operators "${free[3 + i]}" \
     --data "$data/control$i" "${members[@]}"
 done
-export SAMPHIRE_OPERATORS=${free[3]},${free[4]},${free[5]}
+export SAMPHIRE_ADDRESSES=${free[3]},${free[4]},${free[5]}
 until_ready "control" "$bin/samphire" version
 leader=$("$bin/samphire" members | sed -n 's/^leader control//p')
 follower=$(((leader + 1) % 3))
--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -80,7 +80,7 @@
 	}
 	env.Setenv("SAMPHIRE_SECRET_FILE", filepath.Join(env.WorkDir, "secret"))
 	env.Setenv("SAMPHIRE_TOKEN_FILE", filepath.Join(env.WorkDir, "token"))
-	env.Setenv("SAMPHIRE_OPERATORS", strings.Join(operators, ","))
+	env.Setenv("SAMPHIRE_ADDRESSES", strings.Join(operators, ","))
 	return nil
 }
 
@@ -233,7 +233,7 @@
 // environment returns the settings that every process of a scenario shares.
 func environment(ts *testscript.TestScript) []string {
 	variables := os.Environ()
-	for _, name := range []string{"SAMPHIRE_SECRET_FILE", "SAMPHIRE_TOKEN_FILE", "SAMPHIRE_OPERATORS"} {
+	for _, name := range []string{"SAMPHIRE_SECRET_FILE", "SAMPHIRE_TOKEN_FILE", "SAMPHIRE_ADDRESSES"} {
 		variables = append(variables, name+"="+ts.Getenv(name))
 	}
 	return variables
