Prove the log's decision under faults by a state machine

Cause: what the log must hold was argued from the paper, not shown.

Change: 3 and 5 members run over a network that drops, delays, duplicates and reorders, with one-way cuts, freezes, restarts, syncs that finish late, writes lost before a sync, and disks lost while changes go on, each replaced and followed at once by the loss of another disk. The oracle is a committed list, a map of rates and the answers that operators got.

A first state machine synced in the tick of the write and passed without waiting for syncs at all; syncs now last.

Promoting a learner before it has caught up was not caught: the quorum of the new membership still holds all entries; catching up first keeps the loss of a second VM from stopping the cluster while the newcomer copies the log.

--- a/core/replicator/append.go
+++ b/core/replicator/append.go
@@ -39,7 +39,7 @@
 	case s.now.Before(p.snapshotDeadline):
 		// The heartbeat agrees with every log, since the position before the first entry does.
 		s.send(to, AppendRequest{Commit: s.commit, Round: l.round})
-	case !known:
+	case !known || p.next < s.First():
 		p.snapshotDeadline = s.now.Add(snapshotTimeout)
 		s.send(to, SnapshotRequest{s.snapshot})
 	default:
--- /dev/null
+++ b/core/replicator/replicator_test.go
@@ -0,0 +1,217 @@
+package replicator_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"samphiremount.example/core/replicator"
+)
+
+func TestThreeMembersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkUnderFaults(t, 3) })
+}
+
+func TestFiveMembersUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkUnderFaults(t, 5) })
+}
+
+// checkUnderFaults runs operators and faults at random. In the end all faults are healed; then a change must be accepted
+// and all members must agree.
+func checkUnderFaults(t *rapid.T, size int) {
+	w := newWorld(t, size)
+	t.Repeat(map[string]func(*rapid.T){
+		"change": func(t *rapid.T) { w.change(t); w.run(span(t)) },
+		"race":   func(t *rapid.T) { w.race(t); w.run(span(t)) },
+		"resend": func(t *rapid.T) { w.resend(t); w.run(span(t)) },
+		"read":   func(t *rapid.T) { w.read(w.any(t)); w.run(span(t)) },
+		"lose":   func(t *rapid.T) { w.loss = rapid.Float64Range(0, 0.3).Draw(t, "loss"); w.run(span(t)) },
+		"cut":    func(t *rapid.T) { w.cuts[[2]string{w.any(t).name, w.any(t).name}] = true; w.run(span(t)) },
+		"isolate": func(t *rapid.T) {
+			m := w.any(t)
+			for _, other := range w.machines {
+				w.cuts[[2]string{m.name, other.name}] = true
+				w.cuts[[2]string{other.name, m.name}] = rapid.Bool().Draw(t, "both")
+			}
+			w.run(span(t))
+		},
+		"freeze":  func(t *rapid.T) { w.any(t).frozen = true; w.run(span(t)) },
+		"stop":    func(t *rapid.T) { w.stopOne(t); w.run(span(t)) },
+		"stopAll": func(t *rapid.T) { w.change(t); w.run(span(t) / 5); w.stopAll(t); w.run(span(t)) },
+		"stopSome": func(t *rapid.T) {
+			w.change(t)
+			w.run(span(t) / 5)
+			for _, m := range w.machines {
+				if !m.stopped && rapid.Bool().Draw(t, "stop") {
+					w.stop(m)
+					w.start(m)
+				}
+			}
+			w.run(span(t))
+		},
+		"compact": func(t *rapid.T) { w.compact(t); w.run(span(t)) },
+		"wake": func(t *rapid.T) {
+			for _, m := range w.machines {
+				if m.frozen {
+					m.frozen = false
+					w.change(t)
+					w.read(m)
+				}
+			}
+			w.run(span(t))
+		},
+		"heal":    func(t *rapid.T) { w.heal(); w.run(span(t)) },
+		"replace": func(t *rapid.T) { w.loseAndReplace(t) },
+	})
+	w.settle()
+}
+
+func span(t *rapid.T) time.Duration {
+	return time.Duration(rapid.IntRange(0, 30).Draw(t, "ticks")) * tickPeriod
+}
+
+func (w *world) any(t *rapid.T) *machine {
+	return w.machines[rapid.IntRange(0, len(w.machines)-1).Draw(t, "machine")]
+}
+
+func (w *world) change(t *rapid.T) {
+	w.nextID++
+	w.propose(proposal{fmt.Sprint(w.nextID), 0, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"), int(w.nextID)})
+}
+
+// race has two operators build on the same version and change the same workspace.
+func (w *world) race(t *rapid.T) {
+	base := w.any(t).configuration.Version()
+	for range 2 {
+		w.nextID++
+		w.propose(proposal{fmt.Sprint(w.nextID), base, "a", int(w.nextID)})
+		w.run(span(t) / 10)
+	}
+}
+
+func (w *world) resend(t *rapid.T) {
+	if len(w.log) == 0 {
+		return
+	}
+	entry := w.log[rapid.IntRange(0, len(w.log)-1).Draw(t, "entry")]
+	if entry.Members == nil {
+		w.propose(parse(w.t, entry.Data))
+	}
+}
+
+// propose asks every machine that believes it leads.
+func (w *world) propose(p proposal) {
+	for _, m := range w.leaders() {
+		w.nextID++
+		data, err := json.Marshal(p)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		w.waiting = append(w.waiting, waiting{m, replicator.Position{Index: w.nextID}, p})
+		w.step(m, replicator.Propose{ID: w.nextID, Data: data})
+	}
+}
+
+func (w *world) read(m *machine) {
+	if m.stopped || m.frozen {
+		return
+	}
+	w.nextID++
+	w.reads[w.nextID] = w.answered
+	w.step(m, replicator.Read{ID: w.nextID})
+}
+
+func (w *world) stopOne(t *rapid.T) {
+	if m := w.any(t); m.stopped {
+		w.start(m)
+	} else {
+		w.stop(m)
+	}
+}
+
+func (w *world) stopAll(t *rapid.T) {
+	for _, m := range w.machines {
+		if !m.stopped {
+			w.stop(m)
+		}
+	}
+	w.run(span(t))
+	for _, m := range w.machines {
+		w.start(m)
+	}
+}
+
+func (w *world) compact(t *rapid.T) {
+	m := w.any(t)
+	if m.stopped || m.frozen || m.applied == 0 {
+		return
+	}
+	data, err := m.configuration.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	keep := rapid.IntRange(0, 3).Draw(t, "keep")
+	w.step(m, replicator.Compact{Index: m.applied, KeepEntries: keep, KeepBytes: 1 << 20, Data: data})
+}
+
+// loseAndReplace loses a disk while changes go on, replaces its member, and loses another disk as soon as the first
+// replacement counts.
+func (w *world) loseAndReplace(t *rapid.T) {
+	for range 2 {
+		m := w.any(t)
+		w.change(t)
+		w.run(span(t) / 10)
+		w.loseDisk(m)
+		w.change(t)
+		w.run(span(t))
+		w.heal()
+		w.until(time.Minute, "the newcomer is a voter", func() bool {
+			w.replace(m)
+			return w.members.Votes(m.identity) && len(w.members.Voters) == len(w.machines)
+		})
+	}
+}
+
+func (w *world) replace(m *machine) {
+	old, _ := w.members.Named(m.name)
+	learner := replicator.Learner{Member: replicator.Member{Identity: m.identity, Name: m.name}, Replaces: old.Identity}
+	for _, l := range w.leaders() {
+		for _, known := range l.replicator.Members().All() {
+			if known.Identity == m.identity {
+				return
+			}
+		}
+		w.nextID++
+		w.step(l, replicator.Replace{ID: w.nextID, Learner: learner})
+	}
+}
+
+func (w *world) settle() {
+	w.heal()
+	before := w.confirmed
+	w.until(time.Minute, "a change is accepted", func() bool {
+		w.nextID++
+		w.propose(proposal{fmt.Sprint(w.nextID), 0, "a", int(w.nextID)})
+		w.run(4 * tickPeriod)
+		_, ok := w.answers[fmt.Sprint(w.nextID-1)]
+		return ok
+	})
+	w.until(time.Minute, "all members have all", func() bool {
+		for _, m := range w.machines {
+			if m.applied != uint64(len(w.log)) {
+				return false
+			}
+		}
+		return true
+	})
+	w.until(time.Minute, "every member can serve a read", func() bool {
+		for _, m := range w.machines {
+			w.read(m)
+		}
+		w.run(4 * tickPeriod)
+		return w.confirmed >= before+len(w.machines)
+	})
+}
