Test the log on disk and between real processes

Cause: a log counts only once it is synced, and damage must not pass for an unfinished write; both depend on the disk and on real processes.

Change: a rapid test writes, syncs, fails and crashes a disk that forgets what was not synced and zeroes sectors; after each restart the storer must hold all that was synced and of the rest whole saves in order.

A run of zeros shorter than a sector in a torn tail was taken for damage; the rule now goes by sectors. The fleet command started nodes before control processes answered, so that a node could stay with another than the scenario asked for: it waits for all of them now.

Not covered: damage that leaves the last record shorter than its length, or a sector of it zero, looks like an unfinished write and is cut.

--- /dev/null
+++ b/control/pkg/storer/memory_test.go
@@ -0,0 +1,111 @@
+package storer_test
+
+import (
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/control/pkg/storer"
+)
+
+var errInjected = errors.New("injected failure")
+
+// memory is a disk that forgets what was not synced when it crashes. Creations and renames are at once on disk, as
+// their order with syncs is what the storer relies on. With failAfter 0 the next write or sync fails.
+type memory struct {
+	files     map[string]*memoryFile
+	failAfter int
+}
+
+type memoryFile struct {
+	disk    *memory
+	content []byte
+	synced  int
+}
+
+func newMemory() *memory { return &memory{files: make(map[string]*memoryFile), failAfter: -1} }
+
+func (m *memory) spend() error {
+	if m.failAfter == 0 {
+		return errInjected
+	}
+	m.failAfter--
+	return nil
+}
+
+// crash keeps of each file what was synced and any part of the rest, whose sectors may be zeros.
+func (m *memory) crash(random *rand.Rand) {
+	for _, name := range slices.Sorted(maps.Keys(m.files)) {
+		file := m.files[name]
+		kept := file.synced + random.IntN(len(file.content)-file.synced+1)
+		file.content = slices.Clone(file.content[:kept])
+		for start := file.synced; start < kept; {
+			end := min((start/512+1)*512, kept)
+			if random.IntN(2) == 0 {
+				clear(file.content[start:end])
+			}
+			start = end
+		}
+		file.synced = kept
+	}
+	m.failAfter = -1
+}
+
+func (m *memory) Read(name string) ([]byte, error) {
+	file, ok := m.files[name]
+	if !ok {
+		return nil, fs.ErrNotExist
+	}
+	return slices.Clone(file.content), nil
+}
+
+func (m *memory) Create(name string) (storer.File, error) {
+	m.files[name] = &memoryFile{disk: m}
+	return m.files[name], m.spend()
+}
+
+func (m *memory) Append(name string) (storer.File, error) {
+	if _, ok := m.files[name]; !ok {
+		return nil, fs.ErrNotExist
+	}
+	return m.files[name], nil
+}
+
+func (m *memory) Rename(from, to string) error {
+	if err := m.spend(); err != nil {
+		return err
+	}
+	m.files[to] = m.files[from]
+	delete(m.files, from)
+	return nil
+}
+
+func (m *memory) Sync() error { return m.spend() }
+
+func (f *memoryFile) Write(p []byte) (int, error) {
+	if err := f.disk.spend(); err != nil {
+		half := len(p) / 2
+		f.content = append(f.content, p[:half]...)
+		return half, err
+	}
+	f.content = append(f.content, p...)
+	return len(p), nil
+}
+
+func (f *memoryFile) Sync() error {
+	if err := f.disk.spend(); err != nil {
+		return err
+	}
+	f.synced = len(f.content)
+	return nil
+}
+
+func (f *memoryFile) Truncate(size int64) error {
+	f.content = f.content[:size]
+	return nil
+}
+
+func (f *memoryFile) Close() error { return nil }
--- a/control/pkg/storer/record.go
+++ b/control/pkg/storer/record.go
@@ -81,8 +81,7 @@
 			return errors.Wrapf(ErrDamaged, "the record at byte %d was synced and is not whole", offset)
 		}
 	}
-	rest := content[offset:]
-	if short(rest) || unwritten(rest) {
+	if short(content[offset:]) || unwritten(content, offset) {
 		return nil
 	}
 	return errors.Wrapf(ErrDamaged, "the last record, at byte %d, is complete but does not match its checksum", offset)
@@ -100,21 +99,16 @@
 	return int64(len(rest)-headerBytes) < int64(binary.LittleEndian.Uint32(header))
 }
 
-// unwritten reports whether rest starts with zeros or holds a run of them as long as a sector, as a file has where its
-// length reached the disk before its content.
-func unwritten(rest []byte) bool {
-	if !slices.ContainsFunc(rest[:min(headerBytes, len(rest))], func(b byte) bool { return b != 0 }) {
-		return true
-	}
-	run := 0
-	for _, b := range rest {
-		run++
-		if b != 0 {
-			run = 0
-		}
-		if run == sectorBytes {
+// unwritten reports whether a sector of content from offset on holds only zeros there, as a file has where its length
+// reached the disk before its content.
+func unwritten(content []byte, offset int64) bool {
+	written := func(b byte) bool { return b != 0 }
+	for start := offset; start < int64(len(content)); {
+		end := min((start/sectorBytes+1)*sectorBytes, int64(len(content)))
+		if !slices.ContainsFunc(content[start:end], written) {
 			return true
 		}
+		start = end
 	}
 	return false
 }
--- a/control/pkg/storer/storer.go
+++ b/control/pkg/storer/storer.go
@@ -161,6 +161,10 @@
 		return s.append(next)
 	}
 	next.After = save.Snapshot.Position.Index
+	// A snapshot must not outlive the term that its entries were written in.
+	if err := s.Sync(); err != nil {
+		return err
+	}
 	if err := s.writeWhole(snapshotName, save.Snapshot); err != nil {
 		return s.fail(err)
 	}
--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -47,7 +47,7 @@
 	f.relays = make(map[string]*relay)
 	env.Values[fleetKey{}] = f
 	env.Defer(f.killAll)
-	free, err := allocator.Ports(2*controls + 4*nodes)
+	free, err := takePorts(2*controls + 4*nodes)
 	if err != nil {
 		return err
 	}
@@ -78,6 +78,36 @@
 	return nil
 }
 
+// taken holds the ports of all scenarios of this run, which run at the same time: a port that one of them has chosen
+// stays free until its process starts.
+var taken struct {
+	sync.Mutex
+
+	ports map[int]bool
+}
+
+func takePorts(count int) ([]int, error) {
+	taken.Lock()
+	defer taken.Unlock()
+	if taken.ports == nil {
+		taken.ports = make(map[int]bool)
+	}
+	var ports []int
+	for len(ports) < count {
+		free, err := allocator.Ports(count - len(ports))
+		if err != nil {
+			return nil, errors.Wrap(err, "choose ports")
+		}
+		for _, port := range free {
+			if !taken.ports[port] {
+				taken.ports[port] = true
+				ports = append(ports, port)
+			}
+		}
+	}
+	return ports, nil
+}
+
 // processCommand defines a process, or replaces its definition: process NAME PROGRAM ARGUMENT...
 func processCommand(ts *testscript.TestScript, _ bool, args []string) {
 	fleetOf(ts).commands[args[0]] = args[1:]
@@ -114,11 +144,14 @@
 	for i := range controls {
 		f.start(ts, fmt.Sprintf("control%d", i))
 	}
+	// A node stays with the first control process that answers, so that all of them must answer before it starts.
+	for i := range controls {
+		f.until(ts, "version", "samphire", "version", "--control", ts.Getenv(fmt.Sprintf("OPERATORS%d", i)))
+	}
 	for i := range nodes {
 		f.start(ts, fmt.Sprintf("node%d", i))
 		f.start(ts, fmt.Sprintf("target%d", i))
 	}
-	f.until(ts, "version", "samphire", "version")
 	ts.Check(ts.Exec("samphire", "sheet", "apply", ts.Getenv("ROOT")+"/examples/showbook.csv"))
 	for i := range nodes {
 		f.until(ts, fmt.Sprintf("(?s)node node%d.*target [a-z]+%d ", i, i), "samphire", "nodes")
