--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -120,6 +120,10 @@
 	for i := range controls {
 		f.start(ts, fmt.Sprintf("control%d", i))
 	}
+	// A node stays with the first control process that answers, so that all of them must answer before it starts.
+	for i := range controls {
+		f.until(ts, "version", "samphire", "version", "--control", ts.Getenv(fmt.Sprintf("OPERATORS%d", i)))
+	}
 	for i := range nodes {
 		f.start(ts, fmt.Sprintf("node%d", i))
 		f.start(ts, fmt.Sprintf("target%d", i))
