--- a/control/pkg/proposer/apply.go
+++ b/control/pkg/proposer/apply.go
@@ -8,6 +8,9 @@
 // finish does what follows from an output, beyond saving and sending.
 func (l *loop) finish(output replicator.Output) error {
 	if output.Reason != "" {
+		if l.replicator.Leads() {
+			metrics.elections.Add(1)
+		}
 		l.log.Info("role changed", "leader", l.leaderName(), "leads", l.replicator.Leads(), "term",
 			l.replicator.Term(), "reason", output.Reason)
 	}
--- /dev/null
+++ b/control/pkg/proposer/bench_test.go
@@ -0,0 +1,134 @@
+package proposer_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/control/pkg/storer"
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/keyer"
+	"samphiremount.example/core/replicator"
+)
+
+// BenchmarkCommit is one operator who waits for each change: 3 members, real connections and real syncs.
+func BenchmarkCommit(b *testing.B) {
+	c := newCluster(b, 3)
+	leader := c.leader()
+	for i := 0; b.Loop(); i++ {
+		_, err := leader.Propose(b.Context(), batch(fmt.Sprint(i), workspace("w", i+1)))
+		assert.NilError(b, err)
+	}
+}
+
+// BenchmarkCommitParallel is 64 operators at a time.
+func BenchmarkCommitParallel(b *testing.B) {
+	c := newCluster(b, 3)
+	leader := c.leader()
+	var next atomic.Int64
+	b.SetParallelism(64)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			i := next.Add(1)
+			_, err := leader.Propose(b.Context(), batch(fmt.Sprint(i), workspace(fmt.Sprint("w", i%64), int(i))))
+			assert.NilError(b, err)
+		}
+	})
+}
+
+// BenchmarkFailover is the time from the loss of the leader to the first change accepted by another.
+func BenchmarkFailover(b *testing.B) {
+	c := newCluster(b, 3)
+	for i := 0; b.Loop(); i++ {
+		leader := c.leader()
+		for name, m := range c.members {
+			if m == leader {
+				b.StopTimer()
+				c.stop(name)
+				b.StartTimer()
+				_, err := c.leader().Propose(b.Context(), batch(fmt.Sprint(i), workspace("w", i+1)))
+				assert.NilError(b, err)
+				b.StopTimer()
+				c.start(name)
+				time.Sleep(2 * replicator.ElectionTimeout)
+				b.StartTimer()
+				break
+			}
+		}
+	}
+}
+
+// target is the configuration of the target size: 11,000 routes to 620 services, and 81,000 workspaces with a key each.
+func target(b *testing.B) configurer.Configuration {
+	b.Helper()
+	var changes []configurer.Change
+	for i := range 620 {
+		changes = append(changes, configurer.PutService{Service: configurer.Service{Name: fmt.Sprintf("service%d", i), Floor: 8}})
+	}
+	for i := range 11_000 {
+		changes = append(changes, configurer.PutRoute{Route: configurer.Route{
+			Name: fmt.Sprintf("route%d", i), Host: fmt.Sprintf("host%d.example", i%900), Prefix: fmt.Sprintf("/path%d", i),
+			Service: fmt.Sprintf("service%d", i%620), Limit: time.Second,
+		}})
+	}
+	for i := range 81_000 {
+		name := fmt.Sprintf("workspace%d", i)
+		digest := keyer.Digest{byte(i), byte(i >> 8), byte(i >> 16)}
+		changes = append(changes, workspace(name, i+1),
+			configurer.IssueKey{Key: configurer.Key{ID: fmt.Sprintf("key%012d", i), Workspace: name, Digest: digest}})
+	}
+	configuration, _, err := configurer.Configuration{}.With(batch("target", changes...))
+	assert.NilError(b, err)
+	return configuration
+}
+
+// BenchmarkSnapshot encodes the target size and writes it with syncs.
+func BenchmarkSnapshot(b *testing.B) {
+	configuration := target(b)
+	folder, err := storer.NewFolder(b.TempDir())
+	assert.NilError(b, err)
+	store, _, _, err := storer.Open(folder, "m0", "m0.1")
+	assert.NilError(b, err)
+	size := 0
+	for i := uint64(1); b.Loop(); i++ {
+		data, err := configuration.Encode()
+		assert.NilError(b, err)
+		size = len(data)
+		snapshot := replicator.Snapshot{Position: replicator.Position{Index: i, Term: 1}, Data: data}
+		assert.NilError(b, store.Write(replicator.Save{State: replicator.State{Term: 1}, Snapshot: &snapshot}))
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
+
+// BenchmarkRestore reads the target size from disk and builds the configuration.
+func BenchmarkRestore(b *testing.B) {
+	data, err := target(b).Encode()
+	assert.NilError(b, err)
+	folder, err := storer.NewFolder(b.TempDir())
+	assert.NilError(b, err)
+	store, _, _, err := storer.Open(folder, "m0", "m0.1")
+	assert.NilError(b, err)
+	snapshot := replicator.Snapshot{Position: replicator.Position{Index: 1, Term: 1}, Data: data}
+	assert.NilError(b, store.Write(replicator.Save{State: replicator.State{Term: 1}, Snapshot: &snapshot}))
+	for b.Loop() {
+		_, _, stored, err := storer.Open(folder, "m0", "m0.1")
+		assert.NilError(b, err)
+		_, err = configurer.Decode(stored.Snapshot.Data)
+		assert.NilError(b, err)
+	}
+}
+
+// BenchmarkSync is one sync of a short record, the least that a commit can cost.
+func BenchmarkSync(b *testing.B) {
+	folder, err := storer.NewFolder(b.TempDir())
+	assert.NilError(b, err)
+	store, _, _, err := storer.Open(folder, "m0", "m0.1")
+	assert.NilError(b, err)
+	for i := uint64(1); b.Loop(); i++ {
+		assert.NilError(b, store.Write(replicator.Save{State: replicator.State{Term: i}}))
+		assert.NilError(b, store.Sync())
+	}
+}
--- /dev/null
+++ b/control/pkg/proposer/cluster_test.go
@@ -0,0 +1,119 @@
+package proposer_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/control/pkg/proposer"
+	"samphiremount.example/control/pkg/storer"
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/replicator"
+	"samphiremount.example/core/synchronizer"
+)
+
+// member is one control process's part of the log, in this process but with a real folder and real connections.
+type member struct {
+	*proposer.Replicated
+
+	hub    *synchronizer.Hub
+	folder *storer.Folder
+	cancel context.CancelFunc
+	group  *errgroup.Group
+}
+
+// cluster runs members on the loopback address.
+type cluster struct {
+	tb        testing.TB
+	path      string
+	addresses map[string]string
+	members   map[string]*member
+	wrap      func(storer.Disk) storer.Disk
+	drawn     int
+}
+
+func newCluster(tb testing.TB, size int) *cluster {
+	tb.Helper()
+	c := &cluster{tb: tb, path: tb.TempDir(), addresses: make(map[string]string), members: make(map[string]*member)}
+	c.wrap = func(disk storer.Disk) storer.Disk { return disk }
+	for i := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(tb, err)
+		c.addresses[fmt.Sprintf("m%d", i)] = listener.Addr().String()
+		assert.NilError(tb, listener.Close())
+	}
+	for name := range c.addresses {
+		c.start(name)
+	}
+	tb.Cleanup(func() {
+		for name := range c.members {
+			c.stop(name)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(name string) *member {
+	c.tb.Helper()
+	c.drawn++
+	folder, err := storer.NewFolder(filepath.Join(c.path, name))
+	assert.NilError(c.tb, err)
+	credentials := messenger.NewCredentials("test", []byte("a-secret-of-a-test-fleet"))
+	log := slog.New(slog.DiscardHandler)
+	m := &member{hub: synchronizer.NewHub(), folder: folder}
+	settings := proposer.Settings{Name: name, Addresses: c.addresses}
+	drawn := replicator.Identity(fmt.Sprintf("%s.%d", name, c.drawn))
+	m.Replicated, err = proposer.New(settings, c.wrap(folder), drawn, m.hub, messenger.NewPool(credentials), log)
+	assert.NilError(c.tb, err)
+	mux := messenger.Mux{}
+	m.Register(mux)
+	listener, err := net.Listen("tcp", c.addresses[name])
+	assert.NilError(c.tb, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.group, ctx = errgroup.WithContext(ctx)
+	m.group.Go(func() error { return messenger.NewServer(credentials, mux, log).Serve(ctx, listener) })
+	m.group.Go(func() error { return m.Run(ctx) })
+	c.members[name] = m
+	return m
+}
+
+func (c *cluster) stop(name string) {
+	m := c.members[name]
+	m.cancel()
+	_ = m.group.Wait()
+	_ = m.folder.Close()
+	delete(c.members, name)
+}
+
+// leader waits until a member leads and can confirm it.
+func (c *cluster) leader() *member {
+	c.tb.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		for name, m := range c.members {
+			if m.Status().Leader == name && m.Confirm(c.tb.Context()) == nil {
+				return m
+			}
+		}
+	}
+	c.tb.Fatal("no member leads")
+	return nil
+}
+
+func workspace(name string, rate int) configurer.Change {
+	return configurer.PutWorkspace{
+		Workspace: configurer.Workspace{Name: name, Rate: configurer.PerSecond(rate), Burst: 1},
+	}
+}
+
+func batch(operation string, changes ...configurer.Change) configurer.Batch {
+	return configurer.Batch{Operation: operation, Changes: changes}
+}
--- a/control/pkg/proposer/introduce.go
+++ b/control/pkg/proposer/introduce.go
@@ -40,7 +40,10 @@
 	for p.status.get().Members.Empty() {
 		if members, ok := p.meetAll(ctx); ok {
 			p.log.Info("cluster founded", "members", names(members.Voters))
-			p.inputs <- replicator.Found{Members: members}
+			select {
+			case p.inputs <- replicator.Found{Members: members}:
+			case <-ctx.Done():
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/control/pkg/proposer/proposer.go
+++ b/control/pkg/proposer/proposer.go
@@ -114,7 +114,10 @@
 func (p *Replicated) Replace(ctx context.Context, name string) error {
 	status := p.status.get()
 	newcomer, ok := status.newcomer(name)
-	if !ok && status.Leader == p.settings.Name {
+	if status.Leader != p.settings.Name {
+		return refuser.Refuse(refuser.LeaderUnknown, "the leader is "+status.Leader)
+	}
+	if !ok {
 		return refuser.Refuse(refuser.ChangeInvalid, "no process called "+name+" reports with an empty data folder")
 	}
 	old, _ := status.Members.Named(name)
--- /dev/null
+++ b/control/pkg/proposer/proposer_test.go
@@ -0,0 +1,99 @@
+package proposer_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/control/pkg/storer"
+	"samphiremount.example/core/refuser"
+)
+
+// TestSnapshotsAndReceipts has more changes than a log keeps, so that a member that was away needs a snapshot. A resend
+// of the very first operation gets its first receipt from it.
+func TestSnapshotsAndReceipts(t *testing.T) {
+	c := newCluster(t, 3)
+	leader := c.leader()
+	first, err := leader.Propose(t.Context(), batch("first", workspace("w", 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, first.Version, uint64(1))
+	away := "m0"
+	if c.members[away] == leader {
+		away = "m1"
+	}
+	c.stop(away)
+	large := make([]string, 100)
+	for i := range large {
+		large[i] = fmt.Sprintf("%0100000d", i)
+	}
+	for i, name := range large {
+		_, err := leader.Propose(t.Context(), batch(fmt.Sprint(i), workspace(name, 1)))
+		assert.NilError(t, err)
+	}
+	back := c.start(away)
+	for deadline := time.Now().Add(20 * time.Second); back.hub.Configuration().Version() < 101; {
+		assert.Assert(t, time.Now().Before(deadline), "version %d", back.hub.Configuration().Version())
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.NilError(t, back.Confirm(t.Context()))
+	receipt, ok := back.hub.Configuration().Receipt("first")
+	assert.Assert(t, ok)
+	assert.Equal(t, receipt, first)
+	again, err := c.leader().Propose(t.Context(), batch("first", workspace("w", 1)))
+	assert.NilError(t, err)
+	assert.Equal(t, again, first)
+	_, err = back.Propose(t.Context(), batch("other", workspace("w", 2)))
+	assert.Equal(t, refuser.From(err).Kind, refuser.LeaderUnknown)
+}
+
+var errDisk = errors.New("the disk failed")
+
+// failingDisk fails the syncs of its files when it is told to.
+type failingDisk struct {
+	storer.Disk
+
+	fails *atomic.Bool
+}
+
+type failingFile struct {
+	storer.File
+
+	fails *atomic.Bool
+}
+
+func (d failingDisk) Append(name string) (storer.File, error) {
+	file, err := d.Disk.Append(name)
+	return failingFile{file, d.fails}, err
+}
+
+func (f failingFile) Sync() error {
+	if f.fails.Load() {
+		return errDisk
+	}
+	return f.File.Sync()
+}
+
+func TestFailedSyncEndsTheProcess(t *testing.T) {
+	var fails atomic.Bool
+	c := newCluster(t, 0)
+	c.wrap = func(disk storer.Disk) storer.Disk { return failingDisk{disk, &fails} }
+	c.addresses["m0"] = "127.0.0.1:0"
+	m := c.start("m0")
+	_, err := c.leader().Propose(t.Context(), batch("first", workspace("w", 1)))
+	assert.NilError(t, err)
+	m.cancel()
+	assert.NilError(t, m.group.Wait())
+	assert.NilError(t, m.folder.Close())
+
+	m = c.start("m0")
+	c.leader()
+	assert.Equal(t, m.hub.Configuration().Version(), uint64(1))
+	fails.Store(true)
+	_, err = m.Propose(t.Context(), batch("second", workspace("w", 2)))
+	assert.Assert(t, err != nil)
+	assert.ErrorIs(t, m.group.Wait(), errDisk)
+}
--- a/control/pkg/proposer/run.go
+++ b/control/pkg/proposer/run.go
@@ -66,11 +66,11 @@
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	defer func() { _ = l.store.Close() }()
+	defer l.answerAll("this process stops")
 	for {
 		var inputs []replicator.Input
 		select {
 		case <-ctx.Done():
-			l.answerAll("this process stops")
 			return nil
 		case <-ticker.C:
 			inputs = append(inputs, replicator.Tick{})
@@ -161,8 +161,8 @@
 	if err := l.store.Sync(); err != nil {
 		return 0, err
 	}
-	metrics.Add("syncs", 1)
-	metrics.Add("sync_microseconds", time.Since(started).Microseconds())
+	metrics.syncs.Add(1)
+	metrics.syncMicroseconds.Add(time.Since(started).Microseconds())
 	return sequence, nil
 }
 
@@ -192,16 +192,20 @@
 		waiting.answer <- answer{err: refuser.Fail(refuser.LeaderUnknown, detail)}
 		delete(l.appended, index)
 	}
+	for id, waiting := range l.waiting {
+		waiting <- answer{err: refuser.Refuse(refuser.LeaderUnknown, detail)}
+		delete(l.waiting, id)
+	}
 }
 
 func (l *loop) publish() {
 	l.status.set(l.replicator)
-	leads := uint64(0)
+	leads := int64(0)
 	if l.replicator.Leads() {
 		leads = 1
 	}
-	gauge("leads", leads)
-	gauge("term", l.replicator.Term())
-	gauge("commit", l.replicator.Commit())
-	gauge("log_bytes", uint64(l.store.Bytes()))
+	metrics.leads.Set(leads)
+	metrics.term.Set(int64(l.replicator.Term()))
+	metrics.commit.Set(int64(l.replicator.Commit()))
+	metrics.log.Set(l.store.Bytes())
 }
--- a/control/pkg/proposer/status.go
+++ b/control/pkg/proposer/status.go
@@ -1,7 +1,6 @@
 package proposer
 
 import (
-	"expvar"
 	"maps"
 	"slices"
 	"sync"
@@ -92,13 +91,3 @@
 	member, ok := k.known[identity]
 	return member, ok
 }
-
-// metrics are served by expvar: counts since the start, and the newest term, commit and log size in bytes. Leads is 1
-// on the leader.
-var metrics = expvar.NewMap("replicate")
-
-func gauge(name string, value uint64) {
-	number := &expvar.Int{}
-	number.Set(int64(value))
-	metrics.Set(name, number)
-}
--- a/control/pkg/transporter/lane.go
+++ b/control/pkg/transporter/lane.go
@@ -75,7 +75,7 @@
 func (l *lane) note(err error) {
 	switch {
 	case err != nil && !l.failed:
-		l.log.Warn("member cannot be reached", "address", l.address, "reason", err)
+		l.log.Warn("member cannot be reached", "address", l.address, "reason", err.Error())
 	case err == nil && l.failed:
 		l.log.Info("member reached again", "address", l.address)
 	}
