--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -25,9 +25,9 @@
 	"samphiremount.example/node/pkg/carrier"
 	"samphiremount.example/node/pkg/enroller"
 	"samphiremount.example/node/pkg/gatekeeper"
-	"samphiremount.example/node/pkg/recorder"
 	"samphiremount.example/node/pkg/keeper"
 	"samphiremount.example/node/pkg/prober"
+	"samphiremount.example/node/pkg/recorder"
 	"samphiremount.example/node/pkg/reporter"
 	"samphiremount.example/node/pkg/viewer"
 )
