--- a/control/pkg/starter/settings.go
+++ b/control/pkg/starter/settings.go
@@ -2,6 +2,8 @@
 package starter
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -73,3 +75,21 @@
 	}
 	return addresses
 }
+
+// Names returns the names of all members, sorted. The workspaces' rates are divided by them, so they must be alike on
+// all control processes.
+func (s *Settings) Names() []string {
+	return slices.Sorted(maps.Keys(s.Addresses()))
+}
+
+// Others returns the addresses of the other members, sorted by their names.
+func (s *Settings) Others() []string {
+	var others []string
+	addresses := s.Addresses()
+	for _, name := range s.Names() {
+		if name != s.Name {
+			others = append(others, addresses[name])
+		}
+	}
+	return others
+}
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -5,14 +5,13 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rs/xid"
 
-	"samphiremount.example/core/limiter"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	"samphiremount.example/node/pkg/carrier"
 	"samphiremount.example/node/pkg/viewer"
@@ -20,26 +19,27 @@
 
 // Dependencies are what an Acceptor needs.
 type Dependencies struct {
+	Name    string
 	Viewer  *viewer.Viewer
 	Client  *carrier.Client
-	Router  router.Router
+	Place   router.Place
 	Random  *rand.Rand
 	Route   *slog.Logger
 	Admit   *slog.Logger
-	Limiter *limiter.Limiter
+	Drawer  Drawer
+	Retrier *retrier.Retrier
 }
 
 // Acceptor serves callers.
 type Acceptor struct {
 	Dependencies
 
-	mu       sync.Mutex
-	inFlight map[string]int
+	chooser *chooser
 }
 
 // New returns an Acceptor without requests in flight.
 func New(dependencies Dependencies) *Acceptor {
-	return &Acceptor{Dependencies: dependencies, inFlight: make(map[string]int)}
+	return &Acceptor{Dependencies: dependencies, chooser: newChooser(dependencies)}
 }
 
 // Handler serves every method and path for callers.
@@ -66,6 +66,7 @@
 		// The caller must see that the answer is not whole, so the connection ends without its end mark.
 		panic(http.ErrAbortHandler)
 	}
+	a.Route.Info("request answered", "request", id, "status", answer.Status, "outcome", refuser.Ran{})
 	return nil
 }
 
@@ -78,7 +79,7 @@
 	if err != nil {
 		return carrier.Answer{}, err
 	}
-	if err := a.admit(view, admission, id); err != nil {
+	if err := a.admit(request.Context(), admission, id); err != nil {
 		return carrier.Answer{}, err
 	}
 	deadline := time.Now().Add(admission.route.Limit)
@@ -86,7 +87,7 @@
 		ID: id, Service: admission.route.Service, Workspace: admission.workspace.Name,
 		Repeatable: admission.route.Repeatable, Deadline: deadline, Method: request.Method,
 		URI: request.URL.RequestURI(), Host: request.Host, Header: forwardHeader(request, id, admission),
-		Length: request.ContentLength,
+		Length: request.ContentLength, Trailer: trailerNames(request.Trailer),
 	}
-	return a.forward(request.Context(), view, head, request)
+	return a.forward(request.Context(), head, request, admission.presented)
 }
--- a/node/pkg/carrier/body.go
+++ b/node/pkg/carrier/body.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"net/http"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -17,8 +19,15 @@
 	ErrCut = errors.New("body ended before its end mark")
 	// ErrDamaged is returned by a body that differs from what its end mark says.
 	ErrDamaged = errors.New("body differs from its end mark")
+
+	errSource = errors.New("body can't be read at its source")
 )
 
+// Trailed is a body that may end with trailers, which are known once it was read to its end.
+type Trailed interface {
+	Trailer() http.Header
+}
+
 // sendBody sends body in parts and closes it with its end. An error of reading ends it without one.
 func sendBody(stream drpc.Stream, body io.Reader) error {
 	digest := xxhash.New()
@@ -34,30 +43,47 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return send(stream, frameEnd, endBody{Length: length, Sum: digest.Sum64()})
+			end := endBody{Length: length, Sum: digest.Sum64()}
+			if trailed, ok := body.(Trailed); ok {
+				end.Trailer = trailed.Trailer()
+			}
+			return send(stream, frameEnd, end)
 		}
 		if err != nil {
-			return errors.Wrap(err, "read body")
+			return errors.CombineErrors(errSource, err)
 		}
 	}
 }
 
-// bodyReader reads the parts of a body from a stream and checks them against the end mark.
+// bodyReader reads the parts of a body from a stream and checks them against the end mark. It is safe for concurrent
+// use, since a reader may be given up while it waits.
 type bodyReader struct {
-	stream drpc.Stream
-	digest *xxhash.Digest
-	length uint64
-	frame  frame
-	rest   []byte
-	err    error
+	receive func(into *frame) error
+
+	mu      sync.Mutex
+	digest  *xxhash.Digest
+	length  uint64
+	frame   frame
+	rest    []byte
+	trailer http.Header
+	err     error
+}
+
+// newBodyReader reads the frames that receive delivers.
+func newBodyReader(receive func(into *frame) error) *bodyReader {
+	return &bodyReader{receive: receive, digest: xxhash.New()}
 }
 
-func newBodyReader(stream drpc.Stream) *bodyReader {
-	return &bodyReader{stream: stream, digest: xxhash.New()}
+func receiveFrom(stream drpc.Stream) func(into *frame) error {
+	return func(into *frame) error {
+		return errors.Wrap(stream.MsgRecv(into, frameEncoding{}), "receive frame")
+	}
 }
 
 // Read implements io.Reader. It returns io.EOF only for a whole body, and ErrCut or ErrDamaged for any other.
 func (r *bodyReader) Read(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for len(r.rest) == 0 && r.err == nil {
 		r.err = r.next()
 	}
@@ -70,7 +96,7 @@
 }
 
 func (r *bodyReader) next() error {
-	if err := r.stream.MsgRecv(&r.frame, frameEncoding{}); err != nil {
+	if err := r.receive(&r.frame); err != nil {
 		return errors.CombineErrors(ErrCut, err)
 	}
 	switch r.frame.kind {
@@ -81,7 +107,7 @@
 		return nil
 	case frameEnd:
 		return r.checkEnd()
-	case frameHead, frameRefused, frameAnswer:
+	case frameHead, frameRefused, frameAnswer, frameProgress:
 	}
 	return errors.Newf("frame %d within a body", r.frame.kind)
 }
@@ -94,5 +120,29 @@
 	if end.Length != r.length || end.Sum != r.digest.Sum64() {
 		return ErrDamaged
 	}
+	r.trailer = end.Trailer
 	return io.EOF
 }
+
+// Trailer implements Trailed.
+func (r *bodyReader) Trailer() http.Header {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.trailer
+}
+
+// drain reads on to the end of the body, or of the stream if the sender gives up.
+func (r *bodyReader) drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.err == nil {
+		r.err = r.next()
+	}
+}
+
+// whole reports whether the body was read to its end mark.
+func (r *bodyReader) whole() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return errors.Is(r.err, io.EOF)
+}
--- a/node/pkg/viewer/viewer.go
+++ b/node/pkg/viewer/viewer.go
@@ -21,7 +21,7 @@
 	Directory     tracker.Directory
 
 	withdrawn map[string]struct{}
-	assessor  assessor.Assessor
+	contacts  *atomic.Pointer[assessor.Assessor]
 }
 
 // Withdrawn reports whether the key is withdrawn, by the configuration or outside it.
@@ -32,19 +32,21 @@
 
 // Assess returns whether the node may serve keyed requests at now.
 func (v *View) Assess(now time.Time) assessor.Verdict {
-	return v.assessor.Assess(now)
+	return v.contacts.Load().Assess(now)
 }
 
 // ControlAge returns how long ago a control process was heard, directly or by a peer.
 func (v *View) ControlAge(now time.Time) time.Duration {
-	return v.assessor.Age(now)
+	return v.contacts.Load().Age(now)
 }
 
-// Viewer hands out the newest View without locking its readers.
+// Viewer hands out the newest View without locking its readers. Contacts change each second and stand apart, so that
+// a View changes only with what it shows.
 type Viewer struct {
-	hub  *synchronizer.Hub
-	mu   sync.Mutex
-	view atomic.Pointer[View]
+	hub      *synchronizer.Hub
+	mu       sync.Mutex
+	view     atomic.Pointer[View]
+	contacts atomic.Pointer[assessor.Assessor]
 }
 
 var _ synchronizer.Sink = (*Viewer)(nil)
@@ -52,7 +54,8 @@
 // New returns a Viewer of what hub holds.
 func New(hub *synchronizer.Hub) *Viewer {
 	viewer := &Viewer{hub: hub}
-	viewer.view.Store(&View{Matcher: matcher.New(nil)})
+	viewer.contacts.Store(&assessor.Assessor{})
+	viewer.view.Store(&View{Matcher: matcher.New(nil), contacts: &viewer.contacts})
 	return viewer
 }
 
@@ -121,9 +124,8 @@
 func (v *Viewer) assess(change func(assessor.Assessor) assessor.Assessor) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	view := *v.view.Load()
-	view.assessor = change(view.assessor)
-	v.view.Store(&view)
+	next := change(*v.contacts.Load())
+	v.contacts.Store(&next)
 }
 
 func (v *Viewer) withdrawn() map[string]struct{} {
--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -37,6 +37,7 @@
 	mu        sync.Mutex
 	processes map[string]*process
 	relays    map[string]*relay
+	flood     *flood
 }
 
 type process struct {
@@ -120,6 +121,9 @@
 		f.start(ts, fmt.Sprintf("node%d", i))
 		f.start(ts, fmt.Sprintf("target%d", i))
 	}
+	for i := range controls {
+		loggedCommand(ts, false, []string{fmt.Sprintf("control%d", i), "lend: lending starts"})
+	}
 	f.until(ts, "version", "samphire", "version")
 	ts.Check(ts.Exec("samphire", "sheet", "apply", "--floors", ts.Getenv("ROOT")+"/examples/showbook.csv"))
 	for i := range nodes {
