--- /dev/null
+++ b/standin/scenarios/docs_test.go
@@ -0,0 +1,199 @@
+package scenarios_test
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/refuser"
+)
+
+const root = "../.."
+
+// TestDocumentedFlags holds docs/CONFIGURATION.md against the flags, environment variables and defaults of the programs.
+func TestDocumentedFlags(t *testing.T) {
+	for _, program := range []string{"samphire-node", "samphire-control"} {
+		documented := rowsOf(t, section(t, "CONFIGURATION.md", "## "+program), 3)
+		assert.DeepEqual(t, documented, flagsOf(help(t, program)))
+	}
+}
+
+// TestDocumentedCommands holds docs/COMMANDS.md against the commands of samphire and their flags.
+func TestDocumentedCommands(t *testing.T) {
+	commands := make(map[string]string)
+	walk(t, nil, commands)
+	for path, text := range commands {
+		section := section(t, "COMMANDS.md", "### samphire "+path+"\n")
+		_, options, _ := strings.Cut(text, "command options]")
+		for _, flag := range flagsOf(options) {
+			name, _, _ := strings.Cut(flag, " ")
+			assert.Assert(t, strings.Contains(section, "`"+name), "flag %s of %s is not documented", name, path)
+		}
+	}
+	for _, heading := range regexp.MustCompile(`(?m)^### samphire (.*)$`).FindAllStringSubmatch(page(t, "COMMANDS.md"), -1) {
+		_, ok := commands[heading[1]]
+		assert.Assert(t, ok, "no command is called %s", heading[1])
+	}
+	for _, flag := range flagsOf(help(t, "samphire")) {
+		name, _, _ := strings.Cut(flag, " ")
+		assert.Assert(t, strings.Contains(page(t, "COMMANDS.md"), "`"+name), "%s", name)
+	}
+}
+
+// TestDocumentedErrorKinds holds docs/ERRORS.md against the table of answers.
+func TestDocumentedErrorKinds(t *testing.T) {
+	var wanted []string
+	for _, kind := range refuser.Kinds() {
+		answer := kind.Answer()
+		again := map[bool]string{true: "yes", false: "no"}[answer.Again]
+		wanted = append(wanted, fmt.Sprintf("%s %d %s %s", kind, answer.Status, again, answer.Message))
+	}
+	slices.Sort(wanted)
+	assert.DeepEqual(t, rowsOf(t, section(t, "ERRORS.md", "## Kinds"), 4), wanted)
+}
+
+// TestDocumentedLogPrefixes holds docs/LOGS.md against the parts that the programs log under.
+func TestDocumentedLogPrefixes(t *testing.T) {
+	wanted := source(t, `Part\("([a-z]+)"\)`)
+	for i := range wanted {
+		wanted[i] += ":"
+	}
+	assert.DeepEqual(t, rowsOf(t, section(t, "LOGS.md", "## Prefixes"), 1), wanted)
+}
+
+// TestDocumentedMetrics holds docs/METRICS.md against the maps and counters that the programs publish. A counter whose
+// name is put together is documented with a star.
+func TestDocumentedMetrics(t *testing.T) {
+	wanted := source(t, `expvar\.New[A-Za-z]+\("([a-z_]+)"\)`)
+	for i := range wanted {
+		wanted[i] = "map " + wanted[i]
+	}
+	for _, counter := range source(t, `\b[a-z]\w*\.Add\(("[a-z_]+"(?: ?\+)?)`) {
+		name, open := strings.CutSuffix(counter, "+")
+		name = strings.Trim(strings.TrimSpace(name), `"`)
+		if open {
+			name += "*"
+		}
+		wanted = append(wanted, "counter "+name)
+	}
+	slices.Sort(wanted)
+	assert.DeepEqual(t, rowsOf(t, section(t, "METRICS.md", "## Names"), 2), slices.Compact(wanted))
+}
+
+func page(t *testing.T, name string) string {
+	t.Helper()
+	content, err := os.ReadFile(filepath.Join(root, "docs", name))
+	assert.NilError(t, err)
+	return string(content)
+}
+
+// section returns the part of a page from a heading to the next heading.
+func section(t *testing.T, name, heading string) string {
+	t.Helper()
+	_, rest, ok := strings.Cut(page(t, name), heading)
+	assert.Assert(t, ok, "%s has no heading %q", name, heading)
+	if end := regexp.MustCompile(`(?m)^#+ `).FindStringIndex(rest); end != nil {
+		rest = rest[:end[0]]
+	}
+	return rest
+}
+
+// rowsOf returns the first cells of each row of a table, without code marks, sorted.
+func rowsOf(t *testing.T, text string, cells int) []string {
+	t.Helper()
+	var rows []string
+	for line := range strings.Lines(text) {
+		if !strings.HasPrefix(line, "| `") {
+			continue
+		}
+		all := strings.Split(line, "|")
+		assert.Assert(t, len(all) > cells, line)
+		var kept []string
+		for _, cell := range all[1 : cells+1] {
+			if cell = strings.Trim(strings.TrimSpace(cell), "`"); cell != "" {
+				kept = append(kept, cell)
+			}
+		}
+		rows = append(rows, strings.Join(kept, " "))
+	}
+	slices.Sort(rows)
+	return rows
+}
+
+// help returns what a program prints for --help, with each run of white space as one space.
+func help(t *testing.T, program string, command ...string) string {
+	t.Helper()
+	arguments := append(slices.Clone(command), "--help")
+	output, err := exec.Command(filepath.Join(root, "bin", program), arguments...).Output()
+	assert.NilError(t, err, "%s is built by make build", program)
+	return string(output)
+}
+
+// flagsOf returns the flags of a help text with their environment variables and defaults, sorted.
+func flagsOf(text string) []string {
+	text, _, _ = strings.Cut(text, "Help Options:")
+	starts := regexp.MustCompile(`(?m)^ +--[a-z]`).FindAllStringIndex(text, -1)
+	var flags []string
+	for i, start := range starts {
+		end := len(text)
+		if i+1 < len(starts) {
+			end = starts[i+1][0]
+		}
+		block := strings.Join(strings.Fields(text[start[0]:end]), " ")
+		parts := []string{regexp.MustCompile(`^--[a-z-]+`).FindString(block)}
+		for _, pattern := range []string{`\[\$([A-Z_]+)\]`, `\(default: ([^)]*)\)`} {
+			if found := regexp.MustCompile(pattern).FindStringSubmatch(block); found != nil {
+				parts = append(parts, found[1])
+			}
+		}
+		flags = append(flags, strings.Join(parts, " "))
+	}
+	slices.Sort(flags)
+	return flags
+}
+
+// walk collects the help text of each command that can be run.
+func walk(t *testing.T, path []string, commands map[string]string) {
+	t.Helper()
+	text := help(t, "samphire", path...)
+	_, list, more := strings.Cut(text, "Available commands:\n")
+	usage, _, _ := strings.Cut(text, "\n\n")
+	if len(path) > 0 && (!more || !strings.Contains(usage, "<")) {
+		commands[strings.Join(path, " ")] = text
+	}
+	for line := range strings.Lines(list) {
+		if fields := strings.Fields(line); len(fields) > 0 {
+			walk(t, append(slices.Clone(path), fields[0]), commands)
+		}
+	}
+}
+
+// source returns the distinct first groups of pattern in the programs' sources, sorted.
+func source(t *testing.T, pattern string) []string {
+	t.Helper()
+	wanted := regexp.MustCompile(pattern)
+	var found []string
+	for _, module := range []string{"core", "control", "node", "ctl"} {
+		err := filepath.WalkDir(filepath.Join(root, module), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			content, err := os.ReadFile(path)
+			for _, match := range wanted.FindAllStringSubmatch(string(content), -1) {
+				found = append(found, match[1])
+			}
+			return err
+		})
+		assert.NilError(t, err)
+	}
+	slices.Sort(found)
+	return slices.Compact(found)
+}
