--- a/core/explainer/explainer.go
+++ b/core/explainer/explainer.go
@@ -25,10 +25,10 @@
 
 // Decision is one log line about a request, as the node wrote it. Time is that of the node's clock.
 type Decision struct {
-	Time    time.Time `cbor:"1,keyasint" json:"time"`
-	Node    string    `cbor:"2,keyasint" json:"node"`
-	Message string    `cbor:"3,keyasint" json:"message"`
-	Details []Detail  `cbor:"4,keyasint,omitempty" json:"details"`
+	Time    time.Time `json:"time"`
+	Node    string    `json:"node"`
+	Message string    `json:"message"`
+	Details []Detail  `json:"details"`
 }
 
 // Detail is one attribute of a decision.
@@ -48,7 +48,14 @@
 }
 
 type answer struct {
-	Decisions []Decision `cbor:"1,keyasint,omitempty"`
+	Decisions []wireDecision `cbor:"1,keyasint,omitempty"`
+}
+
+// wireDecision carries the time in nanoseconds, since times in the fleet's encoding have whole seconds only.
+type wireDecision struct {
+	Nanoseconds int64    `cbor:"1,keyasint"`
+	Message     string   `cbor:"2,keyasint"`
+	Details     []Detail `cbor:"3,keyasint,omitempty"`
 }
 
 // Register lets other processes of the fleet ask source.
@@ -58,7 +65,10 @@
 		if err := stream.MsgRecv(&asked, messenger.Encoding{}); err != nil {
 			return errors.Wrap(err, "receive question")
 		}
-		reply := answer{source.Decisions(asked.Request)}
+		var reply answer
+		for _, d := range source.Decisions(asked.Request) {
+			reply.Decisions = append(reply.Decisions, wireDecision{d.Time.UnixNano(), d.Message, d.Details})
+		}
 		return errors.Wrap(stream.MsgSend(&reply, messenger.Encoding{}), "send decisions")
 	}
 }
@@ -89,9 +99,8 @@
 			if err != nil {
 				silent = append(silent, node.Name)
 			}
-			for _, decision := range known {
-				decision.Node = node.Name
-				decisions = append(decisions, decision)
+			for _, d := range known {
+				decisions = append(decisions, Decision{time.Unix(0, d.Nanoseconds), node.Name, d.Message, d.Details})
 			}
 			return nil
 		})
@@ -107,7 +116,7 @@
 	return decisions, silent
 }
 
-func (e *Explainer) ask(ctx context.Context, address, id string) ([]Decision, error) {
+func (e *Explainer) ask(ctx context.Context, address, id string) ([]wireDecision, error) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
 	var reply answer
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -66,6 +66,7 @@
 		// The caller must see that the answer is not whole, so the connection ends without its end mark.
 		panic(http.ErrAbortHandler)
 	}
+	a.Route.Info("request answered", "request", id, "status", answer.Status, "outcome", refuser.Ran{})
 	return nil
 }
 
