--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -10,6 +10,9 @@
 
 	"samphiremount.example/control/pkg/administrator"
 	"samphiremount.example/control/pkg/storer"
+	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/explainer"
+	"samphiremount.example/core/lender"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	core "samphiremount.example/core/starter"
@@ -44,11 +47,16 @@
 	if err != nil {
 		return err
 	}
-	publisher := synchronizer.NewServer(hub, func() time.Duration { return 0 }, log.Part("publish"))
+	publisher := synchronizer.NewServer(hub, replicated.Age, log.Part("publish"))
 	mux := messenger.Mux{}
 	publisher.Register(mux)
 	replicated.Register(mux)
-	handler := administrator.New(token, replicated, hub, publisher, log.Part("operate")).Handler()
+	rates := lender.New(time.Now(), lender.Dependencies{
+		Name: settings.Name, Lenders: settings.AllLenders().Names(), Peers: settings.AllLenders().Others(settings.Name), Configuration: hub,
+		Borrower: exchanger.NewClient(pool), Log: log.Part("lend"),
+	})
+	exchanger.Register(mux, rates)
+	handler := administrator.New(token, replicated, hub, publisher, explainer.New(pool), log.Part("operate")).Handler()
 	log.Part("control").Info("control started", "name", settings.Name, "fleet", opened.fleet.Addr(),
 		"operators", opened.operators.Addr(), "metrics", opened.metrics.Addr())
 
@@ -58,10 +66,8 @@
 	group.Go(func() error { return messenger.NewServer(credentials, mux, log.Part("fleet")).Serve(ctx, opened.fleet) })
 	group.Go(func() error { return publisher.Run(ctx) })
 	group.Go(func() error { return replicated.Run(ctx) })
-	for name, address := range settings.Addresses() {
-		if name == settings.Name {
-			continue
-		}
+	group.Go(func() error { return rates.Run(ctx) })
+	for _, address := range settings.Addresses().Others(settings.Name) {
 		client := synchronizer.NewClient(pool, func() []string { return []string{address} }, directorySink{hub}, nil, log.Part("follow"))
 		group.Go(func() error { return client.Run(ctx) })
 	}
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -5,13 +5,11 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rs/xid"
 
-	"samphiremount.example/core/limiter"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
@@ -24,11 +22,11 @@
 	Name    string
 	Viewer  *viewer.Viewer
 	Client  *carrier.Client
-	Router  router.Router
+	Place   router.Place
 	Random  *rand.Rand
 	Route   *slog.Logger
 	Admit   *slog.Logger
-	Limiter *limiter.Limiter
+	Drawer  Drawer
 	Retrier *retrier.Retrier
 }
 
@@ -36,13 +34,12 @@
 type Acceptor struct {
 	Dependencies
 
-	mu       sync.Mutex
-	inFlight map[string]int
+	chooser *chooser
 }
 
 // New returns an Acceptor without requests in flight.
 func New(dependencies Dependencies) *Acceptor {
-	return &Acceptor{Dependencies: dependencies, inFlight: make(map[string]int)}
+	return &Acceptor{Dependencies: dependencies, chooser: newChooser(dependencies)}
 }
 
 // Handler serves every method and path for callers.
@@ -69,6 +66,7 @@
 		// The caller must see that the answer is not whole, so the connection ends without its end mark.
 		panic(http.ErrAbortHandler)
 	}
+	a.Route.Info("request answered", "request", id, "status", answer.Status, "outcome", refuser.Ran{})
 	return nil
 }
 
@@ -81,7 +79,7 @@
 	if err != nil {
 		return carrier.Answer{}, err
 	}
-	if err := a.admit(view, admission, id); err != nil {
+	if err := a.admit(request.Context(), admission, id); err != nil {
 		return carrier.Answer{}, err
 	}
 	deadline := time.Now().Add(admission.route.Limit)
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -16,7 +16,6 @@
 
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/keyer"
-	"samphiremount.example/core/limiter"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/registrar"
 	"samphiremount.example/core/retrier"
@@ -38,6 +37,11 @@
 	return announcement, ok
 }
 
+// freeDrawer admits every request.
+type freeDrawer struct{}
+
+func (freeDrawer) Draw(context.Context, string) (string, error) { return "free", nil }
+
 // fleet is an entry and a gate in one process, with targets that are handlers.
 type fleet struct {
 	entry *httptest.Server
@@ -87,13 +91,14 @@
 	}})
 	assert.NilError(t, err)
 	view.Install(configuration)
-	view.Heard(0)
+	// No control process runs here; the contact lies ahead, so that it stays fresh to the end of the test.
+	view.Heard(-time.Hour)
 	view.Merge(tracker.Node{
 		Name: "node", Region: "r", Centre: "c", Address: listener.Addr().String(), Incarnation: 1, Sequence: 1, Targets: placed,
 	})
 	entry := acceptor.New(acceptor.Dependencies{
-		Name: "node", Viewer: view, Client: client, Limiter: limiter.New(), Retrier: retrier.New(),
-		Router: router.New(router.Place{Region: "r", Centre: "c"}), Random: rand.New(rand.NewPCG(1, 2)),
+		Name: "node", Viewer: view, Client: client, Drawer: freeDrawer{}, Retrier: retrier.New(),
+		Place: router.Place{Region: "r", Centre: "c"}, Random: rand.New(rand.NewPCG(1, 2)),
 		Route: log, Admit: log,
 	})
 	server := httptest.NewServer(entry.Handler())
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -19,7 +19,7 @@
 	head    carrier.Head
 	body    *body
 	attempt retrier.Attempt
-	tried   map[string]bool
+	tried   []string
 	doubt   bool
 }
 
@@ -32,7 +32,6 @@
 		head:    head,
 		body:    newBody(request, key),
 		attempt: retrier.Attempt{Service: head.Service, Number: 1, Repeatable: head.Repeatable, Deadline: head.Deadline},
-		tried:   make(map[string]bool),
 	}
 	var last error
 	for {
@@ -60,22 +59,21 @@
 // try makes one attempt. Sent is false if there was no target to send it to.
 func (a *Acceptor) try(ctx context.Context, f *forwarding) (answer carrier.Answer, sent bool, err error) {
 	view := a.Viewer.View()
-	choice, err := a.choose(view, f.head.Service, f.tried)
+	choice, err := a.chooser.choose(view, f.head, f.tried...)
 	if err != nil {
 		return carrier.Answer{}, false, err
 	}
 	target, node := choice.Placement.Target, choice.Placement.Node
-	f.tried[target.Name] = true
+	f.tried = append(f.tried, target.Name)
 	f.head.Target, f.head.Incarnation = target.Name, node.Incarnation
-	a.Route.Info("target chosen", "request", f.head.ID, "workspace", f.head.Workspace, "service", f.head.Service,
-		"target", target.Name, "node", node.Name, "reason", choice.Reason)
 	way := carrier.Way{Address: node.Address, Relays: func() []string { return a.relays(view, node.Name) }}
 	answer, err = a.Client.Carry(ctx, way, f.head, f.body.reader())
+	a.chooser.observe(target, answer, err)
 	if err != nil {
-		a.leave(target.Name)
+		a.chooser.leave(target.Name)
 		return carrier.Answer{}, true, f.blame(ctx, err)
 	}
-	answer.Body = countedBody{answer.Body, sync.OnceFunc(func() { a.leave(target.Name) })}
+	answer.Body = countedBody{answer.Body, sync.OnceFunc(func() { a.chooser.leave(target.Name) })}
 	return answer, true, nil
 }
 
@@ -127,9 +125,7 @@
 // relays returns the addresses of other nodes that may reach the gate of the node called name.
 func (a *Acceptor) relays(view *viewer.View, name string) []string {
 	nodes := view.Directory.Nodes()
-	a.mu.Lock()
-	order := a.Random.Perm(len(nodes))
-	a.mu.Unlock()
+	order := a.chooser.order(len(nodes))
 	var addresses []string
 	for _, i := range order {
 		node := nodes[i]
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -95,7 +96,7 @@
 			"outcome", refusal.Outcome, "detail", refusal.Detail)
 		return carrier.Answer{}, refusal
 	}
-	g.log.Debug("request ran", "request", head.ID, "target", head.Target, "status", answer.Status)
+	g.log.Info("request ran", "request", head.ID, "target", head.Target, "status", answer.Status)
 	return answer, nil
 }
 
@@ -123,6 +124,7 @@
 		g.finish(head.ID, refusal.Outcome != refuser.NotRun{})
 		return carrier.Answer{}, refusal
 	}
+	response.Header.Set(carrier.HeaderBusy, strconv.Itoa(g.busy(target.Name)))
 	return carrier.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -163,6 +165,16 @@
 	g.tombstoner.Finish(g.reading(), id, ran)
 }
 
+// busy returns the number of slots in use.
+func (g *Gatekeeper) busy(name string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l, ok := g.lines[name]; ok {
+		return l.inFlight
+	}
+	return 0
+}
+
 // explain turns the error of an exchange with a target into a refusal.
 func explain(ctx context.Context, err error) *refuser.Refusal {
 	var failure *connector.Failure
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -13,7 +13,9 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"samphiremount.example/core/limiter"
+	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/explainer"
+	"samphiremount.example/core/lender"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/retrier"
@@ -24,10 +26,12 @@
 	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/carrier"
 	"samphiremount.example/node/pkg/connector"
+	"samphiremount.example/node/pkg/drawer"
 	"samphiremount.example/node/pkg/enroller"
 	"samphiremount.example/node/pkg/gatekeeper"
 	"samphiremount.example/node/pkg/keeper"
 	"samphiremount.example/node/pkg/prober"
+	"samphiremount.example/node/pkg/recorder"
 	"samphiremount.example/node/pkg/reporter"
 	"samphiremount.example/node/pkg/viewer"
 )
@@ -108,13 +112,16 @@
 	prober   *prober.Prober
 	keeper   *keeper.Keeper
 	data     string
+	drawer   *drawer.Drawer
+	lender   *lender.Lender
 	acceptor *acceptor.Acceptor
 	carrier  *carrier.Server
 	server   *messenger.Server
 }
 
 func assemble(settings Settings, listeners listeners, credentials messenger.Credentials) parts {
-	log := logger.New(os.Stderr, settings.LogLevel())
+	decisions := recorder.New(settings.Decisions)
+	log := logger.New(os.Stderr, settings.LogLevel()).Through(decisions.Handler)
 	pool := messenger.NewPool(credentials)
 	incarnation := uint64(time.Now().UnixNano())
 	hub := synchronizer.NewHub()
@@ -125,20 +132,24 @@
 	})
 	targets := enroller.New(log.Part("enroll"), own.SetTargets)
 	mux := messenger.Mux{}
-	client := carrier.NewClient(pool, expvar.NewMap("entry"))
-	counts := expvar.NewMap("gate")
-	targetConns := connector.New(counts)
-	gate := gatekeeper.New(incarnation, targets, targetConns, counts, log.Part("gate"))
-	fleet := carrier.NewServer(gate, client)
-	fleet.Register(mux)
+	explainer.Register(mux, decisions)
 	age := func() time.Duration { return view.View().ControlAge(time.Now()) }
 	synchronizer.NewServer(hub, age, log.Part("publish")).Register(mux)
-	peers := prober.New(settings.Name, pool, view, rand.New(rand.NewPCG(incarnation, rand.Uint64())), log.Part("probe"))
+	draws := rand.New(rand.NewPCG(incarnation, rand.Uint64()))
+	peers := prober.New(settings.Name, settings.Region, pool, view, draws, log.Part("probe"))
 	peers.Register(mux)
 	cache := keeper.New(settings.Data, hub, log.Part("keep"))
 	if settings.Data != "" {
 		cache.Load(view)
 	}
+	rates := newLender(settings, mux, pool, hub, log)
+	tokens := drawer.New(exchanger.NewClient(pool), settings.lenderAddresses(), log.Part("admit"))
+	client := carrier.NewClient(pool, expvar.NewMap("entry"))
+	counts := expvar.NewMap("gate")
+	targetConns := connector.New(counts)
+	gate := gatekeeper.New(incarnation, targets, targetConns, counts, log.Part("gate"))
+	fleet := carrier.NewServer(gate, client)
+	fleet.Register(mux)
 	return parts{
 		log:      log,
 		view:     view,
@@ -151,15 +162,33 @@
 		data:     settings.Data,
 		client:   synchronizer.NewClient(pool, publishers(settings, view), view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
+		drawer:   tokens,
+		lender:   rates,
 		acceptor: acceptor.New(acceptor.Dependencies{
-			Name: settings.Name, Viewer: view, Client: client, Limiter: limiter.New(), Retrier: retrier.New(),
-			Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
+			Name: settings.Name, Viewer: view, Client: client, Drawer: tokens, Retrier: retrier.New(),
+			Place:  router.Place{Region: settings.Region, Centre: settings.Centre},
 			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 			Route:  log.Part("route"), Admit: log.Part("admit"),
 		}),
 	}
 }
 
+// newLender returns the lender of a node that is named as one, and nil on all others.
+func newLender(
+	settings Settings, mux messenger.Mux, pool *messenger.Pool, hub *synchronizer.Hub, log logger.Logger,
+) *lender.Lender {
+	lenders := settings.AllLenders()
+	if _, ok := lenders[settings.Name]; !ok {
+		return nil
+	}
+	rates := lender.New(time.Now(), lender.Dependencies{
+		Name: settings.Name, Lenders: lenders.Names(), Peers: lenders.Others(settings.Name), Configuration: hub,
+		Borrower: exchanger.NewClient(pool), Log: log.Part("lend"),
+	})
+	exchanger.Register(mux, rates)
+	return rates
+}
+
 // run stops the parts in order: the node leaves the directory first, then callers' connections finish, then what other
 // nodes sent to the gate, and the stream to control ends last.
 func (p parts) run(ctx context.Context, listeners listeners) error {
@@ -175,6 +204,10 @@
 	if p.data != "" {
 		group.Go(func() error { return p.keeper.Run(background) })
 	}
+	group.Go(func() error { return p.drawer.Run(background) })
+	if p.lender != nil {
+		group.Go(func() error { return p.lender.Run(background) })
+	}
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
 		defer stopBackground()
