Quarantine contents that crash targets, and tell all gates of the service

A request that kills every target it reaches, sent again by its caller, took one target with each send. Now what was on a connection that died with its target is suspect and runs only while nothing else runs there; two crashes, one of them alone, quarantine the content for 10 minutes at all gates of the service. A target that closes a connection and lives is not counted: else gray targets would have their callers' contents refused. Small bodies are read whole before a request starts, so a cut one never does.

Two gates, two targets: two targets lost, then "quarantined" at both; an innocent request beside the first crash runs again. With every content judged clear: "outcome-unknown != quarantined" and a third target lost.

--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -17,6 +17,7 @@
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/keyer"
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/registrar"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
@@ -68,7 +69,7 @@
 	client := carrier.NewClient(pool, new(expvar.Map))
 	counts := new(expvar.Map)
 	mux := messenger.Mux{}
-	carrier.NewServer(gatekeeper.New(1, known, connector.New(counts), counts, log), client).Register(mux)
+	carrier.NewServer(gatekeeper.New(1, known, connector.New(counts), counts, log, func(string, quarantiner.Crash) {}), client).Register(mux)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/pkg/carrier/carrier_test.go
+++ b/node/pkg/carrier/carrier_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/tombstoner"
 	"samphiremount.example/node/pkg/carrier"
@@ -59,6 +60,8 @@
 	return g.tombstoner.Bury(g.Clock().Reading, identity)
 }
 
+func (g *gate) Crash(quarantiner.Crash) {}
+
 func (g *gate) Clock() carrier.Clock {
 	return carrier.Clock{Incarnation: 7, Reading: tombstoner.Reading(time.Since(g.started).Milliseconds())}
 }
--- a/node/pkg/carrier/frame.go
+++ b/node/pkg/carrier/frame.go
@@ -9,11 +9,13 @@
 	"samphiremount.example/core/messenger"
 )
 
-// The calls between nodes. Clock reads a gate's clock, bury asks for a tombstone.
+// The calls between nodes. Clock reads a gate's clock, bury asks for a tombstone,
+// crash tells of a content that crashed a target.
 const (
 	callCarry = "carry"
 	callClock = "clock"
 	callBury  = "bury"
+	callCrash = "crash"
 )
 
 // frameKind is the first byte of each message.
--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/tombstoner"
 )
 
@@ -61,6 +62,8 @@
 	Running(id string) bool
 	// Bury makes sure that identity does not start from now on, and returns what is known of it.
 	Bury(identity tombstoner.Identity) tombstoner.State
+	// Crash records a crash that another gate saw.
+	Crash(crash quarantiner.Crash)
 	// Clock reads the gate's clock.
 	Clock() Clock
 }
--- a/node/pkg/carrier/server.go
+++ b/node/pkg/carrier/server.go
@@ -34,6 +34,7 @@
 	mux[callCarry] = s.carry
 	mux[callClock] = s.clock
 	mux[callBury] = s.bury
+	mux[callCrash] = s.crash
 }
 
 // Stop refuses new requests from now on and waits until the earlier ones have ended, or ctx.
--- a/node/pkg/connector/connector.go
+++ b/node/pkg/connector/connector.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 
 const (
 	dialTimeout     = time.Second
+	aliveTimeout    = 200 * time.Millisecond
 	keepAlivePeriod = 5 * time.Second
 	idleTimeout     = 20 * time.Second
 	idlePerTarget   = 64
@@ -70,6 +72,18 @@
 	return newConn(address, inner), nil
 }
 
+// Alive reports whether the target at address takes a connection now.
+func (c *Connector) Alive(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return true
+}
+
 // take returns the connection that was used last, or nil.
 func (c *Connector) take(address string) *conn {
 	c.mu.Lock()
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
 	"samphiremount.example/core/tombstoner"
@@ -38,14 +39,18 @@
 	mu         sync.Mutex
 	lines      map[string]*line
 	tombstoner *tombstoner.Tombstoner
+
+	quarantiner *quarantiner.Quarantiner
+	spread      func(service string, crash quarantiner.Crash)
 }
 
 var _ carrier.Gate = (*Gatekeeper)(nil)
 
 // New returns a Gatekeeper for the targets that targets knows. It refuses requests that are meant for another
-// incarnation of the node, and counts in counts.
+// incarnation of the node, and counts in counts. It calls spread to tell the other gates of a service of a crash.
 func New(
 	incarnation uint64, targets Targets, connector *connector.Connector, counts *expvar.Map, log *slog.Logger,
+	spread func(service string, crash quarantiner.Crash),
 ) *Gatekeeper {
 	return &Gatekeeper{
 		incarnation: incarnation,
@@ -56,6 +61,8 @@
 		log:         log,
 		lines:       make(map[string]*line),
 		tombstoner:  tombstoner.New(incarnation, tombstoner.Capacity),
+		quarantiner: quarantiner.New(),
+		spread:      spread,
 	}
 }
 
@@ -105,20 +112,26 @@
 	if !ok || target.Leaving {
 		return carrier.Answer{}, refuser.Refuse(refuser.TargetUnknown, "the target is gone or leaving")
 	}
-	request, err := newRequest(target, head, body)
+	content, err := readContent(head, body)
 	if err != nil {
 		return carrier.Answer{}, err
 	}
-	if err := g.acquire(ctx, target, head); err != nil {
+	request, err := newRequest(target, head, content.body)
+	if err != nil {
 		return carrier.Answer{}, err
 	}
-	release := sync.OnceFunc(func() { g.release(target.Name) })
+	alone, err := g.admit(ctx, target, head, content)
+	if err != nil {
+		return carrier.Answer{}, err
+	}
+	release := sync.OnceFunc(func() { g.release(target.Name, alone) })
 	if err := g.start(ctx, head); err != nil {
 		release()
 		return carrier.Answer{}, err
 	}
 	response, err := g.connector.Exchange(ctx, target.Address, request, head.Repeatable) //nolint:bodyclose // slotBody closes it
 	if err != nil {
+		g.examine(ctx, head, target, content, alone, err)
 		release()
 		refusal := explain(ctx, err)
 		g.finish(head.ID, refusal.Outcome != refuser.NotRun{})
@@ -128,7 +141,10 @@
 	return carrier.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
-		Body: &slotBody{ReadCloser: response.Body, response: response, release: func() {
+		Body: &slotBody{ReadCloser: response.Body, response: response, release: func(whole bool) {
+			if alone && whole {
+				g.acquit(content)
+			}
 			release()
 			g.finish(head.ID, true)
 		}},
@@ -197,7 +213,15 @@
 	io.ReadCloser
 
 	response *http.Response
-	release  func()
+	release  func(whole bool)
+	whole    bool
+}
+
+// Read implements io.Reader.
+func (b *slotBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.whole = b.whole || errors.Is(err, io.EOF)
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
 
 // Trailer implements carrier.Trailed.
@@ -207,6 +231,6 @@
 
 // Close implements io.Closer.
 func (b *slotBody) Close() error {
-	defer b.release()
+	defer func() { b.release(b.whole) }()
 	return errors.Wrap(b.ReadCloser.Close(), "close answer of target")
 }
--- a/node/pkg/gatekeeper/gatekeeper_test.go
+++ b/node/pkg/gatekeeper/gatekeeper_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
 	"samphiremount.example/core/tombstoner"
@@ -35,7 +36,8 @@
 	t.Cleanup(server.Close)
 	known := targets{"a": {Name: "a", Service: "s", Address: server.Listener.Addr().String(), Slots: slots}}
 	counts := new(expvar.Map)
-	return gatekeeper.New(7, known, connector.New(counts), counts, slog.New(slog.DiscardHandler))
+	return gatekeeper.New(7, known, connector.New(counts), counts, slog.New(slog.DiscardHandler),
+		func(string, quarantiner.Crash) {})
 }
 
 func head(id, workspace string) carrier.Head {
--- a/node/pkg/gatekeeper/line.go
+++ b/node/pkg/gatekeeper/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,6 +26,9 @@
 	queue    *queuer.Queuer
 	waiting  map[string]chan bool
 	tickets  uint64
+	// alone holds the tickets of requests that wait for all slots, exclusive is set while one has them.
+	alone     []string
+	exclusive bool
 }
 
 func newLine(slots int) *line {
@@ -32,10 +36,15 @@
 }
 
 // join adds a request to the queue. The channel delivers whether it got a slot.
-func (l *line) join(now time.Time, head carrier.Head) (ticket string, granted chan bool) {
+func (l *line) join(now time.Time, head carrier.Head, alone bool) (ticket string, granted chan bool) {
 	l.tickets++
 	ticket, granted = strconv.FormatUint(l.tickets, 36), make(chan bool, 1)
 	l.waiting[ticket] = granted
+	if alone {
+		l.alone = append(l.alone, ticket)
+		l.fill(now)
+		return ticket, granted
+	}
 	deadline := now.Add(patience)
 	if head.Deadline.Before(deadline) {
 		deadline = head.Deadline
@@ -50,8 +59,20 @@
 	return ticket, granted
 }
 
-// fill hands the free slots to those whose turn it is.
+// fill hands the free slots to those whose turn it is. A request that waits for all slots lets no other start.
 func (l *line) fill(now time.Time) {
+	if l.exclusive {
+		return
+	}
+	if len(l.alone) > 0 {
+		if l.inFlight == 0 {
+			l.inFlight, l.exclusive = 1, true
+			ticket := l.alone[0]
+			l.alone = l.alone[1:]
+			l.tell(ticket, true)
+		}
+		return
+	}
 	for l.inFlight < l.slots {
 		next, expired, ok := l.queue.Pop(now)
 		for _, ticket := range expired {
@@ -70,15 +91,32 @@
 	delete(l.waiting, ticket)
 }
 
-// acquire waits for one of the target's slots in the fair queue of its workspaces.
-func (g *Gatekeeper) acquire(ctx context.Context, target registrar.Announcement, head carrier.Head) error {
+// leave takes a ticket out that still waits, and reports whether it did.
+func (l *line) leave(now time.Time, ticket string) bool {
+	if i := slices.Index(l.alone, ticket); i >= 0 {
+		l.alone = slices.Delete(l.alone, i, i+1)
+		delete(l.waiting, ticket)
+		l.fill(now)
+		return true
+	}
+	if !l.queue.Remove(ticket) {
+		return false
+	}
+	delete(l.waiting, ticket)
+	return true
+}
+
+// acquire waits for one of the target's slots in the fair queue of its workspaces, or for all of them.
+func (g *Gatekeeper) acquire(
+	ctx context.Context, target registrar.Announcement, head carrier.Head, alone bool,
+) error {
 	g.mu.Lock()
 	l, ok := g.lines[target.Name]
-	if !ok || l.slots != target.Slots && l.inFlight == 0 && l.queue.Len() == 0 {
+	if !ok || l.slots != target.Slots && l.inFlight == 0 && len(l.waiting) == 0 {
 		l = newLine(target.Slots)
 		g.lines[target.Name] = l
 	}
-	ticket, granted := l.join(time.Now(), head)
+	ticket, granted := l.join(time.Now(), head, alone)
 	g.mu.Unlock()
 	select {
 	case ok := <-granted:
@@ -95,8 +133,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if l.queue.Remove(ticket) {
-		delete(l.waiting, ticket)
+	if l.leave(time.Now(), ticket) {
 		return verdict(false)
 	}
 	return verdict(<-granted)
@@ -109,10 +146,11 @@
 	return refuser.Refuse(refuser.CapacityShort, "no slot of the target came free in time")
 }
 
-func (g *Gatekeeper) release(name string) {
+func (g *Gatekeeper) release(name string, alone bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	l := g.lines[name]
 	l.inFlight--
+	l.exclusive = l.exclusive && !alone
 	l.fill(time.Now())
 }
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"expvar"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -18,6 +19,7 @@
 	"samphiremount.example/core/lender"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
@@ -147,7 +149,7 @@
 	client := carrier.NewClient(pool, expvar.NewMap("entry"))
 	counts := expvar.NewMap("gate")
 	targetConns := connector.New(counts)
-	gate := gatekeeper.New(incarnation, targets, targetConns, counts, log.Part("gate"))
+	gate := gatekeeper.New(incarnation, targets, targetConns, counts, log.Part("gate"), spreader(settings.Name, view, client))
 	fleet := carrier.NewServer(gate, client)
 	fleet.Register(mux)
 	return parts{
@@ -173,6 +175,19 @@
 	}
 }
 
+// spreader tells the other gates of a service of a crash.
+func spreader(name string, view *viewer.Viewer, client *carrier.Client) func(string, quarantiner.Crash) {
+	return func(service string, crash quarantiner.Crash) {
+		addresses := make(map[string]struct{})
+		for _, placement := range view.View().Directory.Placements(service) {
+			if placement.Node.Name != name {
+				addresses[placement.Node.Address] = struct{}{}
+			}
+		}
+		client.SpreadCrash(slices.Collect(maps.Keys(addresses)), crash)
+	}
+}
+
 // newLender returns the lender of a node that is named as one, and nil on all others.
 func newLender(
 	settings Settings, mux messenger.Mux, pool *messenger.Pool, hub *synchronizer.Hub, log logger.Logger,
