Take an answer as whole for a caller that left with all of it

A caller that closes its connection with the last byte ended the request before the end mark was read, and the log said that the answer was cut.

--- a/node/pkg/acceptor/reply.go
+++ b/node/pkg/acceptor/reply.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -49,8 +50,10 @@
 	header.Set(headerOutcome, refuser.Ran{}.String())
 	response.WriteHeader(answer.Status)
 	buf := make([]byte, relayBytes)
+	var written int64
 	for {
 		n, err := answer.Body.Read(buf)
+		written += int64(n)
 		if n > 0 {
 			if _, err := response.Write(buf[:n]); err != nil {
 				return errors.Wrap(err, "write to caller")
@@ -61,6 +64,10 @@
 			sendTrailer(header, answer.Body)
 			return nil
 		}
+		if errors.Is(err, carrier.ErrCut) && strconv.FormatInt(written, 10) == answer.Header.Get("Content-Length") {
+			// The caller had all of it and left before the end mark came.
+			return nil
+		}
 		if err != nil {
 			return err
 		}
--- a/node/pkg/starter/callers.go
+++ b/node/pkg/starter/callers.go
@@ -14,6 +14,7 @@
 const (
 	viewTimeout = 5 * time.Second
 	viewPoll    = 10 * time.Millisecond
+	lastDelay   = 200 * time.Millisecond
 )
 
 // serveCallers serves callers until ctx or background ends. Then the node leaves the directory and goes on for
@@ -80,7 +81,10 @@
 func (p parts) finishGate(ctx context.Context) error {
 	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
 	defer cancel()
-	return p.carrier.Stop(ending)
+	err := p.carrier.Stop(ending)
+	// Requests that are being opened get their refusal before the connections end.
+	wait(ending, lastDelay)
+	return err
 }
 
 func wait(ctx context.Context, delay time.Duration) {
