Let the last connections send their request before the node shuts down

Ruled out, by a hook on the connections' states: idle connections that were closed at the stop (none was), and answers cut at the entry (none). The cause: net/http drops a request that it reads after Shutdown began. The listener is now closed 500 ms before that.

--- a/node/pkg/starter/callers.go
+++ b/node/pkg/starter/callers.go
@@ -14,6 +14,7 @@
 const (
 	viewTimeout = 5 * time.Second
 	viewPoll    = 10 * time.Millisecond
+	firstDelay  = 500 * time.Millisecond
 	lastDelay   = 200 * time.Millisecond
 )
 
@@ -35,10 +36,11 @@
 	p.awaitView(ctx)
 	group, running := errgroup.WithContext(background)
 	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve callers")
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) || leaving.Load() && errors.Is(err, net.ErrClosed) {
+			return nil
 		}
-		return nil
+		return errors.Wrap(err, "serve callers")
 	})
 	group.Go(func() error {
 		select {
@@ -49,6 +51,9 @@
 		p.reporter.Leave()
 		p.log.Part("node").Info("node leaving", "reason", "stop was asked for")
 		wait(running, leaveDelay)
+		// Shutdown drops requests that it finds unread, so the connections that were taken last get time to send theirs.
+		_ = listener.Close()
+		wait(running, firstDelay)
 		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
 		defer cancel()
 		return errors.Wrap(server.Shutdown(ending), "finish callers' requests")
