Judge targets against their peers and eject within the floor's allowance

Cause: no process judged targets, and nothing held a floor.

Change: core/observer makes small digests of what a node sees of a target; core/judger judges them by Threshold, Robust (median, MAD) or Sequential (CUSUM against the pooled rate of the peers); core/ejector grants ejections within capacity minus floor and brings the least bad target back when capacity falls; core/leaser gives the right to one control process by a majority of votes; core/arbiter joins these. A list counts for 4 s, never past the lease it was made under, and is timed from before it was made, so no list counts anywhere once another holder can make one. A target that returns counts as ejected until no list can name it.

Ruled out: parts of the allowance for each control process, since a seventh part of 25 slots is less than one target; a holder for ever by hashing, which leaves a service without a judge while it is away; two regional judges, which needs either the whole floor in each region or promises between them.

Proof: TestFloorHolds, over three control processes, six targets, one-way cuts, late and lost messages, restarts and losses; the oracle counts slots that are there and that no node has ejected.

--- /dev/null
+++ b/core/arbiter/arbiter.go
@@ -0,0 +1,187 @@
+// Package arbiter lets the control processes judge targets together: one of them holds a lease, gathers the evidence of
+// all, decides on ejections and publishes the list, which counts for a short time.
+//
+// A list never counts for longer than the lease under which it was made. Whoever relays it counts its time from before
+// it was made: a control process from the token that the holder's request returns, a node from its own question.
+// So whatever is lost, late or cut, no list counts anywhere once another holder can make one.
+package arbiter
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"samphiremount.example/core/ejector"
+	"samphiremount.example/core/judger"
+	"samphiremount.example/core/leaser"
+	"samphiremount.example/core/observer"
+)
+
+const (
+	// confirmed is how long a gate's word that a target is present counts.
+	confirmed = 3 * time.Second
+	// settling is how long a new holder gathers evidence before its first decision.
+	settling = 2 * time.Second
+
+	// judgePeriod is the least time between two judgements of a service, so that each sees all of its targets.
+	judgePeriod = time.Second
+	// evidenceLifetime is how long evidence waits for a holder.
+	evidenceLifetime = 5 * time.Second
+
+	tokensKept = 8
+)
+
+// Arbiter is one control process's part. It is not safe for concurrent use.
+type Arbiter struct {
+	name      string
+	peers     []string
+	method    judger.Method
+	voter     leaser.Voter
+	candidacy leaser.Candidacy
+	retry     time.Time
+
+	tokens   []issuedToken
+	received map[string]uint64
+
+	evidence map[string]received
+	list     []ejector.Entry
+	deadline time.Time
+
+	term *term
+}
+
+type issuedToken struct {
+	token uint64
+	at    time.Time
+}
+
+type received struct {
+	digest observer.Digest
+	at     time.Time
+}
+
+// New returns the part of the process called name at now, without lease and list. Names of peers must be unique, and
+// token must differ from every token of an earlier start: a vote for that start is none for this one.
+func New(now time.Time, name string, peers []string, method judger.Method, token uint64) *Arbiter {
+	return &Arbiter{
+		name: fmt.Sprintf("%s/%d", name, token), peers: peers, method: method,
+		voter: leaser.NewVoter(now), candidacy: leaser.NewCandidacy(len(peers) + 1),
+		tokens: []issuedToken{{token, now}}, received: make(map[string]uint64), evidence: make(map[string]received),
+	}
+}
+
+// Observe takes a node's digests at now. It returns the list in force and until when that counts.
+func (a *Arbiter) Observe(now time.Time, digests []observer.Digest) ([]ejector.Entry, time.Time) {
+	for _, digest := range digests {
+		a.add(digest, now)
+	}
+	if !now.Before(a.deadline) {
+		return nil, time.Time{}
+	}
+	return a.list, a.deadline
+}
+
+// add joins a digest with what waits for the next round. The older time counts, so that presence is never believed for
+// too long, unless what waits says nothing of presence.
+func (a *Arbiter) add(digest observer.Digest, at time.Time) {
+	old, ok := a.evidence[digest.Target]
+	if at.Sub(old.at) > evidenceLifetime {
+		old, ok = received{}, false
+	}
+	if ok && digest.Slots == 0 {
+		at = old.at
+	}
+	leaving := digest.Leaving
+	digest = digest.With(old.digest)
+	digest.Leaving = leaving
+	a.evidence[digest.Target] = received{digest, at}
+}
+
+// Candidate reports whether the process should ask the others at now: it holds the lease, or its own vote is free and
+// the pause after its last failed attempt is over.
+func (a *Arbiter) Candidate(now time.Time) bool {
+	if a.candidacy.Holds(now) {
+		return true
+	}
+	return a.voter.Free(now) && !now.Before(a.retry)
+}
+
+// Retreat pauses the candidacy until deadline, after a round that brought no majority.
+func (a *Arbiter) Retreat(deadline time.Time) {
+	a.retry = deadline
+}
+
+// Holds reports whether the process holds the lease at now.
+func (a *Arbiter) Holds(now time.Time) bool {
+	return a.candidacy.Holds(now)
+}
+
+// Request takes the process's own vote and returns what to send to peer at now. The caller passes now to Absorb.
+func (a *Arbiter) Request(now time.Time, peer string) Request {
+	a.vote(now)
+	request := Request{Candidate: a.name, Token: a.received[peer]}
+	if a.candidacy.Holds(now) && now.Before(a.deadline) {
+		request.Remaining = a.deadline.Sub(now).Milliseconds()
+		request.List = a.list
+	}
+	return request
+}
+
+func (a *Arbiter) vote(now time.Time) {
+	voter, granted := a.voter.With(now, a.name)
+	a.voter = voter
+	if granted {
+		a.candidacy = a.candidacy.With(a.name, now)
+	}
+}
+
+// Handle answers another process's request at now.
+func (a *Arbiter) Handle(now time.Time, request Request) Reply {
+	voter, granted := a.voter.With(now, request.Candidate)
+	a.voter = voter
+	reply := Reply{Granted: granted, Token: a.issue(now)}
+	if !granted {
+		return reply
+	}
+	if at, ok := a.tokenTime(request.Token); ok && request.Remaining > 0 {
+		a.list, a.deadline = request.List, at.Add(time.Duration(request.Remaining)*time.Millisecond)
+	}
+	for _, target := range slices.Sorted(maps.Keys(a.evidence)) {
+		waiting := a.evidence[target]
+		if now.Sub(waiting.at) > evidenceLifetime {
+			continue
+		}
+		reply.Evidence = append(reply.Evidence, Evidence{waiting.digest, now.Sub(waiting.at).Milliseconds()})
+	}
+	clear(a.evidence)
+	return reply
+}
+
+func (a *Arbiter) issue(now time.Time) uint64 {
+	token := a.tokens[len(a.tokens)-1].token + 1
+	a.tokens = append(a.tokens, issuedToken{token, now})
+	a.tokens = a.tokens[max(0, len(a.tokens)-tokensKept):]
+	return token
+}
+
+func (a *Arbiter) tokenTime(token uint64) (time.Time, bool) {
+	for _, issued := range a.tokens {
+		if issued.token == token {
+			return issued.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// Absorb takes peer's reply to a request that was made at asked.
+func (a *Arbiter) Absorb(peer string, asked time.Time, reply Reply) {
+	a.received[peer] = reply.Token
+	if !reply.Granted {
+		return
+	}
+	a.candidacy = a.candidacy.With(peer, asked)
+	for _, evidence := range reply.Evidence {
+		a.add(evidence.Digest, asked.Add(-time.Duration(max(evidence.Age, 0))*time.Millisecond))
+	}
+}
--- /dev/null
+++ b/core/ejector/ejector.go
@@ -0,0 +1,220 @@
+// Package ejector decides which targets of a service are ejected and when they return, within the allowance that the
+// service's floor leaves.
+package ejector
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"samphiremount.example/core/judger"
+)
+
+const (
+	// Lifetime is how long a published list counts, on the clocks of those that follow it.
+	Lifetime = 4 * time.Second
+	// hold is how long a target that returned still counts as ejected: until no list that names it can count any more,
+	// lengthened by the bound on the drift between two clocks.
+	hold = Lifetime * 11 / 10
+
+	firstPause = 10 * time.Second
+	maxPause   = 5 * time.Minute
+
+	trialAttempts = 10
+	trialLimit    = 30 * time.Second
+
+	// remembered is how long a return counts as a reason for a longer pause at the next ejection.
+	remembered = 10 * time.Minute
+)
+
+// Round is what one round of decisions builds on. Present are the targets that are known to be there and not leaving.
+type Round struct {
+	Present  []Capacity
+	Floor    int
+	Verdicts []judger.Verdict
+}
+
+// Ejector holds the ejections of one service. It is an immutable value that belongs to the one process that may grant
+// ejections; its zero value has none. With healthy capacity C (the slots of targets that are present), floor F and E
+// slots ejected, it keeps C - E >= F, where a target that returns counts in E until every list that named it ran out.
+type Ejector struct {
+	service  string
+	ejected  map[string]ejection
+	returned map[string]past
+}
+
+type ejection struct {
+	entry    Entry
+	trial    time.Time
+	deadline time.Time
+	attempts int
+	bad      int
+}
+
+type past struct {
+	held       time.Time
+	remembered time.Time
+	times      int
+}
+
+// New returns an Ejector for service that takes over the entries of a holder before it. They count from now.
+func New(now time.Time, service string, entries []Entry) Ejector {
+	e := Ejector{service: service, ejected: make(map[string]ejection)}
+	for _, entry := range entries {
+		entry.Phase = Out
+		e.ejected[entry.Target] = ejection{entry: entry, trial: now.Add(pause(entry.Times))}
+	}
+	return e
+}
+
+// Entries returns the ejected targets, sorted by name.
+func (e Ejector) Entries() []Entry {
+	entries := make([]Entry, 0, len(e.ejected))
+	for _, target := range slices.Sorted(maps.Keys(e.ejected)) {
+		entries = append(entries, e.ejected[target].entry)
+	}
+	return entries
+}
+
+// With returns the Ejector after a round at now, and the round's decisions. The least bad ejected target returns first
+// when capacity has fallen; the worst suspect is ejected first.
+func (e Ejector) With(now time.Time, round Round) (Ejector, []Decision) {
+	next := Ejector{service: e.service, ejected: maps.Clone(e.ejected), returned: make(map[string]past)}
+	if next.ejected == nil {
+		next.ejected = make(map[string]ejection)
+	}
+	for target, past := range e.returned {
+		if now.Before(past.remembered) {
+			next.returned[target] = past
+		}
+	}
+	slots := make(map[string]int, len(round.Present))
+	for _, capacity := range round.Present {
+		slots[capacity.Target] = capacity.Slots
+	}
+	decisions := next.restore(now, slots, round.Floor)
+	decisions = append(decisions, next.advance(now, round.Verdicts)...)
+	return next, append(decisions, next.eject(now, slots, round)...)
+}
+
+// restore returns targets, least bad first, while capacity without the ejected is below floor.
+func (e Ejector) restore(now time.Time, slots map[string]int, floor int) []Decision {
+	available := 0
+	for target, count := range slots {
+		if _, out := e.ejected[target]; !out {
+			available += count
+		}
+	}
+	entries := e.Entries()
+	sortWorstFirst(entries)
+	slices.Reverse(entries)
+	var decisions []Decision
+	for _, entry := range entries {
+		if available >= floor {
+			break
+		}
+		// One that is not seen returns as well: if it is there after all, the floor needs it.
+		available += slots[entry.Target]
+		e.giveBack(now, entry.Target)
+		decisions = append(decisions, Returned{entry.Target, "capacity fell to the floor"})
+	}
+	return decisions
+}
+
+// advance moves ejected targets to their trial and out of it.
+func (e Ejector) advance(now time.Time, verdicts []judger.Verdict) []Decision {
+	var decisions []Decision
+	for _, verdict := range verdicts {
+		if out, ok := e.ejected[verdict.Target]; ok && out.entry.Phase == Trial {
+			out.attempts += verdict.Attempts
+			out.bad += verdict.Bad
+			e.ejected[verdict.Target] = out
+		}
+	}
+	for _, target := range slices.Sorted(maps.Keys(e.ejected)) {
+		if e.ejected[target].entry.Phase == Trial {
+			decisions = append(decisions, e.endTrial(now, target)...)
+		} else if !now.Before(e.ejected[target].trial) {
+			out := e.ejected[target]
+			out.entry.Phase, out.attempts, out.bad, out.deadline = Trial, 0, 0, now.Add(trialLimit)
+			e.ejected[target] = out
+			decisions = append(decisions, Tried{target})
+		}
+	}
+	return decisions
+}
+
+// endTrial ends a trial that has shown enough.
+func (e Ejector) endTrial(now time.Time, target string) []Decision {
+	out := e.ejected[target]
+	switch {
+	case out.bad > 0:
+		out.entry.Phase = Out
+		out.entry.Times++
+		out.trial = now.Add(pause(out.entry.Times))
+		e.ejected[target] = out
+		return []Decision{Ejected{target, "a request of its trial was bad"}}
+	case out.attempts >= trialAttempts:
+		e.giveBack(now, target)
+		return []Decision{Returned{target, "all requests of its trial were good"}}
+	case !now.Before(out.deadline):
+		e.giveBack(now, target)
+		return []Decision{Returned{target, "its trial saw few requests and no bad one"}}
+	}
+	return nil
+}
+
+// eject ejects suspects, worst first, as far as the allowance goes.
+func (e Ejector) eject(now time.Time, slots map[string]int, round Round) []Decision {
+	allowance := -round.Floor
+	for target, count := range slots {
+		_, out := e.ejected[target]
+		if !out && !now.Before(e.returned[target].held) {
+			allowance += count
+		}
+	}
+	suspects := slices.DeleteFunc(slices.Clone(round.Verdicts), func(v judger.Verdict) bool {
+		_, out := e.ejected[v.Target]
+		return out || !v.Suspect() || slots[v.Target] == 0
+	})
+	slices.SortFunc(suspects, func(a, b judger.Verdict) int {
+		return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Target, b.Target))
+	})
+	var decisions []Decision
+	for _, suspect := range suspects {
+		cost := slots[suspect.Target]
+		if now.Before(e.returned[suspect.Target].held) {
+			cost = 0
+		}
+		if allowance < cost {
+			decisions = append(decisions, Kept{suspect.Target, suspect.Reason})
+			continue
+		}
+		allowance -= cost
+		times := e.returned[suspect.Target].times + 1
+		delete(e.returned, suspect.Target)
+		e.ejected[suspect.Target] = ejection{
+			entry: Entry{
+				Target: suspect.Target, Service: e.service, Score: suspect.Score, Times: times, Reason: suspect.Reason,
+			},
+			trial: now.Add(pause(times)),
+		}
+		decisions = append(decisions, Ejected{suspect.Target, suspect.Reason})
+	}
+	return decisions
+}
+
+func (e Ejector) giveBack(now time.Time, target string) {
+	e.returned[target] = past{now.Add(hold), now.Add(remembered), e.ejected[target].entry.Times}
+	delete(e.ejected, target)
+}
+
+// pause returns how long a target stays out before its trial, growing exponentially.
+func pause(times int) time.Duration {
+	length := firstPause
+	for range min(max(times-1, 0), 10) {
+		length = min(2*length, maxPause)
+	}
+	return length
+}
