--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 lint: tools
 	./scripts/bare_go.sh
 	@for module in $(MODULES); do \
-	  echo "lint $$module"; (cd $$module && $(TOOLS)/golangci-lint run --config ../.golangci.yml ./...) || exit 1; done
+	  echo "lint $$module"; (cd $$module && $(TOOLS)/golangci-lint run --allow-parallel-runners --config ../.golangci.yml ./...) || exit 1; done
 
 vet: build
 	@for module in $(MODULES); do (cd $$module && go vet ./...) || exit 1; done
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -5,14 +5,13 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rs/xid"
 
-	"samphiremount.example/core/limiter"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	"samphiremount.example/node/pkg/carrier"
 	"samphiremount.example/node/pkg/viewer"
@@ -27,7 +26,8 @@
 	Random  *rand.Rand
 	Route   *slog.Logger
 	Admit   *slog.Logger
-	Limiter *limiter.Limiter
+	Drawer  Drawer
+	Retrier *retrier.Retrier
 }
 
 // Acceptor serves callers.
@@ -35,8 +35,6 @@
 	Dependencies
 
 	chooser *chooser
-
-	mu sync.Mutex
 }
 
 // New returns an Acceptor without requests in flight.
@@ -80,7 +78,7 @@
 	if err != nil {
 		return carrier.Answer{}, err
 	}
-	if err := a.admit(view, admission, id); err != nil {
+	if err := a.admit(request.Context(), admission, id); err != nil {
 		return carrier.Answer{}, err
 	}
 	deadline := time.Now().Add(admission.route.Limit)
@@ -88,7 +86,7 @@
 		ID: id, Service: admission.route.Service, Workspace: admission.workspace.Name,
 		Repeatable: admission.route.Repeatable, Deadline: deadline, Method: request.Method,
 		URI: request.URL.RequestURI(), Host: request.Host, Header: forwardHeader(request, id, admission),
-		Length: request.ContentLength,
+		Length: request.ContentLength, Trailer: trailerNames(request.Trailer),
 	}
-	return a.forward(request.Context(), view, head, request)
+	return a.forward(request.Context(), head, request, admission.presented)
 }
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -122,3 +122,10 @@
 		delete(c.inFlight, target)
 	}
 }
+
+// order returns the numbers below n in random order.
+func (c *chooser) order(n int) []int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.Perm(n)
+}
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -3,26 +3,33 @@
 import (
 	"cmp"
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"samphiremount.example/core/limiter"
+	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
 	"samphiremount.example/core/synchronizer"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/connector"
+	"samphiremount.example/node/pkg/drawer"
 	"samphiremount.example/node/pkg/enroller"
 	"samphiremount.example/node/pkg/gatekeeper"
+	"samphiremount.example/node/pkg/keeper"
+	"samphiremount.example/node/pkg/prober"
 	"samphiremount.example/node/pkg/reporter"
 	"samphiremount.example/node/pkg/viewer"
 )
@@ -33,6 +40,7 @@
 	headTimeout  = 10 * time.Second
 	idleTimeout  = 2 * time.Minute
 	maxHeadBytes = 64 << 10
+	maxPeers     = 3
 )
 
 // Run runs a node until ctx ends. Then the node announces that it leaves, finishes what it has and stops.
@@ -72,12 +80,35 @@
 	return opened, core.Join(wrong)
 }
 
+// publishers returns the control processes, and after them, while none of them is heard, peers that may know more.
+func publishers(settings Settings, view *viewer.Viewer) synchronizer.Addresses {
+	return func() []string {
+		addresses := slices.Clone(settings.Controls)
+		now := view.View()
+		if now.ControlAge(time.Now()) < synchronizer.SilenceLimit {
+			return addresses
+		}
+		addresses = append(addresses, settings.Peers...)
+		for _, node := range now.Directory.Nodes() {
+			if node.Name != settings.Name && !node.Gone && len(addresses) < len(settings.Controls)+maxPeers {
+				addresses = append(addresses, node.Address)
+			}
+		}
+		return addresses
+	}
+}
+
 // parts are the long-lived pieces of a node.
 type parts struct {
 	log      logger.Logger
 	reporter *reporter.Reporter
 	enroller *enroller.Enroller
+	conns    *connector.Connector
 	client   *synchronizer.Client
+	prober   *prober.Prober
+	keeper   *keeper.Keeper
+	data     string
+	drawer   *drawer.Drawer
 	acceptor *acceptor.Acceptor
 	server   *messenger.Server
 }
@@ -86,22 +117,41 @@
 	log := logger.New(os.Stderr, settings.LogLevel())
 	pool := messenger.NewPool(credentials)
 	incarnation := uint64(time.Now().UnixNano())
-	view := viewer.New()
+	hub := synchronizer.NewHub()
+	view := viewer.New(hub)
 	own := reporter.New(tracker.Node{
 		Name: settings.Name, Region: settings.Region, Centre: settings.Centre, Incarnation: incarnation,
 		Address: cmp.Or(settings.Advertise, listeners.fleet.Addr().String()), Entry: listeners.entry.Addr().String(),
 	})
 	targets := enroller.New(log.Part("enroll"), own.SetTargets)
 	mux := messenger.Mux{}
-	carrier.NewServer(gatekeeper.New(incarnation, targets, log.Part("gate"))).Register(mux)
+	age := func() time.Duration { return view.View().ControlAge(time.Now()) }
+	synchronizer.NewServer(hub, age, log.Part("publish")).Register(mux)
+	peers := prober.New(settings.Name, pool, view, rand.New(rand.NewPCG(incarnation, rand.Uint64())), log.Part("probe"))
+	peers.Register(mux)
+	cache := keeper.New(settings.Data, hub, log.Part("keep"))
+	if settings.Data != "" {
+		cache.Load(view)
+	}
+	tokens := drawer.New(exchanger.NewClient(pool), settings.Controls, log.Part("admit"))
+	client := carrier.NewClient(pool, expvar.NewMap("entry"))
+	counts := expvar.NewMap("gate")
+	targetConns := connector.New(counts)
+	gate := gatekeeper.New(incarnation, targets, targetConns, counts, log.Part("gate"))
+	carrier.NewServer(gate, client).Register(mux)
 	return parts{
 		log:      log,
 		reporter: own,
 		enroller: targets,
-		client:   synchronizer.NewClient(pool, settings.Controls, view, own, log.Part("subscribe")),
+		prober:   peers,
+		keeper:   cache,
+		data:     settings.Data,
+		conns:    targetConns,
+		client:   synchronizer.NewClient(pool, publishers(settings, view), view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
+		drawer:   tokens,
 		acceptor: acceptor.New(acceptor.Dependencies{
-			Name: settings.Name, Viewer: view, Client: carrier.NewClient(pool), Limiter: limiter.New(),
+			Name: settings.Name, Viewer: view, Client: client, Drawer: tokens, Retrier: retrier.New(),
 			Place:  router.Place{Region: settings.Region, Centre: settings.Centre},
 			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 			Route:  log.Part("route"), Admit: log.Part("admit"),
@@ -118,7 +168,13 @@
 	group.Go(func() error { return core.ServeMetrics(background, listeners.metrics) })
 	group.Go(func() error { return core.ServeHTTP(background, listeners.local, p.enroller.Handler(), time.Second) })
 	group.Go(func() error { return p.enroller.Run(background) })
+	group.Go(func() error { return p.conns.Run(background) })
 	group.Go(func() error { return p.client.Run(background) })
+	group.Go(func() error { return p.prober.Run(background) })
+	if p.data != "" {
+		group.Go(func() error { return p.keeper.Run(background) })
+	}
+	group.Go(func() error { return p.drawer.Run(background) })
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
 		defer stopBackground()
--- a/standin/scenarios/scenarios_test.go
+++ b/standin/scenarios/scenarios_test.go
@@ -30,12 +30,15 @@
 			"relay":   relayCommand,
 			"cut":     cutCommand,
 			"heal":    healCommand,
+			"stall":   stallCommand,
 			"start":   startCommand,
 			"signal":  signalCommand,
 			"ended":   endedCommand,
 			"until":   untilCommand,
+			"post":    postCommand,
 			"ask":     askCommand,
 			"logged":  loggedCommand,
+			"flood":   floodCommand,
 		},
 	})
 }
