Run the judgement of targets in nodes and control processes

Cause: evidence, judges and ejections were decided by values that no process ran.

Change: gates record the end of each attempt on a target, entries the gates that they could not reach; a node reports digests of that to its control process each second and gets the list of ejections back (core/informer, node/pkg/watcher). Entries follow the list within the floor as their own directory shows it, and a target on trial gets a small share of the repeatable requests of all tiers: as a candidate of its tier it would get all of them where it is the only one there. A trial passes with at most one bad request in ten, since healthy targets have slow answers too.

Ruled out: ejections in the synchronizer's stream, whose messages say nothing of their age, so that a list could outlive its lease on a slow connection; one record for each ejection merged by sequence, for the same reason.

--- /dev/null
+++ b/control/pkg/examiner/examiner.go
@@ -0,0 +1,191 @@
+// Package examiner runs the judgement of targets: it gathers evidence, asks the other control processes for the lease,
+// and grants ejections while it holds it.
+package examiner
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/arbiter"
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/ejector"
+	"samphiremount.example/core/informer"
+	"samphiremount.example/core/judger"
+	"samphiremount.example/core/leaser"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/observer"
+)
+
+const (
+	callJudge = "judge"
+
+	roundPeriod = 500 * time.Millisecond
+	callLimit   = 400 * time.Millisecond
+	// keptPeriod is the least time between two log lines on a suspect that the floor keeps in use.
+	keptPeriod = 30 * time.Second
+)
+
+var counters = expvar.NewMap("eject")
+
+// Source returns the configuration in force.
+type Source interface {
+	Configuration() configurer.Configuration
+}
+
+// Examiner is the part of one control process.
+type Examiner struct {
+	pool          *messenger.Pool
+	peers         []string
+	configuration Source
+	log           *slog.Logger
+
+	mu      sync.Mutex
+	arbiter *arbiter.Arbiter
+	holds   bool
+	kept    map[string]time.Time
+}
+
+var _ informer.Arbiter = (*Examiner)(nil)
+
+// New returns the part of the process called name. Peers are the addresses of the other control processes.
+func New(
+	name string, peers []string, method judger.Method, configuration Source, pool *messenger.Pool, log *slog.Logger,
+) *Examiner {
+	now := time.Now()
+	own := arbiter.New(now, name, peers, method, uint64(now.UnixNano()))
+	own.Retreat(now.Add(leaser.VoteLifetime + rand.N(leaser.VoteLifetime/2)))
+	return &Examiner{
+		pool: pool, peers: peers, configuration: configuration, log: log, arbiter: own, kept: make(map[string]time.Time),
+	}
+}
+
+// Register adds the calls for nodes and for other control processes to mux.
+func (e *Examiner) Register(mux messenger.Mux) {
+	informer.Register(mux, e)
+	mux[callJudge] = func(stream drpc.Stream) error {
+		var request arbiter.Request
+		if err := stream.MsgRecv(&request, messenger.Encoding{}); err != nil {
+			return errors.Wrap(err, "receive request for the lease")
+		}
+		e.mu.Lock()
+		reply := e.arbiter.Handle(time.Now(), request)
+		e.mu.Unlock()
+		return errors.Wrap(stream.MsgSend(&reply, messenger.Encoding{}), "send reply")
+	}
+}
+
+// Observe implements informer.Arbiter.
+func (e *Examiner) Observe(digests []observer.Digest) ([]ejector.Entry, time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.arbiter.Observe(time.Now(), digests)
+}
+
+// Run runs rounds until ctx ends.
+func (e *Examiner) Run(ctx context.Context) error {
+	ticker := time.NewTicker(roundPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.ask(ctx)
+			e.judge()
+		}
+	}
+}
+
+// ask asks all peers at once for their vote and evidence, if this process is the holder or may become it.
+func (e *Examiner) ask(ctx context.Context) {
+	e.mu.Lock()
+	candidate := e.arbiter.Candidate(time.Now())
+	e.mu.Unlock()
+	if !candidate {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	var group errgroup.Group
+	for _, peer := range e.peers {
+		group.Go(func() error {
+			if err := e.askPeer(ctx, peer); err != nil {
+				e.log.Debug("peer did not answer", "address", peer, "reason", err)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now := time.Now(); !e.arbiter.Holds(now) {
+		e.arbiter.Retreat(now.Add(rand.N(leaser.VoteLifetime)))
+	}
+}
+
+func (e *Examiner) askPeer(ctx context.Context, peer string) error {
+	e.mu.Lock()
+	asked := time.Now()
+	request := e.arbiter.Request(asked, peer)
+	e.mu.Unlock()
+	var reply arbiter.Reply
+	if err := e.pool.Get(ctx, peer).Invoke(ctx, callJudge, messenger.Encoding{}, &request, &reply); err != nil {
+		return errors.Wrap(err, "ask for the lease")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.arbiter.Absorb(peer, asked, reply)
+	return nil
+}
+
+func (e *Examiner) judge() {
+	configuration := e.configuration.Configuration()
+	floor := func(name string) int {
+		service, ok := configuration.Service(name)
+		if !ok {
+			// Without a known floor there is no allowance.
+			return math.MaxInt32
+		}
+		return service.Floor
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	for _, decision := range e.arbiter.Judge(now, floor) {
+		e.report(now, decision)
+	}
+	if holds := e.arbiter.Holds(now); holds != e.holds {
+		e.holds = holds
+		e.log.Info("lease on ejections changed", "held", holds)
+	}
+}
+
+func (e *Examiner) report(now time.Time, decision arbiter.Decision) {
+	switch step := decision.Decision.(type) {
+	case ejector.Ejected:
+		counters.Add("ejected", 1)
+		e.log.Info("target ejected", "service", decision.Service, "target", step.Target, "reason", step.Reason)
+	case ejector.Returned:
+		counters.Add("returned", 1)
+		e.log.Info("target returned", "service", decision.Service, "target", step.Target, "reason", step.Reason)
+	case ejector.Tried:
+		counters.Add("tried", 1)
+		e.log.Info("target on trial", "service", decision.Service, "target", step.Target, "reason", "its pause is over")
+	case ejector.Kept:
+		counters.Add("kept", 1)
+		if now.Sub(e.kept[step.Target]) < keptPeriod {
+			return
+		}
+		e.kept[step.Target] = now
+		e.log.Warn("target kept at the floor", "service", decision.Service, "target", step.Target, "reason", step.Reason)
+	}
+}
--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -55,6 +55,8 @@
 		Borrower: exchanger.NewClient(pool), Log: log.Part("lend"),
 	})
 	exchanger.Register(mux, rates)
+	examined := newExaminer(settings, hub, pool, log)
+	examined.Register(mux)
 	handler := administrator.New(token, replicated, hub, publisher, log.Part("operate")).Handler()
 	log.Part("control").Info("control started", "name", settings.Name, "fleet", opened.fleet.Addr(),
 		"operators", opened.operators.Addr(), "metrics", opened.metrics.Addr())
@@ -66,6 +68,16 @@
 	group.Go(func() error { return publisher.Run(ctx) })
 	group.Go(func() error { return replicated.Run(ctx) })
 	group.Go(func() error { return rates.Run(ctx) })
+	group.Go(func() error { return examined.Run(ctx) })
+	group.Go(func() error { return follow(ctx, settings, hub, pool, log) })
+	return group.Wait()
+}
+
+// follow takes the directory of each other control process until ctx ends.
+func follow(
+	ctx context.Context, settings Settings, hub *synchronizer.Hub, pool *messenger.Pool, log logger.Logger,
+) error {
+	group, ctx := errgroup.WithContext(ctx)
 	for _, address := range settings.Others() {
 		client := synchronizer.NewClient(pool, func() []string { return []string{address} }, directorySink{hub}, nil, log.Part("follow"))
 		group.Go(func() error { return client.Run(ctx) })
--- a/control/pkg/starter/settings.go
+++ b/control/pkg/starter/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"samphiremount.example/core/judger"
 	core "samphiremount.example/core/starter"
 )
 
@@ -20,6 +21,7 @@
 	Operators string   `long:"operators" env:"SAMPHIRE_OPERATORS" default:"127.0.0.1:8180" description:"IP address and port of the listener for operators"`
 	Token     string   `long:"token-file" env:"SAMPHIRE_TOKEN_FILE" description:"File with the token that operators present"`
 	Members   []string `long:"member" env:"SAMPHIRE_MEMBERS" env-delim:"," description:"NAME=ADDRESS of a control process, this one included, with the IP address and port of its --fleet; repeat it"`
+	Lean      string   `long:"lean" env:"SAMPHIRE_LEAN" default:"even" description:"Trade between false ejections and detection time: kowhai (fewest false ejections), even, caroni (fastest detection) or a number from 0 to 1"`
 	Data      string   `long:"data" env:"SAMPHIRE_DATA" description:"Folder for the state that must survive a restart; no other process may use it"`
 }
 
@@ -34,6 +36,9 @@
 	if _, err := core.ReadSecret("--token-file", s.Token); err != nil {
 		wrong = append(wrong, err)
 	}
+	if _, err := judger.ParseLean(s.Lean); err != nil {
+		wrong = append(wrong, errors.Wrap(err, "--lean"))
+	}
 	if s.Data == "" {
 		wrong = append(wrong, errors.New("--data must be set"))
 	}
--- a/core/ejector/ejector.go
+++ b/core/ejector/ejector.go
@@ -21,7 +21,10 @@
 	firstPause = 10 * time.Second
 	maxPause   = 5 * time.Minute
 
+	// A trial ends well after trialAttempts, of which fewer than trialBad may be bad: a healthy target has slow answers
+	// too.
 	trialAttempts = 10
+	trialBad      = 2
 	trialLimit    = 30 * time.Second
 
 	// remembered is how long a return counts as a reason for a longer pause at the next ejection.
@@ -149,18 +152,18 @@
 func (e Ejector) endTrial(now time.Time, target string) []Decision {
 	out := e.ejected[target]
 	switch {
-	case out.bad > 0:
+	case out.bad >= trialBad && out.bad*trialAttempts > out.attempts:
 		out.entry.Phase = Out
 		out.entry.Times++
 		out.trial = now.Add(pause(out.entry.Times))
 		e.ejected[target] = out
-		return []Decision{Ejected{target, "a request of its trial was bad"}}
+		return []Decision{Ejected{target, "requests of its trial were bad"}}
 	case out.attempts >= trialAttempts:
 		e.giveBack(now, target)
-		return []Decision{Returned{target, "all requests of its trial were good"}}
+		return []Decision{Returned{target, "requests of its trial were good"}}
 	case !now.Before(out.deadline):
 		e.giveBack(now, target)
-		return []Decision{Returned{target, "its trial saw few requests and no bad one"}}
+		return []Decision{Returned{target, "its trial saw few requests"}}
 	}
 	return nil
 }
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -57,22 +57,31 @@
 
 // Choose picks one of candidates: the nearest tier (own data centre, own region, other region) that has a usable
 // target and is not short of capacity, and within it the less loaded of two drawn from random (power of two choices,
-// Mitzenmacher 2001). A target is usable unless it is leaving, ejected or was tried; one on trial only for a request
-// that is repeatable.
+// Mitzenmacher 2001). A target is usable unless it is leaving, ejected or was tried. One on trial gets a small share
+// of the requests that are repeatable, from any tier.
 //
 // A tier is short when its requests in flight per slot exceed spillFrom. The share of requests that moves on to the
 // next tier then grows linearly with the load, so that the division settles instead of swinging, and it moves on only
 // to a tier that is less loaded. Choose returns a refusal of kind CapacityShort if no candidate is usable.
 func (r Router) Choose(now time.Time, random *rand.Rand, request Request, candidates []Candidate) (Choice, error) {
 	var tiers [tierCount]tier
+	var trials, all tier
 	for _, candidate := range candidates {
 		weighed, ok := weigh(now, request, candidate)
 		if !ok {
 			continue
 		}
+		all = all.with(weighed)
+		if _, trial := candidate.Standing.(Trial); trial {
+			trials = trials.with(weighed)
+			continue
+		}
 		place := r.tierOf(candidate.Placement.Node)
 		tiers[place] = tiers[place].with(weighed)
 	}
+	if trials.slots > random.Float64()*all.slots {
+		return Choice{trials.draw(random).candidate.Placement, "on trial after an ejection"}, nil
+	}
 	chosen, reason := -1, ""
 	for place := range tiers {
 		next := tiers[place]
@@ -92,9 +101,6 @@
 	}
 	picked := tiers[chosen].pick(random)
 	reason = fmt.Sprintf("%s at %.2f in flight per slot%s", tierNames[chosen], picked.load(), reason)
-	if _, trial := picked.candidate.Standing.(Trial); trial {
-		reason += ", on trial"
-	}
 	return Choice{picked.candidate.Placement, reason}, nil
 }
 
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -192,3 +192,20 @@
 	got = shares(t, idle, reported)
 	assert.Assert(t, math.Abs(got["reported"]-0.75) < 0.03, "%v", got)
 }
+
+func TestTrialGetsFewRequestsAlsoAlone(t *testing.T) {
+	trial := candidate("trial", "north", "auckland", 0)
+	trial.Standing = router.Trial{}
+	random := rand.New(rand.NewPCG(1, 1))
+	count := 0
+	for range 10_000 {
+		choice, err := router.New(here).Choose(start, random, router.Request{Repeatable: true}, []router.Candidate{
+			trial, candidate("far", "south", "dunedin", 0),
+		})
+		assert.NilError(t, err)
+		if choice.Placement.Target.Name == "trial" {
+			count++
+		}
+	}
+	assert.Assert(t, count > 300 && count < 600, "%d of 10000", count)
+}
--- a/core/router/standing.go
+++ b/core/router/standing.go
@@ -6,7 +6,9 @@
 	// SlowStart is how long a target that joins or returns takes to reach its full share.
 	SlowStart = 15 * time.Second
 
-	coldWarmth  = 0.1
+	coldWarmth = 0.1
+
+	// trialWarmth is the part of its slots by which a target on trial shares in repeatable requests.
 	trialWarmth = 0.05
 
 	// reportLifetime is how long a gate's word on a target's load counts, with falling weight.
@@ -74,6 +76,13 @@
 	a.since = since
 }
 
+// Return counts the target called name as one that returned at now, after an ejection.
+func (a *Arrivals) Return(now time.Time, name string) {
+	if _, serving := a.since[name]; serving {
+		a.since[name] = now
+	}
+}
+
 // Serving returns the standing of the target called name.
 func (a *Arrivals) Serving(name string) Serving {
 	return Serving{Since: a.since[name]}
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -28,6 +28,7 @@
 	Admit   *slog.Logger
 	Drawer  Drawer
 	Retrier *retrier.Retrier
+	Watcher Watcher
 }
 
 // Acceptor serves callers.
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -3,10 +3,12 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"samphiremount.example/core/ejector"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/router"
 	"samphiremount.example/core/tracker"
@@ -14,18 +16,26 @@
 	"samphiremount.example/node/pkg/viewer"
 )
 
+// Watcher knows the ejected targets and takes evidence.
+type Watcher interface {
+	Ejections(service string) []ejector.Entry
+	Unreached(target, service string)
+}
+
 // chooser runs the router on what this node sees: the directory, its own requests in flight and the loads that gates
 // report with their answers.
 type chooser struct {
-	name   string
-	place  router.Place
-	router router.Router
-	log    *slog.Logger
+	name    string
+	place   router.Place
+	router  router.Router
+	log     *slog.Logger
+	watcher Watcher
 
 	mu       sync.Mutex
 	random   *rand.Rand
 	inFlight map[string]int
 	reports  map[string]router.Report
+	followed map[string]map[string]ejector.Entry
 	arrivals router.Arrivals
 
 	// The rest is derived from view and made anew when that changes.
@@ -37,8 +47,9 @@
 func newChooser(dependencies Dependencies) *chooser {
 	return &chooser{
 		name: dependencies.Name, place: dependencies.Place, router: router.New(dependencies.Place),
-		log: dependencies.Route, random: dependencies.Random,
+		log: dependencies.Route, watcher: dependencies.Watcher, random: dependencies.Random,
 		inFlight: make(map[string]int), reports: make(map[string]router.Report),
+		followed: make(map[string]map[string]ejector.Entry),
 	}
 }
 
@@ -49,16 +60,13 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.follow(now, view)
-	subset, ok := c.subsets[head.Service]
-	if !ok {
-		subset = c.router.Subset(c.name, c.fleet, view.Directory.Placements(head.Service))
-		c.subsets[head.Service] = subset
-	}
+	ejected := c.ejected(now, view, head.Service)
+	subset := c.subset(view, head.Service, ejected)
 	candidates := make([]router.Candidate, 0, len(subset))
 	for _, placement := range subset {
 		name := placement.Target.Name
 		candidates = append(candidates, router.Candidate{
-			Placement: placement, Load: c.inFlight[name], Report: c.reports[name], Standing: c.arrivals.Serving(name),
+			Placement: placement, Load: c.inFlight[name], Report: c.reports[name], Standing: c.standing(ejected, name),
 		})
 	}
 	request := router.Request{Repeatable: head.Repeatable, Tried: tried}
@@ -72,6 +80,60 @@
 	return choice, nil
 }
 
+// subset returns the targets of service that this node uses. Others take the place of ejected ones.
+func (c *chooser) subset(view *viewer.View, service string, ejected map[string]ejector.Entry) []tracker.Placement {
+	if subset, ok := c.subsets[service]; ok && len(ejected) == 0 {
+		return subset
+	}
+	placements := view.Directory.Placements(service)
+	if len(ejected) == 0 {
+		c.subsets[service] = c.router.Subset(c.name, c.fleet, placements)
+		return c.subsets[service]
+	}
+	return c.router.Subset(c.name, c.fleet, slices.DeleteFunc(slices.Clone(placements), func(p tracker.Placement) bool {
+		entry, ok := ejected[p.Target.Name]
+		return ok && entry.Phase == ejector.Out
+	}))
+}
+
+// ejected returns the ejections of service that this node follows, within the floor as it sees it.
+func (c *chooser) ejected(now time.Time, view *viewer.View, name string) map[string]ejector.Entry {
+	entries := c.watcher.Ejections(name)
+	if len(entries) == 0 && len(c.followed[name]) == 0 {
+		return nil
+	}
+	service, ok := view.Configuration.Service(name)
+	if !ok {
+		return nil
+	}
+	var present []ejector.Capacity
+	for _, placement := range view.Directory.Placements(name) {
+		if !placement.Target.Leaving {
+			present = append(present, ejector.Capacity{Target: placement.Target.Name, Slots: placement.Target.Slots})
+		}
+	}
+	ejected := ejector.Enforce(entries, present, service.Floor)
+	for target := range c.followed[name] {
+		if _, still := ejected[target]; !still {
+			c.arrivals.Return(now, target)
+		}
+	}
+	c.followed[name] = ejected
+	return ejected
+}
+
+func (c *chooser) standing(ejected map[string]ejector.Entry, target string) router.Standing {
+	entry, ok := ejected[target]
+	switch {
+	case !ok:
+		return c.arrivals.Serving(target)
+	case entry.Phase == ejector.Trial:
+		return router.Trial{}
+	default:
+		return router.Ejected{}
+	}
+}
+
 // follow takes a changed view over.
 func (c *chooser) follow(now time.Time, view *viewer.View) {
 	if view == c.view {
@@ -102,8 +164,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
-		if refuser.From(err).Kind == refuser.CapacityShort {
+		switch refuser.From(err).Kind {
+		case refuser.CapacityShort:
 			c.reports[target.Name] = router.Report{InFlight: target.Slots, At: time.Now()}
+		case refuser.NodeUnreachable:
+			c.watcher.Unreached(target.Name, target.Service)
+		default:
 		}
 		return
 	}
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"samphiremount.example/core/observer"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
 	"samphiremount.example/core/tombstoner"
@@ -26,12 +27,18 @@
 	Announcement(name string) (registrar.Announcement, bool)
 }
 
+// Watcher records attempts on targets as evidence of their health.
+type Watcher interface {
+	Start(target, service string) func(observer.Result)
+}
+
 // Gatekeeper runs requests on the targets of this VM.
 type Gatekeeper struct {
 	incarnation uint64
 	started     time.Time
 	targets     Targets
 	connector   *connector.Connector
+	watcher     Watcher
 	counts      *expvar.Map
 	log         *slog.Logger
 
@@ -45,13 +52,15 @@
 // New returns a Gatekeeper for the targets that targets knows. It refuses requests that are meant for another
 // incarnation of the node, and counts in counts.
 func New(
-	incarnation uint64, targets Targets, connector *connector.Connector, counts *expvar.Map, log *slog.Logger,
+	incarnation uint64, targets Targets, connector *connector.Connector, watcher Watcher, counts *expvar.Map,
+	log *slog.Logger,
 ) *Gatekeeper {
 	return &Gatekeeper{
 		incarnation: incarnation,
 		started:     time.Now(),
 		targets:     targets,
 		connector:   connector,
+		watcher:     watcher,
 		counts:      counts,
 		log:         log,
 		inFlight:    make(map[string]int),
@@ -117,13 +126,16 @@
 		release()
 		return carrier.Answer{}, err
 	}
+	ended := g.watcher.Start(target.Name, target.Service)
 	response, err := g.connector.Exchange(ctx, target.Address, request, head.Repeatable) //nolint:bodyclose // slotBody closes it
 	if err != nil {
 		release()
 		refusal := explain(ctx, err)
+		ended(result(ctx, refusal))
 		g.finish(head.ID, refusal.Outcome != refuser.NotRun{})
 		return carrier.Answer{}, refusal
 	}
+	ended(observer.Answered{Status: response.StatusCode})
 	response.Header.Set(carrier.HeaderBusy, strconv.Itoa(g.busy(target.Name)))
 	return carrier.Answer{
 		Status: response.StatusCode,
@@ -208,6 +220,18 @@
 	return refusal
 }
 
+// result is what a failed exchange says of its target.
+func result(ctx context.Context, refusal *refuser.Refusal) observer.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled) || refusal.Kind == refuser.BodyCut:
+		return observer.Withdrawn{}
+	case refusal.Kind == refuser.TargetUnreachable:
+		return observer.Unreached{}
+	default:
+		return observer.Broken{}
+	}
+}
+
 // slotBody gives the slot back when the answer was read or given up.
 type slotBody struct {
 	io.ReadCloser
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -32,6 +32,7 @@
 	"samphiremount.example/node/pkg/prober"
 	"samphiremount.example/node/pkg/reporter"
 	"samphiremount.example/node/pkg/viewer"
+	"samphiremount.example/node/pkg/watcher"
 )
 
 const (
@@ -109,6 +110,7 @@
 	keeper   *keeper.Keeper
 	data     string
 	drawer   *drawer.Drawer
+	watcher  *watcher.Watcher
 	acceptor *acceptor.Acceptor
 	server   *messenger.Server
 }
@@ -137,7 +139,8 @@
 	client := carrier.NewClient(pool, expvar.NewMap("entry"))
 	counts := expvar.NewMap("gate")
 	targetConns := connector.New(counts)
-	gate := gatekeeper.New(incarnation, targets, targetConns, counts, log.Part("gate"))
+	seen := watcher.New(pool, settings.Controls, func() []tracker.Target { return own.Node().Targets }, log.Part("eject"))
+	gate := gatekeeper.New(incarnation, targets, targetConns, seen, counts, log.Part("gate"))
 	carrier.NewServer(gate, client).Register(mux)
 	return parts{
 		log:      log,
@@ -150,8 +153,9 @@
 		client:   synchronizer.NewClient(pool, publishers(settings, view), view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
 		drawer:   tokens,
+		watcher:  seen,
 		acceptor: acceptor.New(acceptor.Dependencies{
-			Name: settings.Name, Viewer: view, Client: client, Drawer: tokens, Retrier: retrier.New(),
+			Name: settings.Name, Viewer: view, Client: client, Drawer: tokens, Retrier: retrier.New(), Watcher: seen,
 			Place:  router.Place{Region: settings.Region, Centre: settings.Centre},
 			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 			Route:  log.Part("route"), Admit: log.Part("admit"),
@@ -175,6 +179,7 @@
 		group.Go(func() error { return p.keeper.Run(background) })
 	}
 	group.Go(func() error { return p.drawer.Run(background) })
+	group.Go(func() error { return p.watcher.Run(background) })
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
 		defer stopBackground()
--- /dev/null
+++ b/node/pkg/watcher/watcher.go
@@ -0,0 +1,148 @@
+// Package watcher records what a node sees of targets, reports it to control and keeps the list of ejections.
+package watcher
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"sync"
+	"time"
+
+	"samphiremount.example/core/ejector"
+	"samphiremount.example/core/informer"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/observer"
+	"samphiremount.example/core/tracker"
+)
+
+const (
+	reportPeriod = time.Second
+	callLimit    = 500 * time.Millisecond
+)
+
+var counters = expvar.NewMap("eject")
+
+// Watcher holds one node's evidence and its list of ejections.
+type Watcher struct {
+	pool     *messenger.Pool
+	controls []string
+	targets  func() []tracker.Target
+	log      *slog.Logger
+
+	mu       sync.Mutex
+	gate     *observer.Recorder
+	entry    map[string]observer.Digest
+	list     map[string][]ejector.Entry
+	names    map[string]ejector.Entry
+	deadline time.Time
+}
+
+// New returns a Watcher that reports to one of controls at a time. Targets returns those beside the node.
+func New(pool *messenger.Pool, controls []string, targets func() []tracker.Target, log *slog.Logger) *Watcher {
+	return &Watcher{
+		pool: pool, controls: controls, targets: targets, log: log,
+		gate: observer.NewRecorder(), entry: make(map[string]observer.Digest),
+	}
+}
+
+// Start records an attempt of the gate on a target of this VM. The function that it returns records how it ended.
+func (w *Watcher) Start(target, service string) func(observer.Result) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	number := w.gate.Start(time.Now(), target, service)
+	return func(result observer.Result) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.gate.End(time.Now(), number, result)
+	}
+}
+
+// Unreached records that this node could not reach the gate of a target. It counts once for each report, so that a
+// node which reaches nobody accuses nobody much.
+func (w *Watcher) Unreached(target, service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entry[target] = observer.Digest{Target: target, Service: service, Attempts: 1, Unreached: 1}
+}
+
+// Ejections returns the ejected targets of service. After the list's deadline there is none.
+func (w *Watcher) Ejections(service string) []ejector.Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !time.Now().Before(w.deadline) {
+		return nil
+	}
+	return w.list[service]
+}
+
+// Run reports each second until ctx ends.
+func (w *Watcher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reportPeriod)
+	defer ticker.Stop()
+	for current := 0; ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if err := w.report(ctx, w.controls[current%len(w.controls)]); err != nil && ctx.Err() == nil {
+			w.log.Warn("evidence not delivered", "address", w.controls[current%len(w.controls)], "reason", err)
+			current++
+		}
+	}
+}
+
+func (w *Watcher) report(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	list, deadline, err := informer.Inform(ctx, w.pool, address, w.digests())
+	if err != nil {
+		counters.Add("undelivered", 1)
+		return err
+	}
+	w.follow(list, deadline)
+	return nil
+}
+
+func (w *Watcher) digests() []observer.Digest {
+	targets := w.targets()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	seen := make(map[string]observer.Digest)
+	for _, digest := range w.gate.Take(time.Now()) {
+		seen[digest.Target] = digest
+	}
+	digests := make([]observer.Digest, 0, len(targets)+len(w.entry))
+	for _, target := range targets {
+		digest := seen[target.Name]
+		digest.Target, digest.Service = target.Name, target.Service
+		digest.Slots, digest.Leaving = target.Slots, target.Leaving
+		digests = append(digests, digest)
+	}
+	for _, digest := range w.entry {
+		digests = append(digests, digest)
+	}
+	clear(w.entry)
+	return digests
+}
+
+func (w *Watcher) follow(list []ejector.Entry, deadline time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	names := make(map[string]ejector.Entry, len(list))
+	services := make(map[string][]ejector.Entry)
+	for _, entry := range list {
+		names[entry.Target] = entry
+		services[entry.Service] = append(services[entry.Service], entry)
+		if old, ok := w.names[entry.Target]; !ok || old.Phase != entry.Phase {
+			w.log.Info("target not used", "target", entry.Target, "service", entry.Service,
+				"trial", entry.Phase == ejector.Trial, "reason", entry.Reason)
+		}
+	}
+	for name, entry := range w.names {
+		if _, ok := names[name]; !ok {
+			w.log.Info("target used again", "target", name, "service", entry.Service, "reason", "it is no longer on the list")
+		}
+	}
+	w.list, w.names, w.deadline = services, names, deadline
+}
