Measure how rates are kept, and mend what was refused within them

Change: - A burst is divided into parts of at least 4 tokens, so that a small workspace has one owner; its refill was lost while one part was full and another empty. - A node whose lender has much less than it wants asks the other lenders at once, beside its own lender. Before, one token from near was preferred to ten from far. - A lender skips peers that own no part.

--- a/control/pkg/lender/lender.go
+++ b/control/pkg/lender/lender.go
@@ -71,8 +71,10 @@
 	short  map[string]time.Time
 }
 
-// peer is another lender: until when it is left alone after a failure, and the reports that wait for it.
+// peer is another lender: its name once it has answered, until when it is left alone after a failure, and the reports
+// that wait for it.
 type peer struct {
+	name    string
 	silent  time.Time
 	reports []exchanger.Report
 }
@@ -106,11 +108,14 @@
 	if !ok {
 		return exchanger.Reply{Reason: reasonUnknown, Again: time.Now().Add(maxPause)}
 	}
+	if message.Spread {
+		return l.spread(ctx, workspace, message.Wanted)
+	}
 	reply := l.lend(workspace, message.Wanted)
-	if reply.Tokens > 0 || message.Relayed {
+	if reply.Tokens() > 0 || message.Relayed {
 		return reply
 	}
-	return l.relay(ctx, workspace.Name, message.Wanted, reply)
+	return l.relay(ctx, workspace, message.Wanted, reply)
 }
 
 // lend lends of the own part.
@@ -128,7 +133,8 @@
 		counters.Add("tokens", int64(answer.Tokens))
 		l.Log.Info("tokens lent", "workspace", workspace.Name, "wanted", wanted, "tokens", answer.Tokens,
 			"left", answer.Left, "lease", answer.ID, "reason", "within the part")
-		return exchanger.Reply{Lender: l.life, ID: answer.ID, Tokens: answer.Tokens}
+		loan := exchanger.Loan{Lender: l.life, ID: answer.ID, Tokens: answer.Tokens}
+		return exchanger.Reply{Lender: l.life, Loans: []exchanger.Loan{loan}}
 	case allotter.Short:
 		counters.Add("short", 1)
 		l.Log.Info("nothing lent", "workspace", workspace.Name, "wanted", wanted, "reason", answer.Reason)
--- a/control/pkg/lender/relay.go
+++ b/control/pkg/lender/relay.go
@@ -2,21 +2,27 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"samphiremount.example/core/allotter"
+	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/exchanger"
 )
 
 // relay asks the peers in turn on behalf of a node, until one lends. The lease is then between that peer and the node:
 // this process holds no part of it. Own is what this process answered.
-func (l *Lender) relay(ctx context.Context, workspace string, wanted int, own exchanger.Reply) exchanger.Reply {
+func (l *Lender) relay(
+	ctx context.Context, workspace configurer.Workspace, wanted int, own exchanger.Reply,
+) exchanger.Reply {
 	ctx, cancel := context.WithTimeout(ctx, relaysLimit)
 	defer cancel()
 	combined := own
-	for _, address := range l.Peers {
-		reply := l.ask(ctx, address, workspace, wanted)
-		if reply.Tokens > 0 {
+	for _, address := range l.owners(workspace) {
+		reply := l.ask(ctx, address, workspace.Name, wanted)
+		if reply.Tokens() > 0 {
 			return reply
 		}
 		combined.Used = combined.Used && reply.Used
@@ -30,6 +36,42 @@
 	return combined
 }
 
+// spread asks all peers at once for a share of wanted, for a node whose workspace needs more than the own part.
+func (l *Lender) spread(ctx context.Context, workspace configurer.Workspace, wanted int) exchanger.Reply {
+	owners := l.owners(workspace)
+	replies := make([]exchanger.Reply, len(owners))
+	var group errgroup.Group
+	for i, address := range owners {
+		group.Go(func() error {
+			replies[i] = l.ask(ctx, address, workspace.Name, 1+wanted/len(owners))
+			return nil
+		})
+	}
+	_ = group.Wait()
+	combined := exchanger.Reply{Lender: l.life, Again: time.Now().Add(maxPause)}
+	for _, reply := range replies {
+		combined.Loans = append(combined.Loans, reply.Loans...)
+		if len(reply.Loans) == 0 && reply.Again.Before(combined.Again) {
+			combined.Again = reply.Again
+		}
+	}
+	return combined
+}
+
+// owners returns the addresses of the peers that own a part of workspace, and of those whose names are not known yet.
+func (l *Lender) owners(workspace configurer.Workspace) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var owners []string
+	for _, address := range l.Peers {
+		name := l.peers[address].name
+		if name == "" || allotter.Divide(workspace, l.Lenders, name).Burst > 0 {
+			owners = append(owners, address)
+		}
+	}
+	return owners
+}
+
 // ask asks one peer, unless what it last said or its silence still holds.
 func (l *Lender) ask(ctx context.Context, address, workspace string, wanted int) exchanger.Reply {
 	short, silent := l.peerState(address, workspace)
@@ -52,9 +94,10 @@
 		l.Log.Warn("lender silent", "address", address, "workspace", workspace, "reason", err)
 		return exchanger.Reply{Reason: "lender " + address + " is silent", Again: now.Add(maxPause)}
 	}
-	if reply.Tokens > 0 {
+	l.peers[address].name, _, _ = strings.Cut(reply.Lender, "/")
+	if reply.Tokens() > 0 {
 		l.homes[reply.Lender] = address
-		l.Log.Info("loan relayed", "workspace", workspace, "lender", reply.Lender, "tokens", reply.Tokens,
+		l.Log.Info("loan relayed", "workspace", workspace, "lender", reply.Lender, "tokens", reply.Tokens(),
 			"reason", "the own part is used up")
 		return reply
 	}
--- a/core/allotter/part.go
+++ b/core/allotter/part.go
@@ -34,9 +34,13 @@
 	Burst int
 }
 
-// Divide returns the part of the lender called name among lenders, which must be alike on all of them. Where the burst
-// has fewer tokens than there are lenders, some own nothing. Which lender gets an odd token differs by workspace, by
-// rendezvous hashing (Thaler and Ravishankar, 1998), so that small workspaces spread over the lenders.
+// leastBurst is the least part that a burst is divided into. The smaller a part, the more refill is lost while it is
+// full or lent and another part is empty.
+const leastBurst = 4
+
+// Divide returns the part of the lender called name among lenders, which must be alike on all of them. A small burst is
+// owned by some of them only; which ones differs by workspace, by rendezvous hashing (Thaler and Ravishankar, 1998), so
+// that small workspaces spread over the lenders.
 func Divide(workspace configurer.Workspace, lenders []string, name string) Part {
 	before, own := 0, false
 	weight := lenderWeight(workspace.Name, name)
@@ -50,13 +54,13 @@
 			before++
 		}
 	}
-	if !own || before >= workspace.Burst {
+	owners := min(len(lenders), max(1, workspace.Burst/leastBurst))
+	if !own || before >= owners || workspace.Burst < 1 {
 		return Part{}
 	}
-	owners := min(len(lenders), workspace.Burst)
 	return Part{
 		Rate:  workspace.Rate / configurer.PerSecond(owners),
-		Burst: (workspace.Burst - before + len(lenders) - 1) / len(lenders),
+		Burst: (workspace.Burst - before + owners - 1) / owners,
 	}
 }
 
--- a/core/exchanger/exchanger.go
+++ b/core/exchanger/exchanger.go
@@ -17,12 +17,13 @@
 	maxReports = 4096
 )
 
-// Message goes to a lender. It asks for Wanted tokens of Workspace, if that is not empty, and settles leases. A relayed
-// one comes from a lender that was short, and is not relayed again.
+// Message goes to a lender. It asks for Wanted tokens of Workspace, if that is not empty, and settles leases. A spread
+// one asks for what the other lenders have. A relayed one comes from another lender, and is not relayed again.
 type Message struct {
 	Workspace string
 	Wanted    int
 	Relayed   bool
+	Spread    bool
 	Reports   []Report
 }
 
@@ -33,18 +34,33 @@
 	allotter.Report
 }
 
-// Reply answers a message that asked for tokens: with a loan, if Tokens is above 0, or with the reason why there is
-// none. Used says that every lender that owns a part of the workspace answered that its part is used up. Again is when,
-// on the clock of who asked, asking again may help.
-type Reply struct {
+// Loan is what one lender lends.
+type Loan struct {
 	Lender string
 	ID     uint64
 	Tokens int
+}
+
+// Reply of Lender answers a message that asked for tokens: with loans, or with the reason why there is none. Used says
+// that every lender that owns a part of the workspace answered that its part is used up. Again is when, on the clock of
+// who asked, asking again may help.
+type Reply struct {
+	Lender string
+	Loans  []Loan
 	Reason string
 	Used   bool
 	Again  time.Time
 }
 
+// Tokens returns the sum of the loans.
+func (r Reply) Tokens() int {
+	sum := 0
+	for _, loan := range r.Loans {
+		sum += loan.Tokens
+	}
+	return sum
+}
+
 // Lender answers messages.
 type Lender interface {
 	Borrow(ctx context.Context, message Message) Reply
@@ -63,15 +79,21 @@
 	Wanted    int          `cbor:"2,keyasint,omitempty"`
 	Relayed   bool         `cbor:"3,keyasint,omitempty"`
 	Reports   []reportWire `cbor:"4,keyasint,omitempty"`
+	Spread    bool         `cbor:"5,keyasint,omitempty"`
+}
+
+type loanWire struct {
+	Lender string `cbor:"1,keyasint"`
+	ID     uint64 `cbor:"2,keyasint"`
+	Tokens int    `cbor:"3,keyasint"`
 }
 
 type replyWire struct {
-	Lender       string `cbor:"1,keyasint,omitempty"`
-	ID           uint64 `cbor:"2,keyasint,omitempty"`
-	Tokens       int    `cbor:"3,keyasint,omitempty"`
-	Reason       string `cbor:"4,keyasint,omitempty"`
-	Used         bool   `cbor:"5,keyasint,omitempty"`
-	Milliseconds int64  `cbor:"6,keyasint,omitempty"`
+	Lender       string     `cbor:"1,keyasint,omitempty"`
+	Loans        []loanWire `cbor:"2,keyasint,omitempty"`
+	Reason       string     `cbor:"3,keyasint,omitempty"`
+	Used         bool       `cbor:"4,keyasint,omitempty"`
+	Milliseconds int64      `cbor:"5,keyasint,omitempty"`
 }
 
 // Client sends messages to lenders.
@@ -86,7 +108,9 @@
 
 // Borrow sends message to the lender at address and returns its reply, or an error if there was none before ctx ended.
 func (c *Client) Borrow(ctx context.Context, address string, message Message) (Reply, error) {
-	out := messageWire{Workspace: message.Workspace, Wanted: message.Wanted, Relayed: message.Relayed}
+	out := messageWire{
+		Workspace: message.Workspace, Wanted: message.Wanted, Relayed: message.Relayed, Spread: message.Spread,
+	}
 	for _, r := range message.Reports {
 		out.Reports = append(out.Reports, reportWire{r.Lender, r.Workspace, r.ID, r.Spent, r.Returned})
 	}
@@ -94,10 +118,14 @@
 	if err := c.pool.Get(ctx, address).Invoke(ctx, callBorrow, messenger.Encoding{}, &out, &in); err != nil {
 		return Reply{}, errors.Wrap(err, "borrow")
 	}
-	return Reply{
-		Lender: in.Lender, ID: in.ID, Tokens: in.Tokens, Reason: in.Reason, Used: in.Used,
+	reply := Reply{
+		Lender: in.Lender, Reason: in.Reason, Used: in.Used,
 		Again: time.Now().Add(time.Duration(in.Milliseconds) * time.Millisecond),
-	}, nil
+	}
+	for _, loan := range in.Loans {
+		reply.Loans = append(reply.Loans, Loan(loan))
+	}
+	return reply, nil
 }
 
 // Register adds the call to mux; lender answers it.
@@ -110,16 +138,19 @@
 		if len(in.Reports) > maxReports || in.Wanted < 0 {
 			return errors.Newf("%d reports and %d tokens wanted are not allowed", len(in.Reports), in.Wanted)
 		}
-		message := Message{Workspace: in.Workspace, Wanted: in.Wanted, Relayed: in.Relayed}
+		message := Message{Workspace: in.Workspace, Wanted: in.Wanted, Relayed: in.Relayed, Spread: in.Spread}
 		for _, r := range in.Reports {
 			settled := allotter.Report{ID: r.ID, Spent: r.Spent, Returned: r.Returned}
 			message.Reports = append(message.Reports, Report{r.Lender, r.Workspace, settled})
 		}
 		reply := lender.Borrow(stream.Context(), message)
 		out := replyWire{
-			Lender: reply.Lender, ID: reply.ID, Tokens: reply.Tokens, Reason: reply.Reason, Used: reply.Used,
+			Lender: reply.Lender, Reason: reply.Reason, Used: reply.Used,
 			Milliseconds: max(0, time.Until(reply.Again).Milliseconds()),
 		}
+		for _, loan := range reply.Loans {
+			out.Loans = append(out.Loans, loanWire(loan))
+		}
 		return errors.Wrap(stream.MsgSend(&out, messenger.Encoding{}), "send reply")
 	}
 }
--- /dev/null
+++ b/core/exchanger/exchanger_test.go
@@ -0,0 +1,140 @@
+package exchanger_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/allotter"
+	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/messenger"
+)
+
+// echo lends what is wanted and keeps the last message.
+type echo struct {
+	last atomic.Pointer[exchanger.Message]
+}
+
+func (e *echo) Borrow(_ context.Context, message exchanger.Message) exchanger.Reply {
+	e.last.Store(&message)
+	if message.Workspace == "" {
+		return exchanger.Reply{}
+	}
+	loan := exchanger.Loan{Lender: "control0/18b0c3f2a1d4e5f6", ID: 123456, Tokens: message.Wanted}
+	return exchanger.Reply{
+		Lender: "control0/18b0c3f2a1d4e5f6", Loans: []exchanger.Loan{loan}, Used: true, Again: time.Now().Add(time.Second),
+	}
+}
+
+// counted counts the bytes of both directions on the connections that it accepts.
+type counted struct {
+	net.Listener
+
+	bytes atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+
+	bytes *atomic.Int64
+}
+
+func (l *counted) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countedConn{conn, &l.bytes}, err
+}
+
+func (c countedConn) Read(buf []byte) (int, error) {
+	n, err := c.Conn.Read(buf)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(buf []byte) (int, error) {
+	n, err := c.Conn.Write(buf)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func serve(tb testing.TB, lender exchanger.Lender) (*exchanger.Client, *counted) {
+	tb.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(tb, err)
+	wire := &counted{Listener: listener}
+	credentials := messenger.NewCredentials("test", []byte("a-secret-of-a-test-fleet"))
+	mux := messenger.Mux{}
+	exchanger.Register(mux, lender)
+	ctx, stop := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		return messenger.NewServer(credentials, mux, slog.New(slog.DiscardHandler)).Serve(ctx, wire)
+	})
+	pool := messenger.NewPool(credentials)
+	tb.Cleanup(func() {
+		stop()
+		assert.NilError(tb, pool.Close())
+		assert.NilError(tb, group.Wait())
+	})
+	return exchanger.NewClient(pool), wire
+}
+
+func reports(count int) []exchanger.Report {
+	report := exchanger.Report{
+		Lender: "control0/18b0c3f2a1d4e5f6", Workspace: "kowhai",
+		Report: allotter.Report{ID: 123456, Spent: 7, Returned: true},
+	}
+	all := make([]exchanger.Report, count)
+	for i := range all {
+		all[i] = report
+	}
+	return all
+}
+
+func TestMessageAndReplyArriveWhole(t *testing.T) {
+	lender := &echo{}
+	client, wire := serve(t, lender)
+	message := exchanger.Message{Workspace: "kowhai", Wanted: 7, Relayed: true, Spread: true, Reports: reports(2)}
+	asked := time.Now()
+	reply, err := client.Borrow(t.Context(), wire.Addr().String(), message)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *lender.last.Load(), message)
+	assert.Equal(t, reply.Tokens(), 7)
+	assert.Assert(t, reply.Used && reply.Again.After(asked))
+}
+
+func TestMessageOutOfBoundsIsRefused(t *testing.T) {
+	client, wire := serve(t, &echo{})
+	for _, message := range []exchanger.Message{
+		{Workspace: "kowhai", Wanted: -1},
+		{Reports: reports(4097)},
+	} {
+		_, err := client.Borrow(t.Context(), wire.Addr().String(), message)
+		assert.ErrorContains(t, err, "not allowed")
+	}
+}
+
+// BenchmarkBorrow reports the bytes of both directions for a message with a loan, for a report that goes with it, and
+// for a message with nothing else than one report.
+func BenchmarkBorrow(b *testing.B) {
+	for name, message := range map[string]exchanger.Message{
+		"loan":                {Workspace: "kowhai", Wanted: 7},
+		"loan and 10 reports": {Workspace: "kowhai", Wanted: 7, Reports: reports(10)},
+		"one report":          {Reports: reports(1)},
+	} {
+		b.Run(name, func(b *testing.B) {
+			client, wire := serve(b, &echo{})
+			for b.Loop() {
+				if _, err := client.Borrow(b.Context(), wire.Addr().String(), message); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(wire.bytes.Load())/float64(b.N), "wire-B/op")
+		})
+	}
+}
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -53,7 +53,8 @@
 }
 
 // account is what the node knows of one workspace. Asking is closed when the message in flight was answered; it is nil
-// if there is none. Short is the last answer without tokens.
+// if there is none. Short is the last answer without tokens. Partial says that the lender had much less than was wanted, so
+// that the others are asked too; spreading says that they are being asked, and spreadAgain when next.
 type account struct {
 	holding allotter.Holding
 	demand  allotter.Demand
@@ -61,6 +62,10 @@
 	waiting int
 	short   exchanger.Reply
 	used    time.Time
+
+	partial     bool
+	spreading   bool
+	spreadAgain time.Time
 }
 
 // New returns a Drawer without leases that asks the lenders at addresses, the first if it answers.
@@ -147,20 +152,26 @@
 // that is held here is more likely missed elsewhere.
 func (d *Drawer) prefetch(workspace string, a *account, now time.Time) {
 	wanted := a.demand.Wanted(now)
-	if wanted > 1 && a.asking == nil && !d.stopped && !now.Before(a.short.Again) && 2*a.holding.Left(now) < wanted {
+	if wanted == 1 || d.stopped || now.Before(a.short.Again) || 2*a.holding.Left(now) >= wanted {
+		return
+	}
+	if a.asking == nil {
 		d.ask(workspace, a, wanted)
 	}
+	if a.partial && 4*a.holding.Left(now) < wanted && !a.spreading && !now.Before(a.spreadAgain) {
+		d.spread(workspace, a, wanted)
+	}
 }
 
 func (d *Drawer) ask(workspace string, a *account, wanted int) {
 	a.asking = make(chan struct{})
 	d.group.Go(func() error {
-		lease, reply := d.borrow(workspace, wanted)
+		asked, reply := d.borrow(exchanger.Message{Workspace: workspace, Wanted: wanted})
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if reply.Tokens > 0 {
-			a.holding = a.holding.With(lease)
-		} else {
+		a.take(asked, reply)
+		a.partial = 4*reply.Tokens() < wanted
+		if len(reply.Loans) == 0 {
 			a.short = reply
 		}
 		close(a.asking)
@@ -169,16 +180,39 @@
 	})
 }
 
-// borrow asks the lenders in turn, from the current one. The lease counts from before the message that got it.
-func (d *Drawer) borrow(workspace string, wanted int) (allotter.Lease, exchanger.Reply) {
+// spread asks for what the other lenders have, beside the messages to the current one.
+func (d *Drawer) spread(workspace string, a *account, wanted int) {
+	a.spreading = true
+	d.group.Go(func() error {
+		asked, reply := d.borrow(exchanger.Message{Workspace: workspace, Wanted: wanted, Spread: true})
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		a.take(asked, reply)
+		a.spreading = false
+		if len(reply.Loans) == 0 {
+			a.spreadAgain = reply.Again
+		}
+		return nil
+	})
+}
+
+func (a *account) take(asked time.Time, reply exchanger.Reply) {
+	for _, loan := range reply.Loans {
+		a.holding = a.holding.With(allotter.NewLease(asked, loan.Lender, loan.ID, loan.Tokens))
+	}
+}
+
+// borrow asks the lenders in turn, from the current one. Leases count from before the message that got them, which it
+// returns too.
+func (d *Drawer) borrow(message exchanger.Message) (time.Time, exchanger.Reply) {
 	ctx, cancel := context.WithTimeout(context.Background(), drawLimit)
 	defer cancel()
 	for range d.addresses {
 		asked := time.Now()
-		reply, err := d.send(ctx, exchanger.Message{Workspace: workspace, Wanted: wanted})
+		reply, err := d.send(ctx, message)
 		if err == nil {
-			return allotter.NewLease(asked, reply.Lender, reply.ID, reply.Tokens), reply
+			return asked, reply
 		}
 	}
-	return allotter.Lease{}, exchanger.Reply{Reason: "no lender answered", Again: time.Now().Add(shortPause)}
+	return time.Time{}, exchanger.Reply{Reason: "no lender answered", Again: time.Now().Add(shortPause)}
 }
--- a/node/pkg/drawer/settle.go
+++ b/node/pkg/drawer/settle.go
@@ -62,7 +62,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	for name, a := range d.accounts {
-		if a.holding.Empty() && a.asking == nil && a.waiting == 0 && now.Sub(a.used) > idleTime {
+		if a.holding.Empty() && a.asking == nil && !a.spreading && a.waiting == 0 && now.Sub(a.used) > idleTime {
 			delete(d.accounts, name)
 		}
 	}
--- /dev/null
+++ b/standin/allowances/fleet_test.go
@@ -0,0 +1,170 @@
+// Package allowances_test measures how workspaces' rates are kept: the real lenders and drawers run in virtual time on a
+// network of four data centres in two regions.
+package allowances_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"samphiremount.example/control/pkg/lender"
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/exchanger"
+	"samphiremount.example/node/pkg/drawer"
+)
+
+const (
+	centres = 4
+	nodes   = 16
+	regions = 2
+
+	nearDelay   = 250 * time.Microsecond
+	centreDelay = 500 * time.Microsecond
+	regionDelay = 20 * time.Millisecond
+)
+
+// drawing is a way to keep the rate, as one node sees it.
+type drawing interface {
+	Draw(ctx context.Context, workspace string) (string, error)
+}
+
+// network delays messages between data centres, drops those between regions while they are cut, and counts.
+type network struct {
+	cut      atomic.Bool
+	messages atomic.Int64
+	reports  atomic.Int64
+	crossing atomic.Int64
+
+	mu      sync.Mutex
+	lenders map[string]*lender.Lender
+}
+
+func regionOf(centre int) int { return centre * regions / centres }
+
+func delay(from, to int) time.Duration {
+	switch {
+	case from == to:
+		return nearDelay
+	case regionOf(from) == regionOf(to):
+		return centreDelay
+	default:
+		return regionDelay
+	}
+}
+
+// travel waits for the way of one message. It fails when ctx ends, as it does for a message that a cut drops.
+func (n *network) travel(ctx context.Context, from, to int) error {
+	if regionOf(from) != regionOf(to) {
+		n.crossing.Add(1)
+		if n.cut.Load() {
+			<-ctx.Done()
+			return errors.Wrap(ctx.Err(), "cut")
+		}
+	}
+	select {
+	case <-time.After(delay(from, to)):
+		return nil
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "travel")
+	}
+}
+
+// place is the network as a process in a data centre sees it. Addresses of lenders are names of data centres.
+type place struct {
+	*network
+
+	centre int
+}
+
+var names = []string{"control0", "control1", "control2", "control3"}
+
+// Borrow implements the Borrower of drawers and lenders.
+func (p place) Borrow(ctx context.Context, address string, message exchanger.Message) (exchanger.Reply, error) {
+	to := int(address[len(address)-1] - '0')
+	p.messages.Add(1)
+	p.reports.Add(int64(len(message.Reports)))
+	if err := p.travel(ctx, p.centre, to); err != nil {
+		return exchanger.Reply{}, err
+	}
+	p.mu.Lock()
+	found := p.lenders[address]
+	p.mu.Unlock()
+	if found == nil {
+		return exchanger.Reply{}, errors.New("connection refused")
+	}
+	reply := found.Borrow(ctx, message)
+	return reply, p.travel(ctx, to, p.centre)
+}
+
+type fixed struct{ configuration configurer.Configuration }
+
+func (f fixed) Configuration() configurer.Configuration { return f.configuration }
+
+// fleet runs lenders and nodes until ctx ends.
+type fleet struct {
+	*network
+
+	ctx           context.Context
+	group         errgroup.Group
+	configuration configurer.Configuration
+	stops         map[string]context.CancelFunc
+}
+
+func newFleet(ctx context.Context, configuration configurer.Configuration) *fleet {
+	f := &fleet{
+		network: &network{lenders: make(map[string]*lender.Lender)}, ctx: ctx, configuration: configuration,
+		stops: make(map[string]context.CancelFunc),
+	}
+	for centre := range centres {
+		f.startLender(centre)
+	}
+	return f
+}
+
+// nearest returns the other centres' names, those of the own region first.
+func nearest(centre int) []string {
+	var near, far []string
+	for other, name := range names {
+		switch {
+		case other == centre:
+		case regionOf(other) == regionOf(centre):
+			near = append(near, name)
+		default:
+			far = append(far, name)
+		}
+	}
+	return append(near, far...)
+}
+
+func (f *fleet) startLender(centre int) {
+	ctx, stop := context.WithCancel(f.ctx)
+	started := lender.New(time.Now(), lender.Dependencies{
+		Name: names[centre], Lenders: names, Peers: nearest(centre), Configuration: fixed{f.configuration},
+		Borrower: place{f.network, centre}, Log: slog.New(slog.DiscardHandler),
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lenders[names[centre]] = started
+	f.stops[names[centre]] = stop
+	f.group.Go(func() error { return started.Run(ctx) })
+}
+
+func (f *fleet) killLender(centre int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.lenders, names[centre])
+	f.stops[names[centre]]()
+}
+
+// startNode returns a node's drawer. A node that is replaced is not stopped: its leases stay out until they end.
+func (f *fleet) startNode(centre int) drawing {
+	addresses := append([]string{names[centre]}, nearest(centre)...)
+	started := drawer.New(place{f.network, centre}, addresses, slog.New(slog.DiscardHandler))
+	f.group.Go(func() error { return started.Run(f.ctx) })
+	return started
+}
--- /dev/null
+++ b/standin/allowances/measure_test.go
@@ -0,0 +1,265 @@
+package allowances_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"text/tabwriter"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/allotter"
+	"samphiremount.example/core/configurer"
+)
+
+var (
+	seconds = flag.Int("seconds", 12, "Virtual seconds of each load")
+	seed    = flag.Uint64("seed", 1, "Seed of the loads")
+	table   = flag.Bool("table", false, "Print the table of figures")
+)
+
+// load is a kind of traffic. Each of Workspaces gets Offered requests a second, through the nodes that Through allows.
+type load struct {
+	name       string
+	workspaces int
+	rate       float64
+	burst      int
+	offered    float64
+	through    func(node int) bool
+	fault      func(r *run)
+}
+
+func anyNode(int) bool     { return true }
+func oneNode(n int) bool   { return n == nodes-1 }
+func farRegion(n int) bool { return regionOf(centreOf(n)) == regions-1 }
+func centreOf(n int) int   { return n * centres / nodes }
+
+func loads() []load {
+	return []load{
+		{"even", 1, 400, 100, 360, anyNode, nil},
+		{"one hot node", 1, 400, 100, 360, oneNode, nil},
+		{"many tiny workspaces", 300, 1, 2, 0.5, anyNode, nil},
+		{"many tiny, regions cut", 300, 1, 2, 0.5, anyNode, (*run).cutRegions},
+		{"many small workspaces", 100, 5, 10, 3, anyNode, nil},
+		{"tiny, burst of 1", 300, 1, 1, 0.3, anyNode, nil},
+		{"even, three times the rate", 1, 400, 100, 1200, anyNode, nil},
+		{"even, regions cut", 1, 400, 100, 360, anyNode, (*run).cutRegions},
+		{"far region only, regions cut", 1, 400, 100, 360, farRegion, (*run).cutRegions},
+		{"even, lender killed for 3 s", 1, 400, 100, 360, anyNode, (*run).killLender},
+		{"even, a node replaced each second", 1, 400, 100, 360, anyNode, (*run).replaceNodes},
+	}
+}
+
+type event struct {
+	workspace string
+	at        time.Time
+}
+
+// run is one load on one way to keep the rate.
+type run struct {
+	load     load
+	fleet    *fleet
+	counter  *counter
+	start    func(node int) drawing
+	duration time.Duration
+
+	mu       sync.Mutex
+	drawings []drawing
+	arrived  []event
+	admitted []event
+	waited   []time.Duration
+}
+
+func (r *run) cutRegions() {
+	time.Sleep(r.duration / 3)
+	r.fleet.cut.Store(true)
+	time.Sleep(r.duration / 3)
+	r.fleet.cut.Store(false)
+}
+
+func (r *run) killLender() {
+	time.Sleep(r.duration / 3)
+	r.fleet.killLender(0)
+	r.counter.kill()
+	time.Sleep(3 * time.Second)
+	r.fleet.startLender(0)
+	r.counter.restart()
+}
+
+func (r *run) replaceNodes() {
+	for i := range int(r.duration / time.Second) {
+		time.Sleep(time.Second)
+		started := r.start(i % nodes)
+		r.mu.Lock()
+		r.drawings[i%nodes] = started
+		r.mu.Unlock()
+	}
+}
+
+func (r *run) draw(workspace string, node int) {
+	r.mu.Lock()
+	r.arrived = append(r.arrived, event{workspace, time.Now()})
+	through := r.drawings[node]
+	r.mu.Unlock()
+	arrived := time.Now()
+	_, err := through.Draw(context.Background(), workspace)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.admitted = append(r.admitted, event{workspace, time.Now()})
+		r.waited = append(r.waited, time.Since(arrived))
+	}
+}
+
+// offer sends the load: arrivals of a Poisson process, each through a node drawn at random.
+func (r *run) offer(random *rand.Rand) {
+	var allowed []int
+	for node := range nodes {
+		if r.load.through(node) {
+			allowed = append(allowed, node)
+		}
+	}
+	var requests sync.WaitGroup
+	total := r.load.offered * float64(r.load.workspaces)
+	for end := time.Now().Add(r.duration); time.Now().Before(end); {
+		time.Sleep(time.Duration(random.ExpFloat64() / total * float64(time.Second)))
+		workspace, node := nameOf(random.IntN(r.load.workspaces)), allowed[random.IntN(len(allowed))]
+		requests.Go(func() { r.draw(workspace, node) })
+	}
+	requests.Wait()
+}
+
+func nameOf(i int) string { return fmt.Sprintf("workspace%d", i) }
+
+func configurationOf(l load) configurer.Configuration {
+	batch := configurer.Batch{Operation: "measure"}
+	for i := range l.workspaces {
+		batch.Changes = append(batch.Changes, configurer.PutWorkspace{Workspace: configurer.Workspace{
+			Name: nameOf(i), Rate: configurer.PerSecond(l.rate), Burst: l.burst,
+		}})
+	}
+	configuration, _, err := configurer.Configuration{}.With(batch)
+	if err != nil {
+		panic(err)
+	}
+	return configuration
+}
+
+const (
+	allowancesWay = "allowances"
+	divisionWay   = "static division"
+	counterWay    = "central counter"
+)
+
+var ways = []string{allowancesWay, divisionWay, counterWay}
+
+func measure(t *testing.T, l load, way string) *run {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	configuration := configurationOf(l)
+	r := &run{
+		load: l, fleet: newFleet(ctx, configuration), duration: time.Duration(*seconds) * time.Second,
+		counter: &counter{configuration: configuration, buckets: make(map[string]*bucket)},
+	}
+	r.start = func(node int) drawing {
+		switch way {
+		case allowancesWay:
+			return r.fleet.startNode(centreOf(node))
+		case divisionWay:
+			return &division{configuration: configuration, node: node, buckets: make(map[string]*bucket)}
+		default:
+			return counted{place{r.fleet.network, centreOf(node)}, r.counter}
+		}
+	}
+	for node := range nodes {
+		r.drawings = append(r.drawings, r.start(node))
+	}
+	// The lenders wait out a lease and their buckets fill.
+	time.Sleep(2*allotter.LenderTime + time.Duration(float64(l.burst)/l.rate*float64(2*time.Second)))
+	var fault sync.WaitGroup
+	if l.fault != nil {
+		fault.Go(func() { l.fault(r) })
+	}
+	r.offer(rand.New(rand.NewPCG(*seed, 1)))
+	fault.Wait()
+	stop()
+	assert.NilError(t, r.fleet.group.Wait())
+	return r
+}
+
+// within returns how many of events a plain token bucket for each workspace admits, and whether that is all of them.
+func within(l load, events []event) (count int, all bool) {
+	slices.SortStableFunc(events, func(a, b event) int { return a.at.Compare(b.at) })
+	buckets := make(map[string]*bucket)
+	for _, e := range events {
+		if _, ok := buckets[e.workspace]; !ok {
+			buckets[e.workspace] = newBucket(e.at, l.rate, float64(l.burst))
+		}
+		if buckets[e.workspace].try(e.at) {
+			count++
+		}
+	}
+	return count, count == len(events)
+}
+
+// Each load runs on each way to keep the rate. None may admit more than the rate and burst over any window.
+func TestRateIsKeptAndUsed(t *testing.T) {
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	if *table {
+		_, _ = fmt.Fprintln(out, "load\tway\tarrived\tin rate\tadmitted\tkept\trefused in rate %\tworst workspace %\t"+
+			"messages/admitted\treports/admitted\tacross regions/admitted\twait p50/p99 ms")
+	}
+	for _, l := range loads() {
+		for _, way := range ways {
+			t.Run(l.name+"/"+way, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					r := measure(t, l, way)
+					_, all := within(l, r.admitted)
+					// A central counter decides before the node admits, so that it keeps the rate only where it stands.
+					assert.Assert(t, all || way == counterWay, "more was admitted than a plain token bucket admits")
+					if *table {
+						r.print(out, way, all)
+					}
+				})
+			})
+		}
+	}
+	assert.NilError(t, out.Flush())
+}
+
+func (r *run) print(out *tabwriter.Writer, way string, kept bool) {
+	inRate, _ := within(r.load, r.arrived)
+	admitted := max(len(r.admitted), 1)
+	per := func(count int64) float64 { return float64(count) / float64(admitted) }
+	slices.Sort(r.waited)
+	quantile := func(q int) float64 {
+		if len(r.waited) == 0 {
+			return 0
+		}
+		return float64(r.waited[(len(r.waited)-1)*q/100].Microseconds()) / 1000
+	}
+	_, _ = fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%t\t%.2f\t%.0f\t%.3f\t%.3f\t%.3f\t%.2f/%.2f\n", r.load.name, way, len(r.arrived),
+		inRate, len(r.admitted), kept, 100*max(0, float64(inRate-len(r.admitted)))/float64(inRate), r.worst(),
+		per(r.fleet.messages.Load()), per(r.fleet.reports.Load()), per(r.fleet.crossing.Load()), quantile(50), quantile(99))
+}
+
+// worst returns the largest share of its requests within the rate that a workspace was refused, in percent.
+func (r *run) worst() float64 {
+	worst := 0.0
+	for i := range r.load.workspaces {
+		other := func(e event) bool { return e.workspace != nameOf(i) }
+		inRate, _ := within(r.load, slices.DeleteFunc(slices.Clone(r.arrived), other))
+		admitted := len(slices.DeleteFunc(slices.Clone(r.admitted), other))
+		if inRate > 0 {
+			worst = max(worst, 100*float64(inRate-admitted)/float64(inRate))
+		}
+	}
+	return worst
+}
