--- a/control/pkg/proposer/proposer.go
+++ b/control/pkg/proposer/proposer.go
@@ -152,3 +152,9 @@
 		return answer{err: refuser.Fail(refuser.LeaderUnknown, "no quorum answered in time; sending the same again is safe")}
 	}
 }
+
+// Age returns how long this process has known no leader. Nodes take it as the age of what it publishes: a process on
+// the far side of a partition must not make them believe that they hear the newest changes.
+func (p *Replicated) Age() time.Duration {
+	return p.status.age()
+}
--- a/control/pkg/proposer/status.go
+++ b/control/pkg/proposer/status.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"samphiremount.example/core/replicator"
 )
@@ -29,15 +30,16 @@
 
 // statusKeeper shares the status between the loop and the operators' calls.
 type statusKeeper struct {
-	mu        sync.Mutex
-	status    Status
-	newcomers map[string]replicator.Member
-	known     map[replicator.Identity]replicator.Member
+	mu         sync.Mutex
+	status     Status
+	leaderless time.Time
+	newcomers  map[string]replicator.Member
+	known      map[replicator.Identity]replicator.Member
 }
 
 func newStatusKeeper() *statusKeeper {
 	return &statusKeeper{
-		newcomers: make(map[string]replicator.Member), known: make(map[replicator.Identity]replicator.Member),
+		leaderless: time.Now(), newcomers: make(map[string]replicator.Member), known: make(map[replicator.Identity]replicator.Member),
 	}
 }
 
@@ -64,6 +66,22 @@
 			k.status.Leader = member.Name
 		}
 	}
+	switch {
+	case k.status.Leader != "":
+		k.leaderless = time.Time{}
+	case k.leaderless.IsZero():
+		k.leaderless = time.Now()
+	}
+}
+
+// age returns how long no leader has been known, and 0 while one is.
+func (k *statusKeeper) age() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaderless.IsZero() {
+		return 0
+	}
+	return time.Since(k.leaderless)
 }
 
 func (k *statusKeeper) add(newcomer replicator.Member) {
--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	publisher := synchronizer.NewServer(hub, func() time.Duration { return 0 }, log.Part("publish"))
+	publisher := synchronizer.NewServer(hub, replicated.Age, log.Part("publish"))
 	mux := messenger.Mux{}
 	publisher.Register(mux)
 	replicated.Register(mux)
--- a/core/synchronizer/client.go
+++ b/core/synchronizer/client.go
@@ -20,6 +20,8 @@
 	maxPause = 2 * time.Second
 	// substitutePeriod is how long a client stays, on average, with a publisher that is not its best.
 	substitutePeriod = 30 * time.Second
+	// staleStay is how long a client stays with a publisher that is cut off from the leader.
+	staleStay = 2 * time.Second
 )
 
 // Sink takes what a publisher sends, if it is newer than what it holds.
@@ -109,7 +111,7 @@
 	}
 	c.log.Info("subscribed", "address", address, "version", c.sink.Configuration().Version())
 	heard := make(chan struct{}, 1)
-	group.Go(func() error { return c.receive(stream, heard) })
+	group.Go(func() error { return c.receive(stream, heard, time.Now().Add(staleStay)) })
 	group.Go(func() error { return c.reportChanges(ctx, stream) })
 	group.Go(func() error {
 		// A connection that went silent never fails by itself, so it is closed here.
@@ -163,7 +165,8 @@
 	return errors.Wrap(stream.MsgSend(&report, messenger.Encoding{}), "send report")
 }
 
-func (c *Client) receive(stream drpc.Stream, heard chan<- struct{}) error {
+// receive takes updates. A publisher that is itself cut off is left at the deadline: another one may know more.
+func (c *Client) receive(stream drpc.Stream, heard chan<- struct{}, deadline time.Time) error {
 	var snapshot []configurer.Record
 	for {
 		var update updateMessage
@@ -185,8 +188,13 @@
 		if update.Last {
 			snapshot = nil
 		}
-		if update.heartbeat() {
-			c.sink.Heard(time.Duration(update.Age) * time.Millisecond)
+		if !update.heartbeat() {
+			continue
+		}
+		age := time.Duration(update.Age) * time.Millisecond
+		c.sink.Heard(age)
+		if age > SilenceLimit && time.Now().After(deadline) {
+			return errors.Newf("the publisher has had no contact for %s", age.Round(time.Second))
 		}
 	}
 }
--- a/core/synchronizer/server.go
+++ b/core/synchronizer/server.go
@@ -17,7 +17,8 @@
 // NodeLifetime is how long a node stays in the directory after its last connection was lost.
 const NodeLifetime = 3 * time.Second
 
-// Age tells how long ago a process heard a control process. It is 0 in a control process.
+// Age tells how long ago a process was last in contact with control: a node with a control process, a control process
+// with the leader.
 type Age func() time.Duration
 
 // Server publishes a Hub.
--- a/node/pkg/prober/prober.go
+++ b/node/pkg/prober/prober.go
@@ -33,15 +33,18 @@
 // Prober probes on behalf of one node.
 type Prober struct {
 	name   string
+	region string
 	pool   *messenger.Pool
 	viewer *viewer.Viewer
 	random *rand.Rand
 	log    *slog.Logger
 }
 
-// New returns a prober for the node called name. Random must not be shared.
-func New(name string, pool *messenger.Pool, viewer *viewer.Viewer, random *rand.Rand, log *slog.Logger) *Prober {
-	return &Prober{name: name, pool: pool, viewer: viewer, random: random, log: log}
+// New returns a prober for the node called name in region. Random must not be shared.
+func New(
+	name, region string, pool *messenger.Pool, viewer *viewer.Viewer, random *rand.Rand, log *slog.Logger,
+) *Prober {
+	return &Prober{name: name, region: region, pool: pool, viewer: viewer, random: random, log: log}
 }
 
 // Register adds the answer to peers' probes to mux.
@@ -97,11 +100,11 @@
 }
 
 // sample draws peers that the directory knows, also those that it lost: a node that is cut off alone would otherwise
-// see a fleet without peers.
+// see a fleet without peers. Peers are those of the own region: a region that is cut from the other goes on.
 func (p *Prober) sample(nodes []tracker.Node) []tracker.Node {
 	var peers []tracker.Node
 	for _, node := range nodes {
-		if node.Name != p.name && !node.Leaving {
+		if node.Name != p.name && node.Region == p.region && !node.Leaving {
 			peers = append(peers, node)
 		}
 	}
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -133,7 +133,8 @@
 	explainer.Register(mux, decisions)
 	age := func() time.Duration { return view.View().ControlAge(time.Now()) }
 	synchronizer.NewServer(hub, age, log.Part("publish")).Register(mux)
-	peers := prober.New(settings.Name, pool, view, rand.New(rand.NewPCG(incarnation, rand.Uint64())), log.Part("probe"))
+	draws := rand.New(rand.NewPCG(incarnation, rand.Uint64()))
+	peers := prober.New(settings.Name, settings.Region, pool, view, draws, log.Part("probe"))
 	peers.Register(mux)
 	cache := keeper.New(settings.Data, hub, log.Part("keep"))
 	if settings.Data != "" {
