--- a/control/pkg/starter/settings.go
+++ b/control/pkg/starter/settings.go
@@ -2,7 +2,7 @@
 package starter
 
 import (
-	"slices"
+	"maps"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,9 +17,9 @@
 	Fleet     string   `long:"fleet" env:"SAMPHIRE_FLEET" default:"127.0.0.1:8181" description:"IP address and port of the listener for processes of the fleet"`
 	Operators string   `long:"operators" env:"SAMPHIRE_OPERATORS" default:"127.0.0.1:8180" description:"IP address and port of the listener for operators"`
 	Token     string   `long:"token-file" env:"SAMPHIRE_TOKEN_FILE" description:"File with the token that operators present"`
-	Peers     []string `long:"peer" env:"SAMPHIRE_PEERS" env-delim:"," description:"IP address and port of another control process; repeat it"`
-	Lenders   []string `long:"lender" env:"SAMPHIRE_LENDERS" env-delim:"," description:"Name of a control process that lends parts of the workspaces' rates, itself included; repeat it, alike on all control processes"`
-	Primary   bool     `long:"primary" env:"SAMPHIRE_PRIMARY" description:"Accept operators' changes; set it on exactly one control process"`
+	Members   []string `long:"member" env:"SAMPHIRE_MEMBERS" env-delim:"," description:"NAME=ADDRESS of a control process, this one included, with the IP address and port of its --fleet; repeat it"`
+	Lenders   []string `long:"lender" env:"SAMPHIRE_LENDERS" env-delim:"," description:"NAME=ADDRESS of a node that lends parts of the workspaces' rates beside the control processes; repeat it, alike on all processes"`
+	Data      string   `long:"data" env:"SAMPHIRE_DATA" description:"Folder for the state that must survive a restart; no other process may use it"`
 }
 
 // Check returns an error for each wrong setting.
@@ -33,24 +33,31 @@
 	if _, err := core.ReadSecret("--token-file", s.Token); err != nil {
 		wrong = append(wrong, err)
 	}
-	wrong = append(wrong, s.checkLenders()...)
-	for _, address := range s.Peers {
-		wrong = append(wrong, core.CheckPeer("--peer", address)...)
+	if s.Data == "" {
+		wrong = append(wrong, errors.New("--data must be set"))
 	}
-	return wrong
+	return append(wrong, s.checkMembers()...)
 }
 
-// checkLenders makes sure that each process owns its part of the rates and no more: one that has peers must know all
-// the names by which they divide.
-func (s *Settings) checkLenders() []error {
-	if len(s.Lenders) == 0 && len(s.Peers) == 0 {
-		s.Lenders = []string{s.Name}
+func (s *Settings) checkMembers() []error {
+	members, wrong := core.ParsePeers("--member", s.Members)
+	if _, ok := members[s.Name]; s.Name != "" && !ok {
+		wrong = append(wrong, errors.Newf("--member must name this process, %s, too", s.Name))
 	}
-	if !slices.Contains(s.Lenders, s.Name) {
-		return []error{errors.New("--lender must be given for each control process, this one included")}
-	}
-	if len(slices.Compact(slices.Sorted(slices.Values(s.Lenders)))) != len(s.Lenders) {
-		return []error{errors.New("--lender must not be given twice for one name")}
-	}
-	return nil
+	_, wrongLenders := core.ParsePeers("--lender", s.Lenders)
+	return append(wrong, wrongLenders...)
+}
+
+// Addresses returns the IP address and port of each member by its name.
+func (s *Settings) Addresses() core.Peers {
+	members, _ := core.ParsePeers("--member", s.Members)
+	return members
+}
+
+// AllLenders returns the members and the lenders beside them. The workspaces' rates are divided by their names, so they
+// must be alike on all processes.
+func (s *Settings) AllLenders() core.Peers {
+	lenders, _ := core.ParsePeers("--lender", s.Lenders)
+	maps.Copy(lenders, s.Addresses())
+	return lenders
 }
--- a/standin/allowances/fleet_test.go
+++ b/standin/allowances/fleet_test.go
@@ -12,9 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
-	"samphiremount.example/control/pkg/lender"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/lender"
 	"samphiremount.example/node/pkg/drawer"
 )
 
--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -5,8 +5,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -23,8 +23,13 @@
 	nodes    = 4
 	limit    = 20 * time.Second
 	pause    = 50 * time.Millisecond
+	// tailBytes is how much of each log a failed scenario prints.
+	tailBytes = 1500
 )
 
+// lendingNodes lend parts of the rates beside the control processes, one in each data centre.
+var lendingNodes = []int{0, 2}
+
 type fleetKey struct{}
 
 // fleet is the set of processes that one scenario started.
@@ -48,14 +53,14 @@
 	f.relays = make(map[string]*relay)
 	env.Values[fleetKey{}] = f
 	env.Defer(f.killAll)
-	free, err := allocator.Ports(2*controls + 4*nodes)
+	free, err := allocator.Addresses(2*controls + 4*nodes)
 	if err != nil {
 		return err
 	}
 	address := func() string {
-		port := free[0]
+		next := free[0]
 		free = free[1:]
-		return "127.0.0.1:" + strconv.Itoa(port)
+		return next
 	}
 	var operators []string
 	for i := range controls {
@@ -75,7 +80,7 @@
 	}
 	env.Setenv("SAMPHIRE_SECRET_FILE", filepath.Join(env.WorkDir, "secret"))
 	env.Setenv("SAMPHIRE_TOKEN_FILE", filepath.Join(env.WorkDir, "token"))
-	env.Setenv("SAMPHIRE_OPERATORS", strings.Join(operators, ","))
+	env.Setenv("SAMPHIRE_ADDRESSES", strings.Join(operators, ","))
 	return nil
 }
 
@@ -115,6 +120,10 @@
 	for i := range controls {
 		f.start(ts, fmt.Sprintf("control%d", i))
 	}
+	// A node stays with the first control process that answers, so that all of them must answer before it starts.
+	for i := range controls {
+		f.until(ts, "version", "samphire", "version", "--control", ts.Getenv(fmt.Sprintf("OPERATORS%d", i)))
+	}
 	for i := range nodes {
 		f.start(ts, fmt.Sprintf("node%d", i))
 		f.start(ts, fmt.Sprintf("target%d", i))
@@ -122,17 +131,38 @@
 	for i := range controls {
 		loggedCommand(ts, false, []string{fmt.Sprintf("control%d", i), "lend: lending starts"})
 	}
+	for _, i := range lendingNodes {
+		loggedCommand(ts, false, []string{fmt.Sprintf("node%d", i), "lend: lending starts"})
+	}
 	f.until(ts, "version", "samphire", "version")
-	ts.Check(ts.Exec("samphire", "sheet", "apply", ts.Getenv("ROOT")+"/examples/showbook.csv"))
+	ts.Check(ts.Exec("samphire", "sheet", "apply", "--floors", ts.Getenv("ROOT")+"/examples/showbook.csv"))
 	for i := range nodes {
 		f.until(ts, fmt.Sprintf("(?s)node node%d.*target [a-z]+%d ", i, i), "samphire", "nodes")
-		for j := range controls {
-			address := ts.Getenv(fmt.Sprintf("OPERATORS%d", j))
-			if j == i%controls {
-				f.until(ts, fmt.Sprintf("node node%d [1-9]", i), "samphire", "version", "--control", address)
+		f.untilInForce(ts, fmt.Sprintf("node%d", i))
+	}
+}
+
+// untilInForce waits until some control process reports that node has a configuration in force.
+func (f *fleet) untilInForce(ts *testscript.TestScript, node string) {
+	wanted := regexp.MustCompile("node " + node + " [1-9]")
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) {
+		for i := range controls {
+			output, _ := f.run(ts, "samphire", "version", "--control", ts.Getenv(fmt.Sprintf("OPERATORS%d", i)))
+			if wanted.Match(output) {
+				return
 			}
 		}
+		time.Sleep(pause)
 	}
+	ts.Fatalf("%s has no configuration in force within %s", node, limit)
+}
+
+// run runs a command of the fleet and returns what it prints.
+func (f *fleet) run(ts *testscript.TestScript, command ...string) ([]byte, error) {
+	process := exec.Command(filepath.Join(ts.Getenv("ROOT"), "bin", command[0]), command[1:]...)
+	process.Env = environment(ts)
+	return process.Output()
 }
 
 func (f *fleet) defineControl(ts *testscript.TestScript, i int) {
@@ -140,14 +170,12 @@
 		"samphire-control", "--name", fmt.Sprintf("control%d", i),
 		"--fleet", ts.Getenv(fmt.Sprintf("CONTROL%d", i)), "--operators", ts.Getenv(fmt.Sprintf("OPERATORS%d", i)),
 	}
+	args = append(args, "--data", filepath.Join(f.dir, fmt.Sprintf("data%d", i)))
 	for j := range controls {
-		args = append(args, "--lender", fmt.Sprintf("control%d", j))
-		if j != i {
-			args = append(args, "--peer", ts.Getenv(fmt.Sprintf("CONTROL%d", j)))
-		}
+		args = append(args, "--member", fmt.Sprintf("control%d=%s", j, ts.Getenv(fmt.Sprintf("CONTROL%d", j))))
 	}
-	if i == 0 {
-		args = append(args, "--primary")
+	for _, j := range lendingNodes {
+		args = append(args, "--lender", fmt.Sprintf("node%d=%s", j, ts.Getenv(fmt.Sprintf("FLEET%d", j))))
 	}
 	f.commands[fmt.Sprintf("control%d", i)] = args
 }
@@ -162,6 +190,10 @@
 	}
 	for j := range controls {
 		args = append(args, "--control", ts.Getenv(fmt.Sprintf("CONTROL%d", (i+j)%controls)))
+		args = append(args, "--lender", fmt.Sprintf("control%d=%s", j, ts.Getenv(fmt.Sprintf("CONTROL%d", j))))
+	}
+	for _, j := range lendingNodes {
+		args = append(args, "--lender", fmt.Sprintf("node%d=%s", j, ts.Getenv(fmt.Sprintf("FLEET%d", j))))
 	}
 	f.commands[fmt.Sprintf("node%d", i)] = args
 	f.commands[fmt.Sprintf("target%d", i)] = []string{
@@ -189,11 +221,7 @@
 	program := filepath.Join(ts.Getenv("ROOT"), "bin", args[0])
 	command := exec.Command(program, args[1:]...)
 	command.Stdout, command.Stderr = log, log
-	command.Env = append(
-		os.Environ(),
-		"SAMPHIRE_SECRET_FILE="+ts.Getenv("SAMPHIRE_SECRET_FILE"),
-		"SAMPHIRE_TOKEN_FILE="+ts.Getenv("SAMPHIRE_TOKEN_FILE"),
-	)
+	command.Env = environment(ts)
 	ts.Check(command.Start())
 	started := &process{command: command, done: make(chan struct{})}
 	f.mu.Lock()
@@ -206,6 +234,26 @@
 	}()
 }
 
+// environment returns the settings that every process of a scenario shares.
+func environment(ts *testscript.TestScript) []string {
+	variables := os.Environ()
+	for _, name := range []string{"SAMPHIRE_SECRET_FILE", "SAMPHIRE_TOKEN_FILE", "SAMPHIRE_ADDRESSES"} {
+		variables = append(variables, name+"="+ts.Getenv(name))
+	}
+	return variables
+}
+
+// tails returns the last bytes of each process's log, to tell why a scenario failed.
+func (f *fleet) tails() string {
+	var text strings.Builder
+	logs, _ := filepath.Glob(filepath.Join(f.dir, "*.log"))
+	for _, path := range logs {
+		content, _ := os.ReadFile(path)
+		_, _ = fmt.Fprintf(&text, "== %s\n%s\n", filepath.Base(path), content[max(0, len(content)-tailBytes):])
+	}
+	return text.String()
+}
+
 func (f *fleet) process(ts *testscript.TestScript, name string) *process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
