Give a burst of 4 to 11 two owners, and ask the quickest lender first

Cause: with parts of at least 4 tokens, a workspace with a burst of 4 to 7 had one owner and starved on the wrong side of a cut. And peers are listed by name, so that a lender in the other region could be asked before a near one.

Change: two owners from a burst of 4 on; peers are asked in the order of how long their answers take.

--- a/core/allotter/part.go
+++ b/core/allotter/part.go
@@ -34,9 +34,13 @@
 	Burst int
 }
 
-// leastBurst is the least part that a burst is divided into. The smaller a part, the more refill is lost while it is
-// full or lent and another part is empty.
-const leastBurst = 4
+const (
+	// leastBurst is the least part that a burst is divided into. The smaller a part, the more refill is lost while it
+	// is full or lent and another part is empty.
+	leastBurst = 4
+	// leastPair is the least part of a burst that has two owners, so that one of them can be away.
+	leastPair = 2
+)
 
 // Divide returns the part of the lender called name among lenders, which must be alike on all of them. A small burst is
 // owned by some of them only; which ones differs by workspace, by rendezvous hashing (Thaler and Ravishankar, 1998), so
@@ -54,7 +58,7 @@
 			before++
 		}
 	}
-	owners := min(len(lenders), max(1, workspace.Burst/leastBurst))
+	owners := min(len(lenders), max(1, min(2, workspace.Burst/leastPair), workspace.Burst/leastBurst))
 	if !own || before >= owners || workspace.Burst < 1 {
 		return Part{}
 	}
--- a/core/lender/lender.go
+++ b/core/lender/lender.go
@@ -42,7 +42,7 @@
 }
 
 // Dependencies are what a Lender needs. Lenders are the names of all lenders, alike on each of them. Peers are the
-// addresses of the others, nearest first.
+// addresses of the others.
 type Dependencies struct {
 	Name          string
 	Lenders       []string
@@ -72,10 +72,11 @@
 	short  map[string]time.Time
 }
 
-// peer is another lender: its name once it has answered, until when it is left alone after a failure, and the reports
-// that wait for it.
+// peer is another lender: its name once it has answered and how long its answers take, until when it is left alone after
+// a failure, and the reports that wait for it.
 type peer struct {
 	name    string
+	delay   time.Duration
 	silent  time.Time
 	reports []exchanger.Report
 }
--- a/core/lender/relay.go
+++ b/core/lender/relay.go
@@ -1,7 +1,9 @@
 package lender
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -58,7 +60,8 @@
 	return combined
 }
 
-// owners returns the addresses of the peers that own a part of workspace, and of those whose names are not known yet.
+// owners returns the addresses of the peers that own a part of workspace, and of those whose names are not known yet, in
+// the order of how long their answers take.
 func (l *Lender) owners(workspace configurer.Workspace) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -69,6 +72,7 @@
 			owners = append(owners, address)
 		}
 	}
+	slices.SortStableFunc(owners, func(a, b string) int { return cmp.Compare(l.peers[a].delay, l.peers[b].delay) })
 	return owners
 }
 
@@ -95,6 +99,7 @@
 		return exchanger.Reply{Reason: "lender " + address + " is silent", Again: now.Add(maxPause)}
 	}
 	l.peers[address].name, _, _ = strings.Cut(reply.Lender, "/")
+	l.peers[address].delay = (l.peers[address].delay*7 + time.Since(now)) / 8
 	if reply.Tokens() > 0 {
 		l.homes[reply.Lender] = address
 		l.Log.Info("loan relayed", "workspace", workspace, "lender", reply.Lender, "tokens", reply.Tokens(),
--- a/standin/allowances/measure_test.go
+++ b/standin/allowances/measure_test.go
@@ -49,6 +49,8 @@
 		{"many tiny workspaces", 300, 1, 2, 0.5, anyNode, nil},
 		{"many tiny, regions cut", 300, 1, 2, 0.5, anyNode, (*run).cutRegions},
 		{"many small workspaces", 100, 5, 10, 3, anyNode, nil},
+		{"burst of 4", 300, 2, 4, 1, anyNode, nil},
+		{"burst of 4, regions cut", 300, 2, 4, 1, anyNode, (*run).cutRegions},
 		{"tiny, burst of 1", 300, 1, 1, 0.3, anyNode, nil},
 		{"even, three times the rate", 1, 400, 100, 1200, anyNode, nil},
 		{"even, regions cut", 1, 400, 100, 360, anyNode, (*run).cutRegions},
