--- a/core/lender/lender.go
+++ b/core/lender/lender.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"expvar"
-	"fmt"
 	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
@@ -25,6 +25,7 @@
 	peerPause    = time.Second
 	reportsLimit = 4096
 
+	lifeBase      = 36
 	reasonUnknown = "workspace unknown"
 )
 
@@ -41,7 +42,7 @@
 }
 
 // Dependencies are what a Lender needs. Lenders are the names of all lenders, alike on each of them. Peers are the
-// addresses of the others, nearest first.
+// addresses of the others.
 type Dependencies struct {
 	Name          string
 	Lenders       []string
@@ -71,8 +72,11 @@
 	short  map[string]time.Time
 }
 
-// peer is another lender: until when it is left alone after a failure, and the reports that wait for it.
+// peer is another lender: its name once it has answered and how long its answers take, until when it is left alone after
+// a failure, and the reports that wait for it.
 type peer struct {
+	name    string
+	delay   time.Duration
 	silent  time.Time
 	reports []exchanger.Report
 }
@@ -84,7 +88,7 @@
 func New(now time.Time, dependencies Dependencies) *Lender {
 	lender := &Lender{
 		Dependencies: dependencies,
-		life:         fmt.Sprintf("%s/%x", dependencies.Name, now.UnixNano()),
+		life:         dependencies.Name + "/" + strconv.FormatInt(now.UnixMicro(), lifeBase),
 		ready:        now.Add(allotter.LenderTime),
 		accounts:     make(map[string]*account),
 		peers:        make(map[string]*peer),
@@ -106,11 +110,14 @@
 	if !ok {
 		return exchanger.Reply{Reason: reasonUnknown, Again: time.Now().Add(maxPause)}
 	}
+	if message.Spread {
+		return l.spread(ctx, workspace, message.Wanted)
+	}
 	reply := l.lend(workspace, message.Wanted)
-	if reply.Tokens > 0 || message.Relayed {
+	if reply.Tokens() > 0 || message.Relayed {
 		return reply
 	}
-	return l.relay(ctx, workspace.Name, message.Wanted, reply)
+	return l.relay(ctx, workspace, message.Wanted, reply)
 }
 
 // lend lends of the own part.
@@ -128,7 +135,8 @@
 		counters.Add("tokens", int64(answer.Tokens))
 		l.Log.Info("tokens lent", "workspace", workspace.Name, "wanted", wanted, "tokens", answer.Tokens,
 			"left", answer.Left, "lease", answer.ID, "reason", "within the part")
-		return exchanger.Reply{Lender: l.life, ID: answer.ID, Tokens: answer.Tokens}
+		loan := exchanger.Loan{Lender: l.life, ID: answer.ID, Tokens: answer.Tokens}
+		return exchanger.Reply{Lender: l.life, Loans: []exchanger.Loan{loan}}
 	case allotter.Short:
 		counters.Add("short", 1)
 		l.Log.Info("nothing lent", "workspace", workspace.Name, "wanted", wanted, "reason", answer.Reason)
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -13,3 +13,8 @@
 
 echo "== commits, failover and snapshots of the log"
 (cd "$root/control" && go test -run '^$' -bench 'Commit|Failover|Snapshot|Restore|Sync' -benchtime 2s ./pkg/proposer)
+
+echo "== what rates refuse within them, by way of dividing them; bytes and messages"
+(cd "$root/standin" && go test -count=1 -v ./allowances -table -seconds "${SECONDS_OF_LOAD:-60}" -seed "${LOAD_SEED:-1}") |
+  grep -vE '^ *(---|===|PASS|ok)'
+(cd "$root/core" && go test -run '^$' -bench 'Borrow|Lend|Draw' -benchmem ./exchanger ./allotter)
