--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -17,6 +17,7 @@
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/keyer"
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/registrar"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
@@ -70,7 +71,8 @@
 	counts := new(expvar.Map)
 	mux := messenger.Mux{}
 	seen := watcher.New(pool, nil, nil, log)
-	carrier.NewServer(gatekeeper.New(1, known, connector.New(counts), seen, counts, log), client).Register(mux)
+	spread := func(string, quarantiner.Crash) {}
+	carrier.NewServer(gatekeeper.New(1, known, connector.New(counts), seen, counts, log, spread), client).Register(mux)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/pkg/carrier/frame.go
+++ b/node/pkg/carrier/frame.go
@@ -9,11 +9,13 @@
 	"samphiremount.example/core/messenger"
 )
 
-// The calls between nodes. Clock reads a gate's clock, bury asks for a tombstone.
+// The calls between nodes. Clock reads a gate's clock, bury asks for a tombstone,
+// crash tells of a content that crashed a target.
 const (
 	callCarry = "carry"
 	callClock = "clock"
 	callBury  = "bury"
+	callCrash = "crash"
 )
 
 // frameKind is the first byte of each message.
@@ -69,6 +71,7 @@
 	Length      int64               `cbor:"12,keyasint"`
 	StartBefore int64               `cbor:"13,keyasint"`
 	Trailer     []string            `cbor:"14,keyasint,omitempty"`
+	Weight      int                 `cbor:"15,keyasint,omitempty"`
 }
 
 type answerBody struct {
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -4,9 +4,9 @@
 	"cmp"
 	"context"
 	"expvar"
+	"maps"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"slices"
 	"time"
@@ -19,6 +19,7 @@
 	"samphiremount.example/core/lender"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
@@ -39,8 +40,9 @@
 )
 
 const (
-	stopGrace    = 30 * time.Second
-	leaveDelay   = time.Second
+	stopGrace = 30 * time.Second
+	// leaveDelay lets the directory spread, and callers take the answers that end their connections.
+	leaveDelay   = 3 * time.Second
 	headTimeout  = 10 * time.Second
 	idleTimeout  = 2 * time.Minute
 	maxHeadBytes = 64 << 10
@@ -105,6 +107,7 @@
 // parts are the long-lived pieces of a node.
 type parts struct {
 	log      logger.Logger
+	view     *viewer.Viewer
 	reporter *reporter.Reporter
 	enroller *enroller.Enroller
 	conns    *connector.Connector
@@ -116,6 +119,7 @@
 	lender   *lender.Lender
 	watcher  *watcher.Watcher
 	acceptor *acceptor.Acceptor
+	carrier  *carrier.Server
 	server   *messenger.Server
 }
 
@@ -148,16 +152,20 @@
 	counts := expvar.NewMap("gate")
 	targetConns := connector.New(counts)
 	seen := watcher.New(pool, settings.Controls, func() []tracker.Target { return own.Node().Targets }, log.Part("eject"))
-	gate := gatekeeper.New(incarnation, targets, targetConns, seen, counts, log.Part("gate"))
-	carrier.NewServer(gate, client).Register(mux)
+	spread := spreader(settings.Name, view, client)
+	gate := gatekeeper.New(incarnation, targets, targetConns, seen, counts, log.Part("gate"), spread)
+	fleet := carrier.NewServer(gate, client)
+	fleet.Register(mux)
 	return parts{
 		log:      log,
+		view:     view,
 		reporter: own,
 		enroller: targets,
+		conns:    targetConns,
+		carrier:  fleet,
 		prober:   peers,
 		keeper:   cache,
 		data:     settings.Data,
-		conns:    targetConns,
 		client:   synchronizer.NewClient(pool, publishers(settings, view), view, own, log.Part("subscribe")),
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
 		drawer:   tokens,
@@ -172,6 +180,19 @@
 	}
 }
 
+// spreader tells the other gates of a service of a crash.
+func spreader(name string, view *viewer.Viewer, client *carrier.Client) func(string, quarantiner.Crash) {
+	return func(service string, crash quarantiner.Crash) {
+		addresses := make(map[string]struct{})
+		for _, placement := range view.View().Directory.Placements(service) {
+			if placement.Node.Name != name {
+				addresses[placement.Node.Address] = struct{}{}
+			}
+		}
+		client.SpreadCrash(slices.Collect(maps.Keys(addresses)), crash)
+	}
+}
+
 // newLender returns the lender of a node that is named as one, and nil on all others.
 func newLender(
 	settings Settings, mux messenger.Mux, pool *messenger.Pool, hub *synchronizer.Hub, log logger.Logger,
@@ -188,8 +209,8 @@
 	return rates
 }
 
-// run stops the parts in order: the node leaves the directory first, then callers' connections finish, then the gate
-// closes, and the stream to control last.
+// run stops the parts in order: the node leaves the directory first, then callers' connections finish, then what other
+// nodes sent to the gate, and the stream to control ends last.
 func (p parts) run(ctx context.Context, listeners listeners) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
@@ -211,42 +232,8 @@
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
 		defer stopBackground()
-		return p.serveCallers(ctx, background, listeners.entry)
+		err := p.serveCallers(ctx, background, listeners.entry)
+		return errors.Join(err, p.finishGate(ctx))
 	})
 	return group.Wait()
 }
-
-func (p parts) serveCallers(ctx, background context.Context, listener net.Listener) error {
-	server := &http.Server{
-		Handler: p.acceptor.Handler(), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeadBytes,
-	}
-	group, running := errgroup.WithContext(background)
-	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serve callers")
-		}
-		return nil
-	})
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-		case <-running.Done():
-		}
-		p.reporter.Leave()
-		server.SetKeepAlivesEnabled(false)
-		p.log.Part("node").Info("node leaving", "reason", "stop was asked for")
-		wait(running, leaveDelay)
-		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
-		defer cancel()
-		return errors.Wrap(server.Shutdown(ending), "finish callers' requests")
-	})
-	return group.Wait()
-}
-
-func wait(ctx context.Context, delay time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(delay):
-	}
-}
