--- a/control/pkg/proposer/proposer.go
+++ b/control/pkg/proposer/proposer.go
@@ -114,7 +114,10 @@
 func (p *Replicated) Replace(ctx context.Context, name string) error {
 	status := p.status.get()
 	newcomer, ok := status.newcomer(name)
-	if !ok && status.Leader == p.settings.Name {
+	if status.Leader != p.settings.Name {
+		return refuser.Refuse(refuser.LeaderUnknown, "the leader is "+status.Leader)
+	}
+	if !ok {
 		return refuser.Refuse(refuser.ChangeInvalid, "no process called "+name+" reports with an empty data folder")
 	}
 	old, _ := status.Members.Named(name)
@@ -149,3 +152,9 @@
 		return answer{err: refuser.Fail(refuser.LeaderUnknown, "no quorum answered in time; sending the same again is safe")}
 	}
 }
+
+// Age returns how long this process has known no leader. Nodes take it as the age of what it publishes: a process on
+// the far side of a partition must not make them believe that they hear the newest changes.
+func (p *Replicated) Age() time.Duration {
+	return p.status.age()
+}
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -96,7 +96,7 @@
 			"outcome", refusal.Outcome, "detail", refusal.Detail)
 		return carrier.Answer{}, refusal
 	}
-	g.log.Debug("request ran", "request", head.ID, "target", head.Target, "status", answer.Status)
+	g.log.Info("request ran", "request", head.ID, "target", head.Target, "status", answer.Status)
 	return answer, nil
 }
 
--- a/standin/scenarios/fleet_test.go
+++ b/standin/scenarios/fleet_test.go
@@ -27,6 +27,9 @@
 	tailBytes = 1500
 )
 
+// lendingNodes lend parts of the rates beside the control processes, one in each data centre.
+var lendingNodes = []int{0, 2}
+
 type fleetKey struct{}
 
 // fleet is the set of processes that one scenario started.
@@ -77,7 +80,7 @@
 	}
 	env.Setenv("SAMPHIRE_SECRET_FILE", filepath.Join(env.WorkDir, "secret"))
 	env.Setenv("SAMPHIRE_TOKEN_FILE", filepath.Join(env.WorkDir, "token"))
-	env.Setenv("SAMPHIRE_OPERATORS", strings.Join(operators, ","))
+	env.Setenv("SAMPHIRE_ADDRESSES", strings.Join(operators, ","))
 	return nil
 }
 
@@ -117,6 +120,10 @@
 	for i := range controls {
 		f.start(ts, fmt.Sprintf("control%d", i))
 	}
+	// A node stays with the first control process that answers, so that all of them must answer before it starts.
+	for i := range controls {
+		f.until(ts, "version", "samphire", "version", "--control", ts.Getenv(fmt.Sprintf("OPERATORS%d", i)))
+	}
 	for i := range nodes {
 		f.start(ts, fmt.Sprintf("node%d", i))
 		f.start(ts, fmt.Sprintf("target%d", i))
@@ -124,6 +131,9 @@
 	for i := range controls {
 		loggedCommand(ts, false, []string{fmt.Sprintf("control%d", i), "lend: lending starts"})
 	}
+	for _, i := range lendingNodes {
+		loggedCommand(ts, false, []string{fmt.Sprintf("node%d", i), "lend: lending starts"})
+	}
 	f.until(ts, "version", "samphire", "version")
 	ts.Check(ts.Exec("samphire", "sheet", "apply", "--floors", ts.Getenv("ROOT")+"/examples/showbook.csv"))
 	for i := range nodes {
@@ -164,6 +174,9 @@
 	for j := range controls {
 		args = append(args, "--member", fmt.Sprintf("control%d=%s", j, ts.Getenv(fmt.Sprintf("CONTROL%d", j))))
 	}
+	for _, j := range lendingNodes {
+		args = append(args, "--lender", fmt.Sprintf("node%d=%s", j, ts.Getenv(fmt.Sprintf("FLEET%d", j))))
+	}
 	f.commands[fmt.Sprintf("control%d", i)] = args
 }
 
@@ -177,6 +190,10 @@
 	}
 	for j := range controls {
 		args = append(args, "--control", ts.Getenv(fmt.Sprintf("CONTROL%d", (i+j)%controls)))
+		args = append(args, "--lender", fmt.Sprintf("control%d=%s", j, ts.Getenv(fmt.Sprintf("CONTROL%d", j))))
+	}
+	for _, j := range lendingNodes {
+		args = append(args, "--lender", fmt.Sprintf("node%d=%s", j, ts.Getenv(fmt.Sprintf("FLEET%d", j))))
 	}
 	f.commands[fmt.Sprintf("node%d", i)] = args
 	f.commands[fmt.Sprintf("target%d", i)] = []string{
@@ -220,7 +237,7 @@
 // environment returns the settings that every process of a scenario shares.
 func environment(ts *testscript.TestScript) []string {
 	variables := os.Environ()
-	for _, name := range []string{"SAMPHIRE_SECRET_FILE", "SAMPHIRE_TOKEN_FILE", "SAMPHIRE_OPERATORS"} {
+	for _, name := range []string{"SAMPHIRE_SECRET_FILE", "SAMPHIRE_TOKEN_FILE", "SAMPHIRE_ADDRESSES"} {
 		variables = append(variables, name+"="+ts.Getenv(name))
 	}
 	return variables
