Measure a node's resident memory, with a limit and without

Change: make slopes reads the resident memory of a real node by the size of the configuration, and of one with GOMEMLIMIT=30MiB.

The price of the limit at the full size is not measured.

--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -55,8 +55,9 @@
 until_ready "control" "$bin/samphire" version
 leader=$("$bin/samphire" members | sed -n 's/^leader control//p')
 follower=$(((leader + 1) % 3))
+limits=("" 30MiB)
 for i in 0 1; do
-  start "node$i" "$bin/samphire-node" --name "node$i" --region north --centre "centre$i" --entry "${free[6 + i]}" \
+  start "node$i" env GOMEMLIMIT="${limits[i]:-off}" "$bin/samphire-node" --name "node$i" --region north --centre "centre$i" --entry "${free[6 + i]}" \
     --fleet "${free[8 + i]}" --local "${free[10 + i]}" --control "${free[leader]}" \
     "${lenders[@]}"
 done
--- a/standin/pkg/commander/slopes.go
+++ b/standin/pkg/commander/slopes.go
@@ -76,7 +76,7 @@
 
 func (c *slopes) control(credentials messenger.Credentials, token string) ([]sloper.Series, error) {
 	return sloper.Control{
-		Process: c.Leader, Follower: c.Follower, Fleet: c.Fleet, Operators: c.Operators, Token: token,
+		Process: c.Leader, Follower: c.Follower, Node: c.Entry, Limited: c.Gate, Fleet: c.Fleet, Operators: c.Operators, Token: token,
 		Credentials: credentials,
 	}.Measure(c.ctx)
 }
--- a/standin/pkg/sloper/control.go
+++ b/standin/pkg/sloper/control.go
@@ -22,10 +22,13 @@
 	snapshotSizes = []int{5000, 10000, 20000, 40000}
 )
 
-// Control measures a running control process from outside, with stand-ins in place of nodes.
+// Control measures a running control process from outside, with stand-ins in place of nodes. Node and Limited are the
+// process identifiers of two real nodes beside them, the latter with a limit on its memory.
 type Control struct {
 	Process     int
 	Follower    int
+	Node        int
+	Limited     int
 	Fleet       string
 	Operators   string
 	Token       string
@@ -39,7 +42,7 @@
 	deltaProcessor, deltaSent                     Series
 	reconnectProcessor, reconnectSent             Series
 	snapshotProcessor, snapshotSent               Series
-	nodeProcessor                                 Series
+	nodeProcessor, nodeMemory, limitedMemory      Series
 }
 
 func newMeasure() *measure {
@@ -65,6 +68,8 @@
 		reconnectSent:      pairs("control: bytes sent while all nodes reconnect at once", "bytes"),
 		snapshotProcessor:  all("control: processor time of one snapshot sent", "µs"),
 		snapshotSent:       all("control: bytes of one snapshot sent", "bytes"),
+		nodeMemory:         all("node: resident memory after a change", "bytes"),
+		limitedMemory:      all("node with a limit on its memory: resident memory after a change", "bytes"),
 		nodeProcessor:      nodes("all nodes together: processor time of heartbeats and reports, each second", "µs"),
 	}
 }
@@ -73,7 +78,7 @@
 	return []Series{
 		m.idleProcessor, m.idleSent, m.idleReceived, m.memory, m.changeProcessor, m.changeSent, m.followerChange,
 		m.deltaProcessor, m.deltaSent, m.reconnectProcessor, m.reconnectSent, m.snapshotProcessor, m.snapshotSent,
-		m.nodeProcessor,
+		m.nodeProcessor, m.nodeMemory, m.limitedMemory,
 	}
 }
 
@@ -219,6 +224,13 @@
 	if err := pause(ctx, settleSpan); err != nil {
 		return err
 	}
+	for pid, series := range map[int]*Series{c.Node: &m.nodeMemory, c.Limited: &m.limitedMemory} {
+		used, err := readUsage(pid)
+		if err != nil {
+			return err
+		}
+		series.add(float64(size), used.memory)
+	}
 	var newcomer *crowd
 	spent, _, err := c.during(func() error {
 		newcomer = newCrowd(ctx, c.Credentials, c.Fleet, 0, 1)
