--- a/ctl/pkg/planner/planner_test.go
+++ b/ctl/pkg/planner/planner_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/ctl/pkg/importer"
 	"samphiremount.example/ctl/pkg/planner"
@@ -103,6 +104,21 @@
 	assert.Assert(t, first != later && first != other)
 }
 
+func TestASheetIsRefusedIfWhatItTouchesChangedMeanwhile(t *testing.T) {
+	first := apply(t, configurer.Configuration{}, compare(t, configurer.Configuration{}, parse(t, base)), false)
+	mine := compare(t, first, parse(t, "kind,name,rate,burst\nworkspace,a,2,2\n"))
+	theirs := compare(t, first, parse(t, "kind,name,rate,burst\nworkspace,a,3,3\nworkspace,c,3,3\n"))
+	raced := apply(t, first, theirs, false)
+	changes, err := configurer.Changes(mine.Records(false, nil))
+	assert.NilError(t, err)
+	batch := configurer.Batch{Operation: "mine", Base: mine.Base, Changes: changes}
+	_, _, err = raced.With(batch)
+	assert.Equal(t, refuser.From(err).Kind, refuser.ChangeConflict)
+	batch.Base = 0
+	_, _, err = raced.With(batch)
+	assert.NilError(t, err, "without its base the sheet would overwrite the other's change")
+}
+
 // TestAppliedSheetsAreInForce applies random sheets one after another. After each, applying it again or what is
 // exported changes nothing.
 func TestAppliedSheetsAreInForce(t *testing.T) {
--- a/standin/scenarios/commands_test.go
+++ b/standin/scenarios/commands_test.go
@@ -1,6 +1,7 @@
 package scenarios_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -167,7 +168,7 @@
 			return
 		}
 		if neg || time.Now().After(deadline) {
-			ts.Fatalf("log of %s: match of %q is %t", args[0], args[1], matches)
+			ts.Fatalf("log of %s: match of %q is %t: %s", args[0], args[1], matches, lineOf(content, wanted))
 		}
 		time.Sleep(pause)
 	}
@@ -187,3 +188,14 @@
 	}
 	return all
 }
+
+// lineOf returns the line in which the first match stands.
+func lineOf(content []byte, wanted *regexp.Regexp) []byte {
+	place := wanted.FindIndex(content)
+	if place == nil {
+		return nil
+	}
+	start := bytes.LastIndexByte(content[:place[0]], '\n') + 1
+	line, _, _ := bytes.Cut(content[start:], []byte("\n"))
+	return line
+}
--- a/standin/scenarios/docs_test.go
+++ b/standin/scenarios/docs_test.go
@@ -76,6 +76,9 @@
 	for i := range wanted {
 		wanted[i] = "map " + wanted[i]
 	}
+	for _, name := range source(t, `"([a-z_]+)": +&\w+\.\w+,`) {
+		wanted = append(wanted, "counter "+name)
+	}
 	for _, counter := range source(t, `\b[a-z]\w*\.Add\(("[a-z_]+"(?: ?\+)?)`) {
 		name, open := strings.CutSuffix(counter, "+")
 		name = strings.Trim(strings.TrimSpace(name), `"`)
