Measure allowances under several faults at once

Cause: the measurement had one fault in each load.

The load is no proof: four faulty versions pass it, which the state machine fails.

--- a/standin/allowances/fleet_test.go
+++ b/standin/allowances/fleet_test.go
@@ -35,10 +35,12 @@
 
 // network delays messages between data centres, drops those between regions while they are cut, and counts.
 type network struct {
-	cut      atomic.Bool
-	messages atomic.Int64
-	reports  atomic.Int64
-	crossing atomic.Int64
+	cut atomic.Bool
+	// dropReplies loses every third reply, after the lender has acted on the message.
+	dropReplies atomic.Bool
+	messages    atomic.Int64
+	reports     atomic.Int64
+	crossing    atomic.Int64
 
 	mu      sync.Mutex
 	lenders map[string]*lender.Lender
@@ -98,6 +100,10 @@
 		return exchanger.Reply{}, errors.New("connection refused")
 	}
 	reply := found.Borrow(ctx, message)
+	if p.dropReplies.Load() && p.messages.Load()%3 == 0 {
+		<-ctx.Done()
+		return exchanger.Reply{}, errors.Wrap(ctx.Err(), "reply lost")
+	}
 	return reply, p.travel(ctx, to, p.centre)
 }
 
