--- a/core/allotter/actions_test.go
+++ b/core/allotter/actions_test.go
@@ -90,6 +90,14 @@
 
 // drain asks on behalf of n until every lender is short.
 func (f *fleet) drain(n int) {
+	for _, r := range f.drainLate(n) {
+		f.take(r)
+	}
+}
+
+// drainLate returns the replies that n has yet to take.
+func (f *fleet) drainLate(n int) []reply {
+	before := len(f.replies)
 	for i := range f.lenders {
 		for lent := true; lent; {
 			f.counter++
@@ -97,11 +105,9 @@
 			replies := len(f.replies)
 			f.lend(ask{n, i, f.counter, f.workspace.Burst})
 			lent = len(f.replies) > replies
-			if lent {
-				f.take(f.replies[replies])
-			}
 		}
 	}
+	return slices.Clone(f.replies[before:])
 }
 
 // saturate spends all that can be had for a while, so that an excess of the rate adds up.
@@ -119,18 +125,30 @@
 
 // spendAtTheEnd uses leases at about their end, and then what the lenders lend again.
 func (f *fleet) spendAtTheEnd(t *rapid.T) {
-	f.drain(0)
-	f.elapsed += allotter.LeaseTime + time.Duration(rapid.Int64Range(-3e6, 3e6).Draw(t, "late"))
+	replies := f.drainLate(0)
+	late := time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "on the way"))
+	f.elapsed += late
+	for _, r := range replies {
+		f.take(r)
+	}
+	f.elapsed += allotter.LeaseTime - late + time.Duration(rapid.Int64Range(-3e6, 3e6).Draw(t, "late"))
 	f.draw(t, f.nodes[0], f.workspace.Burst)
 	f.elapsed += time.Duration(rapid.Int64Range(1e6, 15e6).Draw(t, "later"))
 	f.drain(1)
 	f.draw(t, f.nodes[1], f.workspace.Burst)
 }
 
-// returnAndLend gives leases back, and spends what two nodes then hold.
+// returnAndLend gives leases back or restarts the lenders, and spends what two nodes then hold.
 func (f *fleet) returnAndLend(t *rapid.T) {
 	f.drain(0)
-	f.nodes[0].holding = f.settleAll(f.nodes[0], allotter.LeaseTime)
+	if rapid.Bool().Draw(t, "return") {
+		f.nodes[0].holding = f.settleAll(f.nodes[0], allotter.LeaseTime)
+	} else {
+		for _, l := range f.lenders {
+			f.restart(l)
+		}
+		f.elapsed += 10 * time.Millisecond
+	}
 	f.drain(1)
 	f.draw(t, f.nodes[0], f.workspace.Burst)
 	f.draw(t, f.nodes[1], f.workspace.Burst)
--- a/core/allotter/fleet_test.go
+++ b/core/allotter/fleet_test.go
@@ -170,7 +170,7 @@
 		// Most leases are taken once the lenders have waited out their start.
 		f.elapsed = rapid.SampledFrom([]time.Duration{0, 2 * allotter.LenderTime, time.Hour}).Draw(t, "age")
 		actions := f.actions()
-		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+		for range rapid.IntRange(1, 1500).Draw(t, "steps") {
 			rapid.SampledFrom(actions).Draw(t, "action")(t)
 		}
 	})
