--- a/node/pkg/gatekeeper/crash.go
+++ b/node/pkg/gatekeeper/crash.go
@@ -93,20 +93,21 @@
 }
 
 // examine looks into a failed exchange: if the target takes no connection any more, its crash is charged to the
-// request's content, and the other gates of the service are told.
+// request's content, and the other gates of the service are told. It reports whether that was so.
 func (g *Gatekeeper) examine(
 	ctx context.Context, head carrier.Head, target registrar.Announcement, content content, alone bool, err error,
-) {
+) (crashed bool) {
 	var failure *connector.Failure
 	if !content.known || ctx.Err() != nil || !errors.As(err, &failure) || !failure.Sent {
-		return
+		return false
 	}
 	if g.connector.Alive(ctx, target.Address) {
-		return
+		return false
 	}
 	crash := quarantiner.Crash{ID: head.ID, Digest: content.digest, Alone: alone}
 	g.Crash(crash)
 	g.spread(target.Service, crash)
+	return true
 }
 
 // Crash implements carrier.Gate.
--- a/node/pkg/gatekeeper/crash_test.go
+++ b/node/pkg/gatekeeper/crash_test.go
@@ -74,7 +74,8 @@
 		targetsOf = append(targetsOf, target)
 		known := targets{"a": registrar.Announcement{Name: "a", Service: "s", Address: target.address, Slots: 4}}
 		counts := new(expvar.Map)
-		gates = append(gates, gatekeeper.New(7, known, connector.New(counts), counts, slog.New(slog.DiscardHandler), spread))
+		log := slog.New(slog.DiscardHandler)
+		gates = append(gates, gatekeeper.New(7, known, connector.New(counts), blindWatcher{}, counts, log, spread))
 	}
 	send := func(gate int, id, body string) error {
 		request := head(id, "w")
--- a/node/pkg/gatekeeper/gatekeeper_test.go
+++ b/node/pkg/gatekeeper/gatekeeper_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphiremount.example/core/observer"
 	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
@@ -30,13 +31,18 @@
 	return announcement, ok
 }
 
+// blindWatcher takes no evidence.
+type blindWatcher struct{}
+
+func (blindWatcher) Start(string, string) func(observer.Result) { return func(observer.Result) {} }
+
 func newGate(t *testing.T, handler http.HandlerFunc, slots int) *gatekeeper.Gatekeeper {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	known := targets{"a": {Name: "a", Service: "s", Address: server.Listener.Addr().String(), Slots: slots}}
 	counts := new(expvar.Map)
-	return gatekeeper.New(7, known, connector.New(counts), counts, slog.New(slog.DiscardHandler),
+	return gatekeeper.New(7, known, connector.New(counts), blindWatcher{}, counts, slog.New(slog.DiscardHandler),
 		func(string, quarantiner.Crash) {})
 }
 
--- a/standin/scenarios/scenarios_test.go
+++ b/standin/scenarios/scenarios_test.go
@@ -11,12 +11,22 @@
 // TestScenarios runs each file of testdata against a fleet of real processes. The programs are those in bin at the
 // root, which make builds first.
 func TestScenarios(t *testing.T) {
+	runScenarios(t, "testdata")
+}
+
+// TestScenariosAlone runs the files that state a time beside which no other fleet may use the machine.
+func TestScenariosAlone(t *testing.T) {
+	runScenarios(t, "testdata/alone")
+}
+
+func runScenarios(t *testing.T, dir string) {
+	t.Helper()
 	root, err := filepath.Abs("../..")
 	if err != nil {
 		t.Fatal(err)
 	}
 	testscript.Run(t, testscript.Params{
-		Dir: "testdata",
+		Dir: dir,
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("ROOT", root)
 			env.Setenv("PATH", filepath.Join(root, "bin")+string(os.PathListSeparator)+os.Getenv("PATH"))
