--- a/core/judger/sequential.go
+++ b/core/judger/sequential.go
@@ -13,6 +13,10 @@
 	ratio    = 4
 	leastBad = 0.08
 	mostRate = 0.95
+
+	// leastBlackout is the number of attempts, all of them bad, from which a round may add half of the limit: a target
+	// whose slots all hang shows little else.
+	leastBlackout = 4
 )
 
 // Sequential judges by a cumulative sum of log likelihood ratios (Page 1954): each attempt is weighed by how much more
@@ -25,8 +29,8 @@
 
 // NewSequential returns the limits for lean.
 func NewSequential(lean Lean) Sequential {
-	limit := lean.between(12, 6)
-	return Sequential{limit: limit, step: limit / lean.between(4, 2)}
+	limit := lean.between(12, 9)
+	return Sequential{limit: limit, step: limit / lean.between(4, 3)}
 }
 
 func (s Sequential) judge(target history, peers baseline) (history, opinion) {
@@ -39,7 +43,11 @@
 	bad := min(max(ratio*healthy, leastBad), mostRate)
 	failures, successes := float64(target.round.bad), float64(target.round.attempts-target.round.bad)
 	change := failures*math.Log(bad/healthy) + successes*math.Log((1-bad)/(1-healthy))
-	target.level = min(max(target.level+min(change, s.step), 0), 2*s.limit)
+	step := s.step
+	if successes == 0 && failures >= leastBlackout {
+		step = s.limit / 2
+	}
+	target.level = min(max(target.level+min(change, step), 0), 2*s.limit)
 	reason := fmt.Sprintf(
 		"%.0f%% of %.0f attempts bad, pooled rate of %d peers %.1f%%, level %.1f",
 		100*target.rate(), target.attempts, peers.peers, 100*peers.rate, target.level,
