--- /dev/null
+++ b/core/ejector/ejector_test.go
@@ -0,0 +1,61 @@
+package ejector_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"samphiremount.example/core/ejector"
+	"samphiremount.example/core/judger"
+)
+
+// TestEnforce draws lists and directories that know nothing of each other.
+func TestEnforce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		floor := rapid.IntRange(0, 40).Draw(t, "floor")
+		var entries []ejector.Entry
+		var present []ejector.Capacity
+		total := 0
+		for i := range 8 {
+			if rapid.Bool().Draw(t, "ejected") {
+				score := float64(rapid.IntRange(1, 9).Draw(t, "score"))
+				entries = append(entries, ejector.Entry{Target: fmt.Sprint(i), Score: score})
+			}
+			if rapid.Bool().Draw(t, "present") {
+				slots := rapid.IntRange(1, 9).Draw(t, "slots")
+				present = append(present, ejector.Capacity{Target: fmt.Sprint(i), Slots: slots})
+				total += slots
+			}
+		}
+		followed := ejector.Enforce(entries, present, floor)
+		left := 0
+		for _, capacity := range present {
+			if _, out := followed[capacity.Target]; !out {
+				left += capacity.Slots
+			}
+		}
+		assert.Assert(t, left >= min(floor, total), "%d left of %d", left, total)
+	})
+}
+
+func TestLeastBadReturnsFirst(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	present := []ejector.Capacity{{"a", 5}, {"b", 5}, {"c", 5}}
+	verdicts := []judger.Verdict{{Target: "a", Score: 3}, {Target: "b", Score: 2}, {Target: "c", Score: 0.5}}
+	e, decisions := ejector.Ejector{}.With(now, ejector.Round{Present: present, Floor: 5, Verdicts: verdicts})
+	assert.DeepEqual(t, decisions, []ejector.Decision{ejector.Ejected{Target: "a"}, ejector.Ejected{Target: "b"}})
+	e, decisions = e.With(now, ejector.Round{Present: present[:2], Floor: 5})
+	assert.DeepEqual(t, decisions, []ejector.Decision{ejector.Returned{Target: "b", Reason: "capacity fell to the floor"}})
+
+	// The other one passes its trial with one bad request of ten.
+	now = now.Add(10 * time.Second)
+	e, decisions = e.With(now, ejector.Round{Present: present[:2], Floor: 5})
+	assert.DeepEqual(t, decisions, []ejector.Decision{ejector.Tried{Target: "a"}})
+	trial := []judger.Verdict{{Target: "a", Attempts: 10, Bad: 1}}
+	e, decisions = e.With(now, ejector.Round{Present: present[:2], Floor: 5, Verdicts: trial})
+	assert.DeepEqual(t, decisions, []ejector.Decision{ejector.Returned{Target: "a", Reason: "requests of its trial were good"}})
+	assert.Equal(t, len(e.Entries()), 0)
+}
--- a/core/judger/baseline.go
+++ b/core/judger/baseline.go
@@ -3,6 +3,9 @@
 import (
 	"math"
 	"slices"
+	"time"
+
+	"samphiremount.example/core/observer"
 )
 
 const (
@@ -11,6 +14,9 @@
 	slowQuantile = 0.9
 	slowSteps    = 2
 
+	// leastSlow is a latency that is never slow: below it, a new connection alone makes the difference.
+	leastSlow = 10 * time.Millisecond
+
 	// leastAnswers is the weighed number of answers that a target needs for its quantile to count.
 	leastAnswers = 10
 
@@ -34,7 +40,7 @@
 		return math.MaxInt32
 	}
 	slices.Sort(quantiles)
-	return quantiles[(len(quantiles)-1)/2] + slowSteps
+	return max(quantiles[(len(quantiles)-1)/2]+slowSteps, observer.Bucket(leastSlow))
 }
 
 func (h history) quantile() (int, bool) {
