--- /dev/null
+++ b/ctl/pkg/operator/operator_test.go
@@ -0,0 +1,93 @@
+package operator_test
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/ctl/pkg/operator"
+)
+
+// control stands in for a control process: it applies each operation once, and loses its first answers.
+type control struct {
+	mu      sync.Mutex
+	lost    int
+	seen    []string
+	applied map[string]uint64
+}
+
+func (c *control) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var batch operator.Batch
+	_ = json.NewDecoder(r.Body).Decode(&batch)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen = append(c.seen, batch.Operation)
+	if _, ok := c.applied[batch.Operation]; !ok {
+		c.applied[batch.Operation] = uint64(len(c.applied) + 1)
+	}
+	if len(c.seen) <= c.lost {
+		panic(http.ErrAbortHandler)
+	}
+	_ = json.NewEncoder(w).Encode(operator.Receipt{Version: c.applied[batch.Operation]})
+}
+
+func refuse(kind refuser.Kind) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(kind.Answer().Status)
+		_ = json.NewEncoder(w).Encode(operator.Refusal{Kind: kind})
+	})
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func deadAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func TestAChangeWhoseAnswersWereLostHappensOnce(t *testing.T) {
+	fake := &control{lost: 3, applied: make(map[string]uint64)}
+	follower := serve(t, refuse(refuser.LeaderUnknown))
+	caller := operator.New([]string{deadAddress(t), follower, serve(t, fake)}, "token")
+	receipt, err := caller.Change(t.Context(), operator.Batch{Operation: "one"})
+	assert.NilError(t, err)
+	assert.Equal(t, receipt.Version, uint64(1))
+	assert.DeepEqual(t, fake.seen, []string{"one", "one", "one", "one"})
+	assert.Equal(t, len(fake.applied), 1)
+}
+
+func TestARefusalIsNotSentAgain(t *testing.T) {
+	fake := &control{applied: make(map[string]uint64)}
+	caller := operator.New([]string{serve(t, refuse(refuser.ChangeConflict)), serve(t, fake)}, "token")
+	_, err := caller.Change(t.Context(), operator.Batch{Operation: "one"})
+	var refusal *operator.Refusal
+	assert.Assert(t, errors.As(err, &refusal) && refusal.Kind == refuser.ChangeConflict, "%v", err)
+	assert.Equal(t, len(fake.seen), 0)
+}
+
+func TestAWithdrawalReachesEveryAddressThatAnswers(t *testing.T) {
+	fakes := []*control{{applied: make(map[string]uint64)}, {applied: make(map[string]uint64)}}
+	caller := operator.New([]string{serve(t, fakes[0]), deadAddress(t), serve(t, fakes[1])}, "token")
+	results, err := caller.Withdraw(t.Context(), operator.Withdrawal{Keys: []string{"k"}})
+	assert.NilError(t, err)
+	assert.NilError(t, results[0].Err)
+	assert.Assert(t, results[1].Err != nil)
+	assert.NilError(t, results[2].Err)
+	assert.Equal(t, len(fakes[0].seen)+len(fakes[1].seen), 2)
+}
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"samphiremount.example/core/observer"
+	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
 	"samphiremount.example/core/tombstoner"
@@ -43,17 +44,20 @@
 	log         *slog.Logger
 
 	mu         sync.Mutex
-	inFlight   map[string]int
+	lines      map[string]*line
 	tombstoner *tombstoner.Tombstoner
+
+	quarantiner *quarantiner.Quarantiner
+	spread      func(service string, crash quarantiner.Crash)
 }
 
 var _ carrier.Gate = (*Gatekeeper)(nil)
 
 // New returns a Gatekeeper for the targets that targets knows. It refuses requests that are meant for another
-// incarnation of the node, and counts in counts.
+// incarnation of the node, and counts in counts. It calls spread to tell the other gates of a service of a crash.
 func New(
 	incarnation uint64, targets Targets, connector *connector.Connector, watcher Watcher, counts *expvar.Map,
-	log *slog.Logger,
+	log *slog.Logger, spread func(service string, crash quarantiner.Crash),
 ) *Gatekeeper {
 	return &Gatekeeper{
 		incarnation: incarnation,
@@ -63,8 +67,10 @@
 		watcher:     watcher,
 		counts:      counts,
 		log:         log,
-		inFlight:    make(map[string]int),
+		lines:       make(map[string]*line),
 		tombstoner:  tombstoner.New(incarnation, tombstoner.Capacity),
+		quarantiner: quarantiner.New(),
+		spread:      spread,
 	}
 }
 
@@ -114,14 +120,19 @@
 	if !ok || target.Leaving {
 		return carrier.Answer{}, refuser.Refuse(refuser.TargetUnknown, "the target is gone or leaving")
 	}
-	request, err := newRequest(target, head, body)
+	content, err := readContent(head, body)
 	if err != nil {
 		return carrier.Answer{}, err
 	}
-	if !g.acquire(target) {
-		return carrier.Answer{}, refuser.Refuse(refuser.CapacityShort, "all slots of the target are taken")
+	request, err := newRequest(target, head, content.body)
+	if err != nil {
+		return carrier.Answer{}, err
+	}
+	alone, err := g.admit(ctx, target, head, content)
+	if err != nil {
+		return carrier.Answer{}, err
 	}
-	release := sync.OnceFunc(func() { g.release(target.Name) })
+	release := sync.OnceFunc(func() { g.release(target.Name, alone) })
 	if err := g.start(ctx, head); err != nil {
 		release()
 		return carrier.Answer{}, err
@@ -129,9 +140,14 @@
 	ended := g.watcher.Start(target.Name, target.Service)
 	response, err := g.connector.Exchange(ctx, target.Address, request, head.Repeatable) //nolint:bodyclose // slotBody closes it
 	if err != nil {
-		release()
 		refusal := explain(ctx, err)
-		ended(result(ctx, refusal))
+		if g.examine(ctx, head, target, content, alone, err) {
+			// A crash speaks against the request, not against the target.
+			ended(observer.Withdrawn{})
+		} else {
+			ended(result(ctx, refusal))
+		}
+		release()
 		g.finish(head.ID, refusal.Outcome != refuser.NotRun{})
 		return carrier.Answer{}, refusal
 	}
@@ -140,7 +156,10 @@
 	return carrier.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
-		Body: &slotBody{ReadCloser: response.Body, response: response, release: func() {
+		Body: &slotBody{ReadCloser: response.Body, response: response, release: func(whole bool) {
+			if alone && whole {
+				g.acquit(content)
+			}
 			release()
 			g.finish(head.ID, true)
 		}},
@@ -177,30 +196,14 @@
 	g.tombstoner.Finish(g.reading(), id, ran)
 }
 
-func (g *Gatekeeper) acquire(target registrar.Announcement) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.inFlight[target.Name] >= target.Slots {
-		return false
-	}
-	g.inFlight[target.Name]++
-	return true
-}
-
 // busy returns the number of slots in use.
 func (g *Gatekeeper) busy(name string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.inFlight[name]
-}
-
-func (g *Gatekeeper) release(name string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.inFlight[name]--
-	if g.inFlight[name] == 0 {
-		delete(g.inFlight, name)
+	if l, ok := g.lines[name]; ok {
+		return l.inFlight
 	}
+	return 0
 }
 
 // explain turns the error of an exchange with a target into a refusal.
@@ -237,7 +240,15 @@
 	io.ReadCloser
 
 	response *http.Response
-	release  func()
+	release  func(whole bool)
+	whole    bool
+}
+
+// Read implements io.Reader.
+func (b *slotBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.whole = b.whole || errors.Is(err, io.EOF)
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
 
 // Trailer implements carrier.Trailed.
@@ -247,6 +258,6 @@
 
 // Close implements io.Closer.
 func (b *slotBody) Close() error {
-	defer b.release()
+	defer func() { b.release(b.whole) }()
 	return errors.Wrap(b.ReadCloser.Close(), "close answer of target")
 }
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -22,3 +22,13 @@
 echo "== judges: seconds to detect, p50 / p99, and false ejections per target hour (50 runs, seeds 0 to 49; 120 target hours, seed 1)"
 echo "| lean | judge | slow x5 | fails 1 in 10 | flaps | hangs | lies | false |"
 (cd "$root/core" && go test -count=1 -v -run TestMeasure ./judger -measure | grep '^|')
+
+echo "== the worst-served workspace beside one at eight times its rate"
+(cd "$root/core" && go test -count=1 -v -run TestWorstServedWorkspace ./queuer | grep 'worst-served')
+
+echo "== heap of a node while bodies of 200 MB pass"
+(cd "$root/node" && go test -count=1 -v -run TestLargeBodiesStream ./pkg/acceptor | grep 'heap in use')
+
+echo "== outcomes with and without tombstones, and requests cut by planned stops"
+(cd "$root/standin" && go test -count=1 -v -run 'TestScenarios/(tombstone|stopping)$' ./scenarios |
+  grep -E '^ +(stall|cut|kill|bookings) +[0-9]')
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -42,7 +42,11 @@
 export SAMPHIRE_SECRET_FILE=$data/secret SAMPHIRE_TOKEN_FILE=$data/token
 
 members=()
-for i in 0 1 2; do members+=(--member "control$i=${free[i]}"); done
+lenders=()
+for i in 0 1 2; do
+  members+=(--member "control$i=${free[i]}")
+  lenders+=(--lender "control$i=${free[i]}")
+done
 for i in 0 1 2; do
   start "control$i" "$bin/samphire-control" --name "control$i" --fleet "${free[i]}" --operators "${free[3 + i]}" \
     --data "$data/control$i" "${members[@]}"
@@ -51,9 +55,11 @@
 until_ready "control" "$bin/samphire" version
 leader=$("$bin/samphire" members | sed -n 's/^leader control//p')
 follower=$(((leader + 1) % 3))
+limits=("" 30MiB)
 for i in 0 1; do
-  start "node$i" "$bin/samphire-node" --name "node$i" --region north --centre "centre$i" --entry "${free[6 + i]}" \
-    --fleet "${free[8 + i]}" --local "${free[10 + i]}" --control "${free[leader]}"
+  start "node$i" env GOMEMLIMIT="${limits[i]:-off}" "$bin/samphire-node" --name "node$i" --region north --centre "centre$i" --entry "${free[6 + i]}" \
+    --fleet "${free[8 + i]}" --local "${free[10 + i]}" --control "${free[leader]}" \
+    "${lenders[@]}"
 done
 start target "$bin/samphire-standin" target --name target --service bookings --listen "${free[12]}" --local "${free[11]}" \
   --slots 500
