--- a/control/pkg/proposer/bench_test.go
+++ b/control/pkg/proposer/bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"samphiremount.example/control/pkg/storer"
@@ -61,6 +62,59 @@
 	}
 }
 
+// BenchmarkCommitTarget is one operator's change to the target size.
+func BenchmarkCommitTarget(b *testing.B) {
+	c := newCluster(b, 3)
+	leader := c.leader()
+	records := target(b).Records()
+	changes, err := configurer.Changes(records)
+	assert.NilError(b, err)
+	started := time.Now()
+	_, err = leader.Propose(b.Context(), batch("target", changes...))
+	assert.NilError(b, err)
+	loaded := time.Since(started)
+	for i := 0; b.Loop(); i++ {
+		_, err := leader.Propose(b.Context(), batch(fmt.Sprint(i), workspace("workspace1", i+1)))
+		assert.NilError(b, err)
+	}
+	b.ReportMetric(float64(loaded.Milliseconds()), "load-ms")
+}
+
+// BenchmarkCatchUp is the time from the start of a member that missed 4,100 changes until it has them.
+func BenchmarkCatchUp(b *testing.B) {
+	const missed = 4_100
+	c := newCluster(b, 3)
+	leader := c.leader()
+	away := "m0"
+	if c.members[away] == leader {
+		away = "m1"
+	}
+	version, next := uint64(0), atomic.Int64{}
+	for b.Loop() {
+		b.StopTimer()
+		c.stop(away)
+		var group errgroup.Group
+		for range 64 {
+			group.Go(func() error {
+				for range missed/64 + 1 {
+					i := next.Add(1)
+					if _, err := leader.Propose(b.Context(), batch(fmt.Sprint(i), workspace(fmt.Sprint("w", i%640), int(i)))); err != nil {
+						return err
+					}
+				}
+				return nil
+			})
+		}
+		assert.NilError(b, group.Wait())
+		version = leader.hub.Configuration().Version()
+		b.StartTimer()
+		back := c.start(away)
+		for back.hub.Configuration().Version() < version {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 // target is the configuration of the target size: 11,000 routes to 620 services, and 81,000 workspaces with a key each.
 func target(b *testing.B) configurer.Configuration {
 	b.Helper()
