--- a/control/pkg/proposer/bench_test.go
+++ b/control/pkg/proposer/bench_test.go
@@ -89,7 +89,7 @@
 	if c.members[away] == leader {
 		away = "m1"
 	}
-	version, next := uint64(0), atomic.Int64{}
+	var next atomic.Int64
 	for b.Loop() {
 		b.StopTimer()
 		c.stop(away)
@@ -106,7 +106,7 @@
 			})
 		}
 		assert.NilError(b, group.Wait())
-		version = leader.hub.Configuration().Version()
+		version := leader.hub.Configuration().Version()
 		b.StartTimer()
 		back := c.start(away)
 		for back.hub.Configuration().Version() < version {
--- a/control/pkg/starter/settings.go
+++ b/control/pkg/starter/settings.go
@@ -9,6 +9,8 @@
 	core "samphiremount.example/core/starter"
 )
 
+const maxMembers = 7
+
 // Settings are the flags and environment variables of samphire-control.
 type Settings struct {
 	core.Settings
@@ -41,6 +43,9 @@
 
 func (s *Settings) checkMembers() []error {
 	members, wrong := core.ParsePeers("--member", s.Members)
+	if len(s.Members)%2 == 0 || len(s.Members) > maxMembers {
+		wrong = append(wrong, errors.Newf("--member must be given an odd number of times, at most %d: %d", maxMembers, len(s.Members)))
+	}
 	if _, ok := members[s.Name]; s.Name != "" && !ok {
 		wrong = append(wrong, errors.Newf("--member must name this process, %s, too", s.Name))
 	}
