--- a/control/pkg/proposer/apply.go
+++ b/control/pkg/proposer/apply.go
@@ -9,7 +9,7 @@
 func (l *loop) finish(output replicator.Output) error {
 	if output.Reason != "" {
 		if l.replicator.Leads() {
-			metrics.elections.Add(1)
+			metrics.Add("elections", 1)
 		}
 		l.log.Info("role changed", "leader", l.leaderName(), "leads", l.replicator.Leads(), "term",
 			l.replicator.Term(), "reason", output.Reason)
--- a/control/pkg/proposer/compact.go
+++ b/control/pkg/proposer/compact.go
@@ -57,6 +57,6 @@
 	if compact, ok := input.(replicator.Compact); ok {
 		c.busy = false
 		c.snapshotBytes = len(compact.Data)
-		metrics.snapshots.Add(1)
+		metrics.Add("snapshots", 1)
 	}
 }
--- a/control/pkg/proposer/proposer.go
+++ b/control/pkg/proposer/proposer.go
@@ -117,6 +117,9 @@
 	if status.Leader != p.settings.Name {
 		return refuser.Refuse(refuser.LeaderUnknown, "the leader is "+status.Leader)
 	}
+	if _, learns := status.Members.Learning(name); learns && !ok {
+		return nil
+	}
 	if !ok {
 		return refuser.Refuse(refuser.ChangeInvalid, "no process called "+name+" reports with an empty data folder")
 	}
--- a/control/pkg/proposer/run.go
+++ b/control/pkg/proposer/run.go
@@ -161,8 +161,8 @@
 	if err := l.store.Sync(); err != nil {
 		return 0, err
 	}
-	metrics.syncs.Add(1)
-	metrics.syncMicroseconds.Add(time.Since(started).Microseconds())
+	metrics.Add("syncs", 1)
+	metrics.Add("sync_microseconds", time.Since(started).Microseconds())
 	return sequence, nil
 }
 
@@ -204,8 +204,8 @@
 	if l.replicator.Leads() {
 		leads = 1
 	}
-	metrics.leads.Set(leads)
-	metrics.term.Set(int64(l.replicator.Term()))
-	metrics.commit.Set(int64(l.replicator.Commit()))
-	metrics.log.Set(l.store.Bytes())
+	values.leads.Set(leads)
+	values.term.Set(int64(l.replicator.Term()))
+	values.commit.Set(int64(l.replicator.Commit()))
+	values.log.Set(l.store.Bytes())
 }
--- a/control/pkg/transporter/lane.go
+++ b/control/pkg/transporter/lane.go
@@ -124,8 +124,8 @@
 			return err
 		}
 	}
-	metrics.messages.Add(int64(len(batch.Messages)))
-	metrics.bytes.Add(int64(len(buf)))
+	metrics.Add("messages", int64(len(batch.Messages)))
+	metrics.Add("bytes", int64(len(buf)))
 	return nil
 }
 
--- a/control/pkg/transporter/metrics.go
+++ b/control/pkg/transporter/metrics.go
@@ -2,19 +2,5 @@
 
 import "expvar"
 
-// counters are served by expvar and count since the start: messages of the log that were acknowledged, and the bytes of
-// their encoded form.
-type counters struct {
-	messages expvar.Int
-	bytes    expvar.Int
-}
-
-var metrics = publishCounters()
-
-func publishCounters() *counters {
-	c := &counters{}
-	published := expvar.NewMap("transport")
-	published.Set("messages", &c.messages)
-	published.Set("bytes", &c.bytes)
-	return c
-}
+// metrics are served by expvar and count since the start what was sent and acknowledged.
+var metrics = expvar.NewMap("transport")
--- a/core/replicator/member.go
+++ b/core/replicator/member.go
@@ -44,6 +44,16 @@
 	return Member{}, false
 }
 
+// Learning returns the learner called name.
+func (m Membership) Learning(name string) (Member, bool) {
+	for _, learner := range m.Learners {
+		if learner.Member.Name == name {
+			return learner.Member, true
+		}
+	}
+	return Member{}, false
+}
+
 // All returns voters and learners.
 func (m Membership) All() []Member {
 	all := slices.Clone(m.Voters)
