--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -35,6 +35,7 @@
 	"samphiremount.example/node/pkg/recorder"
 	"samphiremount.example/node/pkg/reporter"
 	"samphiremount.example/node/pkg/viewer"
+	"samphiremount.example/node/pkg/watcher"
 )
 
 const (
@@ -113,6 +114,7 @@
 	data     string
 	drawer   *drawer.Drawer
 	lender   *lender.Lender
+	watcher  *watcher.Watcher
 	acceptor *acceptor.Acceptor
 	server   *messenger.Server
 }
@@ -145,7 +147,8 @@
 	client := carrier.NewClient(pool, expvar.NewMap("entry"))
 	counts := expvar.NewMap("gate")
 	targetConns := connector.New(counts)
-	gate := gatekeeper.New(incarnation, targets, targetConns, counts, log.Part("gate"))
+	seen := watcher.New(pool, settings.Controls, func() []tracker.Target { return own.Node().Targets }, log.Part("eject"))
+	gate := gatekeeper.New(incarnation, targets, targetConns, seen, counts, log.Part("gate"))
 	carrier.NewServer(gate, client).Register(mux)
 	return parts{
 		log:      log,
@@ -159,8 +162,9 @@
 		server:   messenger.NewServer(credentials, mux, log.Part("fleet")),
 		drawer:   tokens,
 		lender:   rates,
+		watcher:  seen,
 		acceptor: acceptor.New(acceptor.Dependencies{
-			Name: settings.Name, Viewer: view, Client: client, Drawer: tokens, Retrier: retrier.New(),
+			Name: settings.Name, Viewer: view, Client: client, Drawer: tokens, Retrier: retrier.New(), Watcher: seen,
 			Place:  router.Place{Region: settings.Region, Centre: settings.Centre},
 			Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 			Route:  log.Part("route"), Admit: log.Part("admit"),
@@ -203,6 +207,7 @@
 	if p.lender != nil {
 		group.Go(func() error { return p.lender.Run(background) })
 	}
+	group.Go(func() error { return p.watcher.Run(background) })
 	group.Go(func() error { return p.server.Serve(background, listeners.fleet) })
 	group.Go(func() error {
 		defer stopBackground()
