--- a/standin/pkg/commander/commander.go
+++ b/standin/pkg/commander/commander.go
@@ -25,6 +25,7 @@
 const (
 	stopGrace   = 30 * time.Second
 	exitCrashed = 3
+	drainDelay  = 500 * time.Millisecond
 )
 
 // Main runs the command line and returns its exit code.
@@ -100,8 +101,15 @@
 	crash := func() { os.Exit(exitCrashed) }
 	server := responder.New(announcement, c.Local, c.Work, c.Faults, crash, log.Part("target"))
 	group, ctx := errgroup.WithContext(c.ctx)
-	group.Go(func() error { return server.Announce(ctx) })
-	group.Go(func() error { return starter.ServeHTTP(ctx, listener, server.Handler(), stopGrace) })
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	group.Go(func() error {
+		// The listener closes only after the node has heard that the target leaves, and what it sent meanwhile is there.
+		defer stop()
+		err := server.Announce(ctx)
+		time.Sleep(drainDelay)
+		return err
+	})
+	group.Go(func() error { return starter.ServeHTTP(serving, listener, server.Handler(), stopGrace) })
 	group.Go(func() error { return starter.ServeHTTP(ctx, control, server.Control(), time.Second) })
 	return group.Wait()
 }
