--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -8,7 +8,7 @@
 ONCE=1 "$root/scripts/run.sh"
 
 echo "== a sheet of 81,000 workspaces, to accepted and to in force on 4 nodes (bound: 5,000 ms)"
-(cd "$root/standin" && go test -count=1 -v -run 'TestScenarios/sheet_large$' ./scenarios) |
+(cd "$root/standin" && go test -count=1 -v -run 'TestScenariosAlone/sheet_large$' ./scenarios) |
   grep -E 'accepted in version 2 after|in force on' | sort -u
 
 echo "== commits, failover and snapshots of the log"
--- a/standin/scenarios/scenarios_test.go
+++ b/standin/scenarios/scenarios_test.go
@@ -14,7 +14,7 @@
 	runScenarios(t, "testdata")
 }
 
-// TestScenariosAlone runs the files that state a time beside which no other fleet may use the machine.
+// TestScenariosAlone runs the files beside whose load no other fleet may use the machine.
 func TestScenariosAlone(t *testing.T) {
 	runScenarios(t, "testdata/alone")
 }
