Free a candidate's own vote when it brought no majority

Candidates that asked in the same round kept the vote for themselves for 6 s each, and then paused for up to 6 s more.

Change: a candidacy without a majority forgets its votes and frees its own, and tries again within 3 s.

--- a/control/pkg/examiner/examiner.go
+++ b/control/pkg/examiner/examiner.go
@@ -30,6 +30,8 @@
 
 	roundPeriod = 500 * time.Millisecond
 	callLimit   = 400 * time.Millisecond
+	// retreatLimit bounds the pause after a candidacy without a majority.
+	retreatLimit = 3 * time.Second
 	// keptPeriod is the least time between two log lines on a suspect that the floor keeps in use.
 	keptPeriod = 30 * time.Second
 )
@@ -62,7 +64,7 @@
 ) *Examiner {
 	now := time.Now()
 	own := arbiter.New(now, name, peers, method, uint64(now.UnixNano()))
-	own.Retreat(now.Add(leaser.VoteLifetime + rand.N(leaser.VoteLifetime/2)))
+	own.Retreat(now, now.Add(leaser.VoteLifetime+rand.N(leaser.VoteLifetime/2)))
 	return &Examiner{
 		pool: pool, peers: peers, configuration: configuration, log: log, arbiter: own, kept: make(map[string]time.Time),
 	}
@@ -128,7 +130,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if now := time.Now(); !e.arbiter.Holds(now) {
-		e.arbiter.Retreat(now.Add(rand.N(leaser.VoteLifetime)))
+		e.arbiter.Retreat(now, now.Add(rand.N(retreatLimit)))
 	}
 }
 
--- a/core/arbiter/arbiter.go
+++ b/core/arbiter/arbiter.go
@@ -107,8 +107,11 @@
 	return a.voter.Free(now) && !now.Before(a.retry)
 }
 
-// Retreat pauses the candidacy until deadline, after a round that brought no majority.
-func (a *Arbiter) Retreat(deadline time.Time) {
+// Retreat ends a candidacy that brought no majority by now, and pauses until deadline. The process forgets the votes for
+// it and frees its own, so that another candidate need not wait for its end.
+func (a *Arbiter) Retreat(now, deadline time.Time) {
+	a.candidacy = leaser.NewCandidacy(len(a.peers) + 1)
+	a.voter = a.voter.Without(now, a.name)
 	a.retry = deadline
 }
 
--- a/core/arbiter/arbiter_test.go
+++ b/core/arbiter/arbiter_test.go
@@ -201,7 +201,12 @@
 			"report": func(t *rapid.T) {
 				w.report(target.Draw(t, "node"), control.Draw(t, "control"), time.Duration(rapid.IntRange(0, 1000).Draw(t, "late"))*time.Millisecond)
 			},
-			"ask":   func(t *rapid.T) { w.ask(control.Draw(t, "control")) },
+			"ask": func(t *rapid.T) { w.ask(control.Draw(t, "control")) },
+			"retreat": func(t *rapid.T) {
+				if i := control.Draw(t, "control"); !w.arbiters[i].Holds(w.now) {
+					w.arbiters[i].Retreat(w.now, w.now)
+				}
+			},
 			"judge": func(t *rapid.T) { w.judge(control.Draw(t, "control")) },
 			"deliver": func(t *rapid.T) {
 				if len(w.messages) > 0 {
--- a/core/leaser/leaser.go
+++ b/core/leaser/leaser.go
@@ -35,6 +35,14 @@
 	return Voter{candidate: candidate, deadline: now.Add(VoteLifetime)}, true
 }
 
+// Without returns the vote after candidate, the voter itself, gave it up at now. Candidate must forget it first.
+func (v Voter) Without(now time.Time, candidate string) Voter {
+	if v.candidate != candidate {
+		return v
+	}
+	return Voter{deadline: now}
+}
+
 // Free reports whether a new candidate could have the vote at now.
 func (v Voter) Free(now time.Time) bool {
 	return !now.Before(v.deadline)
