Wait for a lender that restarts instead of refusing at once

A node that asked while a lending control process restarted got "starting" and refused every request with allowance-short until the answer's pause was over, although nobody had said that the rate was used up.

Change: a request waits for the next try within the 300 ms that it may wait for a token anyway. It is refused at once only if the rate is known to be used up. A pause that has passed on the way counts as 5 ms: in virtual time the test of this change asked without end.

--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -21,6 +21,7 @@
 	drawLimit   = 300 * time.Millisecond
 	tryLimit    = 200 * time.Millisecond
 	shortPause  = 50 * time.Millisecond
+	leastPause  = 5 * time.Millisecond
 	homePause   = 5 * time.Second
 	flushPeriod = 50 * time.Millisecond
 	sweepPeriod = 250 * time.Millisecond
@@ -118,19 +119,37 @@
 		d.prefetch(workspace, a, now)
 		return fmt.Sprintf("lease %d of %s, %d left", lease.ID, lease.Lender, lease.Left()), nil, nil
 	}
-	if now.Before(a.short.Again) {
-		return "", nil, refuse(a.short.Used, a.short.Reason)
+	if a.short.Used && now.Before(a.short.Again) {
+		return "", nil, refuse(true, a.short.Reason)
 	}
 	if d.stopped {
 		return "", nil, refuse(false, "the node is stopping")
 	}
 	a.waiting++
+	if now.Before(a.short.Again) {
+		// Nobody said that the rate is used up: a lender that restarts is ready, or another one found, before long.
+		return "", after(a.short.Again.Sub(now)), nil
+	}
 	if a.asking == nil {
 		d.ask(workspace, a, max(a.demand.Wanted(now), a.waiting))
 	}
 	return "", a.asking, nil
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// after returns a channel that is closed after delay.
+func after(delay time.Duration) <-chan struct{} {
+	done := make(chan struct{})
+	time.AfterFunc(delay, func() { close(done) })
+	return done
+}
+
 func refuse(used bool, detail string) error {
 	if used {
 		counters.Add("refused_over", 1)
@@ -173,6 +192,8 @@
 		a.partial = 4*reply.Tokens() < wanted
 		if len(reply.Loans) == 0 {
 			a.short = reply
+			// A time that has passed on the way must not make the waiting requests ask without a pause.
+			a.short.Again = later(reply.Again, time.Now().Add(leastPause))
 		}
 		close(a.asking)
 		a.asking = nil
--- a/node/pkg/drawer/drawer_test.go
+++ b/node/pkg/drawer/drawer_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -127,3 +128,19 @@
 	_, err = newDrawer(s).Draw(t.Context(), "caroni")
 	assert.Equal(t, kindOf(err), refuser.AllowanceShort)
 }
+
+// TestDrawWaitsForALenderThatRestarts has a lender that lends nothing at first, without a word that the rate is used up.
+func TestDrawWaitsForALenderThatRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lender := newStock(0)
+		lender.answer(exchanger.Reply{Reason: "starting", Again: time.Now().Add(50 * time.Millisecond)})
+		d := drawer.New(lender, []string{"near"}, slog.New(slog.DiscardHandler))
+		time.AfterFunc(100*time.Millisecond, func() {
+			lender.mu.Lock()
+			defer lender.mu.Unlock()
+			lender.tokens = 1
+		})
+		_, err := d.Draw(t.Context(), "kowhai")
+		assert.NilError(t, err)
+	})
+}
