--- a/core/configurer/configuration.go
+++ b/core/configurer/configuration.go
@@ -36,6 +36,11 @@
 // Route returns the route called name.
 func (c Configuration) Route(name string) (Route, bool) { return find(c.routes, name) }
 
+// SameRoutes reports whether other surely has the same routes, because no change between the two touched one.
+func (c Configuration) SameRoutes(other Configuration) bool {
+	return c.routes.parts == other.routes.parts
+}
+
 // Service returns the service called name.
 func (c Configuration) Service(name string) (Service, bool) { return find(c.services, name) }
 
--- a/core/configurer/configuration_test.go
+++ b/core/configurer/configuration_test.go
@@ -46,6 +46,16 @@
 	assert.Equal(t, resent, receipt)
 }
 
+func TestSameRoutes(t *testing.T) {
+	route := configurer.Route{Name: "r", Prefix: "/", Service: "s", Limit: time.Second}
+	start := apply(t, configurer.Configuration{}, configurer.PutService{Service: configurer.Service{Name: "s"}},
+		configurer.PutRoute{Route: route})
+	other := apply(t, start, workspace("a"))
+	assert.Assert(t, other.SameRoutes(start))
+	assert.Assert(t, !apply(t, other, configurer.PutRoute{Route: route}).SameRoutes(start))
+	assert.Assert(t, !apply(t, other, configurer.RemoveRoute{Name: "r"}).SameRoutes(start))
+}
+
 func TestRefusedBatches(t *testing.T) {
 	start := apply(t, configurer.Configuration{}, workspace("a"), workspace("c"),
 		configurer.PutService{Service: configurer.Service{Name: "s"}}, key("k", "a"),
--- a/core/configurer/shards.go
+++ b/core/configurer/shards.go
@@ -35,6 +35,7 @@
 
 // editor collects writes to a copy of shards.
 type editor[V named] struct {
+	base  shards[V]
 	parts [shardCount][]versioned[V]
 	owned [shardCount]bool
 }
@@ -86,7 +87,7 @@
 }
 
 func (s shards[V]) edit() *editor[V] {
-	e := &editor[V]{}
+	e := &editor[V]{base: s}
 	if s.parts != nil {
 		e.parts = *s.parts
 	}
@@ -124,8 +125,11 @@
 	return shard
 }
 
-// done returns the edited set, with shards that grew cut to their length.
+// done returns the edited set, with shards that grew cut to their length. Without any write it is the set itself.
 func (e *editor[V]) done() shards[V] {
+	if e.owned == [shardCount]bool{} {
+		return e.base
+	}
 	for shard, part := range e.parts {
 		if e.owned[shard] && cap(part) > len(part) {
 			e.parts[shard] = append(make([]versioned[V], 0, len(part)), part...)
--- a/node/pkg/viewer/viewer.go
+++ b/node/pkg/viewer/viewer.go
@@ -77,8 +77,10 @@
 		return false
 	}
 	view := *v.view.Load()
+	if !configuration.SameRoutes(view.Configuration) {
+		view.Matcher = matcher.New(configuration.Routes())
+	}
 	view.Configuration = configuration
-	view.Matcher = matcher.New(configuration.Routes())
 	view.withdrawn = v.withdrawn()
 	v.view.Store(&view)
 	return true
