--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core control ctl node standin
+MODULES := core control ctl node platform standin
 PROGRAMS := bin/samphire-control bin/samphire-node bin/samphire bin/samphire-standin
 TOOLS := $(shell go env GOPATH)/bin
 
--- a/control/pkg/examiner/examiner.go
+++ b/control/pkg/examiner/examiner.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,12 +46,15 @@
 
 // Examiner is the part of one control process.
 type Examiner struct {
+	name          string
+	method        judger.Method
 	pool          *messenger.Pool
-	peers         []string
+	addresses     func() []string
 	configuration Source
 	log           *slog.Logger
 
 	mu      sync.Mutex
+	peers   []string
 	arbiter *arbiter.Arbiter
 	holds   bool
 	kept    map[string]time.Time
@@ -58,16 +62,37 @@
 
 var _ informer.Arbiter = (*Examiner)(nil)
 
-// New returns the part of the process called name. Peers are the addresses of the other control processes.
+// New returns the part of the process called name. Peers returns the addresses of the other control processes.
 func New(
-	name string, peers []string, method judger.Method, configuration Source, pool *messenger.Pool, log *slog.Logger,
+	name string, peers func() []string, method judger.Method, configuration Source, pool *messenger.Pool, log *slog.Logger,
 ) *Examiner {
+	e := &Examiner{
+		name: name, method: method, pool: pool, addresses: peers, configuration: configuration, log: log,
+		kept: make(map[string]time.Time),
+	}
+	e.begin(peers())
+	return e
+}
+
+// begin starts anew among peers. The vote that was given before counts for its whole lifetime, as after a restart, so
+// that majorities of two sets of peers never hold the lease at the same time.
+func (e *Examiner) begin(peers []string) {
 	now := time.Now()
-	own := arbiter.New(now, name, peers, method, uint64(now.UnixNano()))
-	own.Retreat(now, now.Add(leaser.VoteLifetime+rand.N(leaser.VoteLifetime/2)))
-	return &Examiner{
-		pool: pool, peers: peers, configuration: configuration, log: log, arbiter: own, kept: make(map[string]time.Time),
+	e.peers = peers
+	e.arbiter = arbiter.New(now, e.name, peers, e.method, uint64(now.UnixNano()))
+	e.arbiter.Retreat(now, now.Add(leaser.VoteLifetime+rand.N(leaser.VoteLifetime/2)))
+}
+
+// follow takes a changed set of peers over.
+func (e *Examiner) follow() {
+	peers := slices.Sorted(slices.Values(e.addresses()))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if slices.Equal(peers, e.peers) {
+		return
 	}
+	e.log.Info("judgement starts anew", "peers", len(peers), "reason", "the control processes changed")
+	e.begin(peers)
 }
 
 // Register adds the calls for nodes and for other control processes to mux.
@@ -101,6 +126,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			e.follow()
 			e.ask(ctx)
 			e.judge()
 		}
@@ -111,6 +137,7 @@
 func (e *Examiner) ask(ctx context.Context) {
 	e.mu.Lock()
 	candidate := e.arbiter.Candidate(time.Now())
+	peers := e.peers
 	e.mu.Unlock()
 	if !candidate {
 		return
@@ -118,7 +145,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	var group errgroup.Group
-	for _, peer := range e.peers {
+	for _, peer := range peers {
 		group.Go(func() error {
 			if err := e.askPeer(ctx, peer); err != nil {
 				e.log.Debug("peer did not answer", "address", peer, "reason", err)
@@ -151,13 +178,13 @@
 
 func (e *Examiner) judge() {
 	configuration := e.configuration.Configuration()
-	floor := func(name string) int {
+	floor := func(name string, present int) int {
 		service, ok := configuration.Service(name)
 		if !ok {
 			// Without a known floor there is no allowance.
 			return math.MaxInt32
 		}
-		return service.Floor
+		return service.FloorOf(present)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- /dev/null
+++ b/control/pkg/follower/follower.go
@@ -0,0 +1,83 @@
+// Package follower takes the directory of nodes from the other control processes, whoever they are at the time.
+package follower
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/synchronizer"
+	"samphiremount.example/core/tracker"
+)
+
+// period is how often the set of control processes is looked at.
+const period = 250 * time.Millisecond
+
+// Follower subscribes to each of the other control processes.
+type Follower struct {
+	others func() []string
+	hub    *synchronizer.Hub
+	pool   *messenger.Pool
+	log    *slog.Logger
+}
+
+// New returns a Follower of the processes at the addresses that others returns. It merges what they say into hub.
+func New(others func() []string, hub *synchronizer.Hub, pool *messenger.Pool, log *slog.Logger) *Follower {
+	return &Follower{others: others, hub: hub, pool: pool, log: log}
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	followed := make(map[string]context.CancelFunc)
+	for {
+		others := f.others()
+		for _, address := range others {
+			if _, ok := followed[address]; !ok {
+				followed[address] = f.start(ctx, group, address)
+			}
+		}
+		for address, stop := range followed {
+			if !slices.Contains(others, address) {
+				stop()
+				delete(followed, address)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return group.Wait()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (f *Follower) start(ctx context.Context, group *errgroup.Group, address string) context.CancelFunc {
+	following, stop := context.WithCancel(ctx)
+	addresses := func() []string { return []string{address} }
+	client := synchronizer.NewClient(f.pool, addresses, directorySink{f.hub}, nil, f.log)
+	group.Go(func() error { return client.Run(following) })
+	return stop
+}
+
+// directorySink takes the directory from other control processes. Their configuration and membership come by the log
+// alone, so that the sink reports the highest version, after which a publisher has nothing to send.
+type directorySink struct{ *synchronizer.Hub }
+
+// Configuration implements synchronizer.Sink.
+func (directorySink) Configuration() configurer.Configuration {
+	return configurer.Configuration{}.At(math.MaxUint64)
+}
+
+// Install implements synchronizer.Sink.
+func (directorySink) Install(configurer.Configuration) bool { return false }
+
+// Locate implements synchronizer.Sink.
+func (directorySink) Locate([]tracker.Control) {}
--- a/control/pkg/proposer/apply.go
+++ b/control/pkg/proposer/apply.go
@@ -18,8 +18,11 @@
 		l.answer(id, answer{err: refuser.Refuse(refuser.LeaderUnknown, "the leader is "+l.leaderName())})
 	}
 	for _, appended := range output.Appended {
-		l.appended[appended.Position.Index] = appendedRequest{appended.Position.Term, l.waiting[appended.ID]}
-		delete(l.waiting, appended.ID)
+		// Nobody waits for the changes of the membership that this process starts by itself.
+		if waiting, ok := l.waiting[appended.ID]; ok {
+			l.appended[appended.Position.Index] = appendedRequest{appended.Position.Term, waiting}
+			delete(l.waiting, appended.ID)
+		}
 	}
 	for _, confirmed := range output.Confirmed {
 		if waiting, ok := l.waiting[confirmed.ID]; ok {
--- a/control/pkg/proposer/cluster_test.go
+++ b/control/pkg/proposer/cluster_test.go
@@ -69,7 +69,10 @@
 	credentials := messenger.NewCredentials("test", []byte("a-secret-of-a-test-fleet"))
 	log := slog.New(slog.DiscardHandler)
 	m := &member{hub: synchronizer.NewHub(), folder: folder}
-	settings := proposer.Settings{Name: name, Addresses: c.addresses}
+	settings := proposer.Settings{Name: name, Address: c.addresses[name], MayFound: true}
+	for founder, address := range c.addresses {
+		settings.Founders = append(settings.Founders, proposer.Founder{Name: founder, Address: address})
+	}
 	drawn := replicator.Identity(fmt.Sprintf("%s.%d", name, c.drawn))
 	m.Replicated, err = proposer.New(settings, c.wrap(folder), drawn, m.hub, messenger.NewPool(credentials), log)
 	assert.NilError(c.tb, err)
--- a/control/pkg/proposer/introduce.go
+++ b/control/pkg/proposer/introduce.go
@@ -3,24 +3,31 @@
 import (
 	"context"
 	"slices"
+	"strings"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"samphiremount.example/control/pkg/transporter"
 	"samphiremount.example/core/replicator"
 )
 
-const introducePeriod = 500 * time.Millisecond
+const (
+	introducePeriod = 200 * time.Millisecond
+	// estrangedAfter is how long a member must have been out of contact before it reports again: it may have been
+	// removed meanwhile.
+	estrangedAfter = 2 * replicator.ElectionTimeout
+)
 
 // greeter keeps the calls of the transport out of Replicated's own interface.
 type greeter struct{ *Replicated }
 
-// Introduced implements transporter.Greeter. A process that reports with an empty data folder to a cluster may become a
-// member when an operator says so.
+// Introduced implements transporter.Greeter. A process that reports to a cluster with a data folder that is not in the
+// membership may become a member.
 func (g greeter) Introduced(other transporter.Introduction) transporter.Introduction {
 	g.Known(other.Member)
-	if !other.Formed {
-		g.status.add(other.Member)
-	}
+	g.status.add(other.Member)
 	return g.introduction()
 }
 
@@ -28,22 +35,21 @@
 func (g greeter) Known(sender replicator.Member) { g.status.know(sender) }
 
 func (p *Replicated) introduction() transporter.Introduction {
-	return transporter.Introduction{Member: p.own, Formed: !p.status.get().Members.Empty()}
+	members := p.status.get().Members
+	return transporter.Introduction{Member: p.own, Formed: !members.Empty(), Members: members.All()}
 }
 
-// introduceAll reports to the other processes until this one belongs to a cluster. A cluster is founded only by the
-// first name of the settings, and only when all the others report an empty folder too: a process that lost its disk
-// finds one that belongs to a cluster and waits to be taken in by an operator.
+// introduceAll reports to the other processes while this one belongs to no cluster, or is out of contact with its own
+// for long. A cluster is founded by one process of the settings only, and only when all the others report an empty
+// folder too: a process that lost its disk finds one that belongs to a cluster and waits to be taken in.
 func (p *Replicated) introduceAll(ctx context.Context) error {
 	ticker := time.NewTicker(introducePeriod)
 	defer ticker.Stop()
-	for p.status.get().Members.Empty() {
-		if members, ok := p.meetAll(ctx); ok {
-			p.log.Info("cluster founded", "members", names(members.Voters))
-			select {
-			case p.inputs <- replicator.Found{Members: members}:
-			case <-ctx.Done():
-			}
+	for {
+		if p.status.get().Members.Empty() {
+			p.meetFounders(ctx)
+		} else if p.settings.Recruiting && p.status.age() > estrangedAfter {
+			p.meet(ctx, p.acquaintances())
 		}
 		select {
 		case <-ctx.Done():
@@ -51,32 +57,76 @@
 		case <-ticker.C:
 		}
 	}
-	return nil
 }
 
-// meetAll returns the membership to found, if it is this process's turn.
-func (p *Replicated) meetAll(ctx context.Context) (replicator.Membership, bool) {
+func (p *Replicated) meetFounders(ctx context.Context) {
+	met := p.meet(ctx, p.acquaintances())
+	members, ok := p.foundation(met)
+	if !ok {
+		return
+	}
+	p.log.Info("cluster founded", "members", names(members.Voters))
+	select {
+	case p.inputs <- replicator.Found{Members: members}:
+	case <-ctx.Done():
+	}
+}
+
+// acquaintances returns the addresses of all processes that may belong to the cluster, but the own one.
+func (p *Replicated) acquaintances() []string {
+	var addresses []string
+	for _, founder := range p.settings.Founders {
+		addresses = append(addresses, founder.Address)
+	}
+	for _, member := range p.status.acquaintances() {
+		if !slices.Contains(addresses, member.Address) {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == "" || address == p.settings.Address })
+}
+
+// meet exchanges introductions with the processes at addresses, and returns those of the ones that answered.
+func (p *Replicated) meet(ctx context.Context, addresses []string) map[string]transporter.Introduction {
+	var mu sync.Mutex
+	var group errgroup.Group
+	met := make(map[string]transporter.Introduction, len(addresses))
+	for _, address := range addresses {
+		group.Go(func() error {
+			other, err := p.transport.Introduce(ctx, address, p.introduction())
+			if err != nil {
+				p.log.Debug("process not met", "address", address, "reason", err.Error())
+				return nil
+			}
+			p.status.know(append(other.Members, other.Member)...)
+			mu.Lock()
+			defer mu.Unlock()
+			met[address] = other
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return met
+}
+
+// foundation returns the membership to found, if it is this process's turn.
+func (p *Replicated) foundation(met map[string]transporter.Introduction) (replicator.Membership, bool) {
+	if !p.settings.MayFound {
+		return replicator.Membership{}, false
+	}
 	voters := []replicator.Member{p.own}
-	complete := true
-	for name, address := range p.settings.Addresses {
-		if name == p.settings.Name {
+	named := false
+	for _, founder := range p.settings.Founders {
+		if founder.Address == p.settings.Address {
+			named = true
 			continue
 		}
-		other, err := p.transport.Introduce(ctx, address, p.introduction())
-		if err == nil {
-			p.status.know(other.Member)
-		}
-		if err != nil || other.Formed || other.Member.Name != name {
-			complete = false
-			continue
+		other, ok := met[founder.Address]
+		if !ok || other.Formed || founder.Name != "" && other.Member.Name != founder.Name {
+			return replicator.Membership{}, false
 		}
 		voters = append(voters, other.Member)
 	}
-	slices.SortFunc(voters, func(a, b replicator.Member) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return replicator.Membership{Voters: voters}, complete && voters[0].Name == p.settings.Name
+	slices.SortFunc(voters, func(a, b replicator.Member) int { return strings.Compare(a.Name, b.Name) })
+	return replicator.Membership{Voters: voters}, named && voters[0].Name == p.settings.Name
 }
--- a/control/pkg/proposer/proposer.go
+++ b/control/pkg/proposer/proposer.go
@@ -37,11 +37,33 @@
 	Status() Status
 }
 
-// Settings are what a Replicated must know of its place in the cluster. Addresses holds the IP address and port of each
-// member by its name.
+// Settings are what a Replicated must know of its place in the cluster. Address is the IP address and port of its own
+// listener for the fleet. Founders are the processes that found the cluster together; MayFound says that this
+// start may be the first one of all. Recruiting takes processes with unknown data folders in without an operator.
 type Settings struct {
-	Name      string
-	Addresses map[string]string
+	Name       string
+	Region     string
+	Centre     string
+	Address    string
+	Founders   []Founder
+	MayFound   bool
+	Recruiting bool
+}
+
+// Founder is a process that the settings name. Name is empty where they give an address only.
+type Founder struct {
+	Name    string
+	Address string
+}
+
+// address returns the address that the settings give for name. It goes before the one in the log.
+func (s Settings) address(name string) (string, bool) {
+	for _, founder := range s.Founders {
+		if name != "" && founder.Name == name {
+			return founder.Address, true
+		}
+	}
+	return "", false
 }
 
 // Replicated is the Proposer that keeps the log together with the other control processes.
@@ -76,7 +98,9 @@
 	p := &Replicated{
 		settings: settings, hub: hub, store: store, log: log, requests: make(chan request), stored: stored,
 		inputs: make(chan replicator.Input, inputsWaiting),
-		own:    replicator.Member{Identity: identity, Name: settings.Name, Address: settings.Addresses[settings.Name]},
+		own: replicator.Member{
+			Identity: identity, Name: settings.Name, Address: settings.Address, Region: settings.Region, Centre: settings.Centre,
+		},
 		status: newStatusKeeper(),
 	}
 	p.transport = transporter.New(p.own, pool, greeter{p}, log)
--- a/control/pkg/proposer/run.go
+++ b/control/pkg/proposer/run.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/replicator"
+	"samphiremount.example/core/tracker"
 )
 
 const (
@@ -29,6 +31,8 @@
 	reads      []confirmedRead
 	applied    uint64
 	compactor  compactor
+	recruitAt  time.Time
+	located    []replicator.Member
 }
 
 // appendedRequest waits until the entry at its index is committed.
@@ -74,6 +78,7 @@
 			return nil
 		case <-ticker.C:
 			inputs = append(inputs, replicator.Tick{})
+			inputs = append(inputs, l.recruit(time.Now())...)
 		case message := <-l.transport.Inbox():
 			inputs = append(inputs, replicator.Received{Message: message})
 		case asked := <-l.requests:
@@ -180,7 +185,7 @@
 	if !ok {
 		return "", false
 	}
-	if address, ok := l.settings.Addresses[member.Name]; ok {
+	if address, ok := l.settings.address(member.Name); ok {
 		return address, true
 	}
 	return member.Address, member.Address != ""
@@ -198,8 +203,29 @@
 	}
 }
 
+// locate publishes where the voters can be reached.
+func (l *loop) locate() {
+	voters := l.replicator.Members().Voters
+	if slices.Equal(voters, l.located) {
+		return
+	}
+	l.located = voters
+	controls := make([]tracker.Control, 0, len(voters))
+	for _, member := range voters {
+		address := member.Address
+		if configured, ok := l.settings.address(member.Name); ok {
+			address = configured
+		}
+		controls = append(controls, tracker.Control{
+			Name: member.Name, Region: member.Region, Centre: member.Centre, Address: address,
+		})
+	}
+	l.hub.Locate(controls)
+}
+
 func (l *loop) publish() {
 	l.status.set(l.replicator)
+	l.locate()
 	leads := int64(0)
 	if l.replicator.Leads() {
 		leads = 1
--- a/control/pkg/proposer/status.go
+++ b/control/pkg/proposer/status.go
@@ -6,13 +6,15 @@
 	"sync"
 	"time"
 
+	"samphiremount.example/core/recruiter"
 	"samphiremount.example/core/replicator"
 )
 
 // Status is what a process knows of the cluster. Leader is a name, and empty while no leader is known. Newcomers are
-// processes that report with an empty data folder and are no members.
+// processes that report with a data folder that is not in the membership.
 type Status struct {
 	Leader    string
+	Address   string
 	Term      uint64
 	Commit    uint64
 	Members   replicator.Membership
@@ -30,16 +32,17 @@
 
 // statusKeeper shares the status between the loop and the operators' calls.
 type statusKeeper struct {
-	mu         sync.Mutex
-	status     Status
-	leaderless time.Time
-	newcomers  map[string]replicator.Member
-	known      map[replicator.Identity]replicator.Member
+	mu        sync.Mutex
+	status    Status
+	contact   time.Time
+	leads     bool
+	newcomers map[string]recruiter.Newcomer
+	known     map[replicator.Identity]replicator.Member
 }
 
 func newStatusKeeper() *statusKeeper {
 	return &statusKeeper{
-		leaderless: time.Now(), newcomers: make(map[string]replicator.Member), known: make(map[replicator.Identity]replicator.Member),
+		contact: time.Now(), newcomers: make(map[string]recruiter.Newcomer), known: make(map[replicator.Identity]replicator.Member),
 	}
 }
 
@@ -48,7 +51,7 @@
 	defer k.mu.Unlock()
 	status := k.status
 	for _, name := range slices.Sorted(maps.Keys(k.newcomers)) {
-		newcomer := k.newcomers[name]
+		newcomer := k.newcomers[name].Member
 		member := func(m replicator.Member) bool { return m.Identity == newcomer.Identity }
 		if !slices.ContainsFunc(status.Members.All(), member) {
 			status.Newcomers = append(status.Newcomers, newcomer)
@@ -57,44 +60,66 @@
 	return status
 }
 
+// reports returns the processes that reported, in the order of their names.
+func (k *statusKeeper) reports() []recruiter.Newcomer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var reports []recruiter.Newcomer
+	for _, name := range slices.Sorted(maps.Keys(k.newcomers)) {
+		reports = append(reports, k.newcomers[name])
+	}
+	return reports
+}
+
 func (k *statusKeeper) set(r replicator.Replicator) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.status = Status{Term: r.Term(), Commit: r.Commit(), Members: r.Members()}
 	for _, member := range r.Members().All() {
 		if member.Identity == r.Leader() {
-			k.status.Leader = member.Name
+			k.status.Leader, k.status.Address = member.Name, member.Address
 		}
 	}
-	switch {
-	case k.status.Leader != "":
-		k.leaderless = time.Time{}
-	case k.leaderless.IsZero():
-		k.leaderless = time.Now()
+	k.leads = r.Leads()
+	if contact := r.Contact(time.Now()); contact.After(k.contact) {
+		k.contact = contact
 	}
 }
 
-// age returns how long no leader has been known, and 0 while one is.
+// age returns how long ago this process was in contact with the leader. A leader is in contact as long as it leads.
 func (k *statusKeeper) age() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.leaderless.IsZero() {
+	if k.leads {
 		return 0
 	}
-	return time.Since(k.leaderless)
+	return time.Since(k.contact)
 }
 
 func (k *statusKeeper) add(newcomer replicator.Member) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.newcomers[newcomer.Name] = newcomer
+	k.newcomers[newcomer.Name] = recruiter.Newcomer{Member: newcomer, At: time.Now()}
 }
 
-// know remembers how to reach a process.
-func (k *statusKeeper) know(member replicator.Member) {
+// acquaintances returns the members and all other processes that this one has heard of.
+func (k *statusKeeper) acquaintances() []replicator.Member {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.known[member.Identity] = member
+	all := k.status.Members.All()
+	for _, identity := range slices.Sorted(maps.Keys(k.known)) {
+		all = append(all, k.known[identity])
+	}
+	return all
+}
+
+// know remembers how to reach processes.
+func (k *statusKeeper) know(members ...replicator.Member) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, member := range members {
+		k.known[member.Identity] = member
+	}
 }
 
 // member returns the member or other known process with the identity.
--- a/control/pkg/proposer/wire.go
+++ b/control/pkg/proposer/wire.go
@@ -14,10 +14,15 @@
 	Operation string              `cbor:"1,keyasint"`
 	Base      uint64              `cbor:"2,keyasint,omitempty"`
 	Records   []configurer.Record `cbor:"3,keyasint"`
+	Number    uint64              `cbor:"4,keyasint,omitempty"`
+	Expected  uint64              `cbor:"5,keyasint,omitempty"`
 }
 
 func encodeBatch(batch configurer.Batch) ([]byte, error) {
-	return messenger.Marshal(batchEntry{batch.Operation, batch.Base, configurer.NewRecords(batch.Changes)})
+	return messenger.Marshal(batchEntry{
+		Operation: batch.Operation, Base: batch.Base, Records: configurer.NewRecords(batch.Changes),
+		Number: batch.Numbering.Number, Expected: batch.Numbering.Expected,
+	})
 }
 
 func decodeBatch(data []byte) (configurer.Batch, error) {
@@ -26,7 +31,10 @@
 		return configurer.Batch{}, err
 	}
 	changes, err := configurer.Changes(entry.Records)
-	return configurer.Batch{Operation: entry.Operation, Base: entry.Base, Changes: changes}, err
+	return configurer.Batch{
+		Operation: entry.Operation, Base: entry.Base, Changes: changes,
+		Numbering: configurer.Numbering{Number: entry.Number, Expected: entry.Expected},
+	}, err
 }
 
 // install puts the configuration of snapshot in force, unless the snapshot only founds the cluster.
--- /dev/null
+++ b/control/pkg/starter/control.go
@@ -0,0 +1,117 @@
+package starter
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"samphiremount.example/control/pkg/administrator"
+	"samphiremount.example/control/pkg/examiner"
+	"samphiremount.example/control/pkg/follower"
+	"samphiremount.example/control/pkg/proposer"
+	"samphiremount.example/control/pkg/storer"
+	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/explainer"
+	"samphiremount.example/core/judger"
+	"samphiremount.example/core/lender"
+	"samphiremount.example/core/locator"
+	"samphiremount.example/core/logger"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/replicator"
+	"samphiremount.example/core/synchronizer"
+)
+
+// Options describe one control process, whatever fronts it is used through. Lenders are the names of nodes that lend
+// parts of the workspaces' rates beside the control processes, and LenderAddresses where they are.
+type Options struct {
+	Member          proposer.Settings
+	Lean            judger.Lean
+	Lenders         []string
+	LenderAddresses []string
+}
+
+// Control is one control process without its fronts: it takes part in the log, publishes to nodes, judges targets and
+// lends rates.
+type Control struct {
+	Proposer  *proposer.Replicated
+	Hub       *synchronizer.Hub
+	Publisher *synchronizer.Server
+
+	credentials messenger.Credentials
+	mux         messenger.Mux
+	pool        *messenger.Pool
+	rates       *lender.Lender
+	examiner    *examiner.Examiner
+	follower    *follower.Follower
+	log         logger.Logger
+}
+
+// New reads the state of disk and returns the control process that goes on from there.
+func New(options Options, disk storer.Disk, credentials messenger.Credentials, log logger.Logger) (*Control, error) {
+	hub := synchronizer.NewHub()
+	pool := messenger.NewPool(credentials)
+	drawn := replicator.Identity(uuid.NewString())
+	replicated, err := proposer.New(options.Member, disk, drawn, hub, pool, log.Part("replicate"))
+	if err != nil {
+		return nil, err
+	}
+	own := options.Member
+	located := locator.New(locator.Place{Name: own.Name, Region: own.Region, Centre: own.Centre}, nil, hub)
+	lenders := func() []string { return union(controlNames(hub), options.Lenders) }
+	lenderPeers := func() []string { return union(located.Others(), options.LenderAddresses) }
+	c := &Control{
+		Proposer: replicated, Hub: hub, Publisher: synchronizer.NewServer(hub, replicated.Age, log.Part("publish")),
+		credentials: credentials, mux: messenger.Mux{}, pool: pool, log: log,
+		rates: lender.New(time.Now(), lender.Dependencies{
+			Name: own.Name, Lenders: lenders, Peers: lenderPeers, Configuration: hub,
+			Borrower: exchanger.NewClient(pool), Log: log.Part("lend"),
+		}),
+		examiner: examiner.New(own.Name, located.Others, judger.NewSequential(options.Lean), hub, pool, log.Part("eject")),
+		follower: follower.New(located.Others, hub, pool, log.Part("follow")),
+	}
+	c.Publisher.Register(c.mux)
+	replicated.Register(c.mux)
+	exchanger.Register(c.mux, c.rates)
+	c.examiner.Register(c.mux)
+	return c, nil
+}
+
+func controlNames(hub *synchronizer.Hub) []string {
+	controls := hub.Controls()
+	names := make([]string, 0, len(controls))
+	for _, control := range controls {
+		names = append(names, control.Name)
+	}
+	return names
+}
+
+// union returns the texts of a and those of b that a lacks.
+func union(a, b []string) []string {
+	for _, text := range b {
+		if !slices.Contains(a, text) {
+			a = append(a, text)
+		}
+	}
+	return a
+}
+
+// Administrator returns the operators' front of the product, for holders of token.
+func (c *Control) Administrator(token []byte) *administrator.Administrator {
+	return administrator.New(token, c.Proposer, c.Hub, c.Publisher, explainer.New(c.pool), c.log.Part("operate"))
+}
+
+// Run runs the process until ctx ends, with fleet as the listener for other processes.
+func (c *Control) Run(ctx context.Context, fleet net.Listener) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return messenger.NewServer(c.credentials, c.mux, c.log.Part("fleet")).Serve(ctx, fleet) })
+	group.Go(func() error { return c.Publisher.Run(ctx) })
+	group.Go(func() error { return c.Proposer.Run(ctx) })
+	group.Go(func() error { return c.rates.Run(ctx) })
+	group.Go(func() error { return c.examiner.Run(ctx) })
+	group.Go(func() error { return c.follower.Run(ctx) })
+	return group.Wait()
+}
--- a/control/pkg/starter/settings.go
+++ b/control/pkg/starter/settings.go
@@ -2,8 +2,6 @@
 package starter
 
 import (
-	"maps"
-
 	"github.com/cockroachdb/errors"
 
 	"samphiremount.example/core/judger"
@@ -63,11 +61,3 @@
 	members, _ := core.ParsePeers("--member", s.Members)
 	return members
 }
-
-// AllLenders returns the members and the lenders beside them. The workspaces' rates are divided by their names, so they
-// must be alike on all processes.
-func (s *Settings) AllLenders() core.Peers {
-	lenders, _ := core.ParsePeers("--lender", s.Lenders)
-	maps.Copy(lenders, s.Addresses())
-	return lenders
-}
--- a/control/pkg/transporter/transporter.go
+++ b/control/pkg/transporter/transporter.go
@@ -19,10 +19,12 @@
 	inboxLength      = 256
 )
 
-// Introduction says who a control process is and whether it belongs to a cluster already.
+// Introduction says who a control process is and whether it belongs to a cluster already, with the members that it
+// knows of.
 type Introduction struct {
-	Member replicator.Member
-	Formed bool
+	Member  replicator.Member
+	Formed  bool
+	Members []replicator.Member
 }
 
 // Greeter learns of other processes.
--- a/control/pkg/transporter/wire.go
+++ b/control/pkg/transporter/wire.go
@@ -130,16 +130,15 @@
 // introductionMessage tells a control process who the sender is, and its answer who the receiver is. Formed is set by a
 // process that belongs to a cluster already.
 type introductionMessage struct {
-	Name     string              `cbor:"1,keyasint"`
-	Identity replicator.Identity `cbor:"2,keyasint"`
-	Address  string              `cbor:"3,keyasint"`
-	Formed   bool                `cbor:"4,keyasint,omitempty"`
+	Member  replicator.Member   `cbor:"1,keyasint"`
+	Formed  bool                `cbor:"2,keyasint,omitempty"`
+	Members []replicator.Member `cbor:"3,keyasint,omitempty"`
 }
 
 func newIntroductionMessage(i Introduction) introductionMessage {
-	return introductionMessage{i.Member.Name, i.Member.Identity, i.Member.Address, i.Formed}
+	return introductionMessage(i)
 }
 
 func (m introductionMessage) introduction() Introduction {
-	return Introduction{Member: replicator.Member{Identity: m.Identity, Name: m.Name, Address: m.Address}, Formed: m.Formed}
+	return Introduction(m)
 }
--- a/core/arbiter/arbiter_test.go
+++ b/core/arbiter/arbiter_test.go
@@ -125,7 +125,7 @@
 }
 
 func (w *world) judge(i int) {
-	for _, decision := range w.arbiters[i].Judge(w.now, func(string) int { return w.floor }) {
+	for _, decision := range w.arbiters[i].Judge(w.now, func(string, int) int { return w.floor }) {
 		if _, ok := decision.Decision.(ejector.Ejected); ok {
 			w.ejected++
 		}
--- a/core/arbiter/term.go
+++ b/core/arbiter/term.go
@@ -40,8 +40,8 @@
 }
 
 // Judge runs a round at now if the process holds the lease: it judges the evidence that came in, decides on ejections
-// and renews the list. Floor returns a service's floor in slots. A process that lost its lease forgets its term.
-func (a *Arbiter) Judge(now time.Time, floor func(service string) int) []Decision {
+// and renews the list. Floor returns a service's floor in slots, of slots that are present. A process that lost its lease forgets its term.
+func (a *Arbiter) Judge(now time.Time, floor func(service string, slots int) int) []Decision {
 	if !a.candidacy.Holds(now) {
 		a.term = nil
 		return nil
@@ -95,7 +95,7 @@
 	s.waiting = append(s.waiting, digest)
 }
 
-func (t *term) judge(now time.Time, floor func(service string) int) []Decision {
+func (t *term) judge(now time.Time, floor func(service string, slots int) int) []Decision {
 	present := make(map[string][]ejector.Capacity)
 	for target, p := range t.targets {
 		if !now.Before(p.deadline) {
@@ -108,13 +108,21 @@
 	}
 	var decisions []Decision
 	for _, name := range slices.Sorted(maps.Keys(t.services)) {
-		for _, decision := range t.services[name].judge(now, present[name], floor(name)) {
+		for _, decision := range t.services[name].judge(now, present[name], floor(name, slotsOf(present[name]))) {
 			decisions = append(decisions, Decision{name, decision})
 		}
 	}
 	return decisions
 }
 
+func slotsOf(present []ejector.Capacity) int {
+	sum := 0
+	for _, capacity := range present {
+		sum += capacity.Slots
+	}
+	return sum
+}
+
 func (s *service) judge(now time.Time, present []ejector.Capacity, floor int) []ejector.Decision {
 	excluded := make(map[string]bool)
 	for _, entry := range s.ejector.Entries() {
--- a/core/configurer/apply.go
+++ b/core/configurer/apply.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +23,9 @@
 	if batch.Operation == "" {
 		return c, Receipt{}, refuser.Refuse(refuser.ChangeInvalid, "the batch names no operation")
 	}
+	if err := c.checkNumbering(batch.Numbering); err != nil {
+		return c, Receipt{}, err
+	}
 	if err := c.conflict(batch); err != nil {
 		return c, Receipt{}, err
 	}
@@ -35,10 +39,26 @@
 	if err := next.check(batch.Changes); err != nil {
 		return c, Receipt{}, err
 	}
+	if batch.Numbering.Number > 0 {
+		next.number = batch.Numbering.Number
+	}
 	next.receipts = appendReceipt(c.receipts, OperationReceipt{batch.Operation, next.version})
 	return next, Receipt{Version: next.version}, nil
 }
 
+// checkNumbering refuses a number that does not build on the one in force, or does not grow.
+func (c Configuration) checkNumbering(numbering Numbering) error {
+	switch {
+	case numbering.Number == 0:
+		return nil
+	case numbering.Expected != c.number:
+		return refuser.Refuse(refuser.ChangeConflict, "number "+strconv.FormatUint(c.number, 10)+" is in force")
+	case numbering.Number <= c.number:
+		return invalid("the number must be above " + strconv.FormatUint(c.number, 10))
+	}
+	return nil
+}
+
 // conflict refuses a batch that builds on a version in which a touched object was another. Of removed objects only the
 // last removal's version is kept, so a change of an absent object conflicts with any later removal.
 func (c Configuration) conflict(batch Batch) error {
@@ -69,6 +89,9 @@
 	case kindService:
 		object, ok := c.services.get(record.Name)
 		return object.revision, ok
+	case kindDocument:
+		object, ok := c.documents.get(record.Name)
+		return object.revision, ok
 	default:
 		object, ok := c.keys.get(record.Name)
 		return object.revision, ok
@@ -86,7 +109,7 @@
 			removed[change.Name] = true
 		case RemoveService:
 			removed[change.Name] = true
-		case PutWorkspace, PutRoute, RemoveRoute, PutService, IssueKey, WithdrawKey:
+		case PutWorkspace, PutRoute, RemoveRoute, PutService, IssueKey, WithdrawKey, RemoveKey, PutDocument, RemoveDocument:
 		}
 	}
 	if len(removed) == 0 {
@@ -102,14 +125,19 @@
 	case PutRoute:
 		return c.checkRoute(change.Route)
 	case PutService:
-		if change.Service.Name == "" || change.Service.Floor < 0 {
-			return invalid("service " + change.Service.Name + " needs a name and a floor of 0 or more")
-		}
+		return checkService(change.Service)
 	case IssueKey:
 		if _, ok := c.Workspace(change.Key.Workspace); !ok && !change.Key.Withdrawn {
 			return invalid("key " + change.Key.ID + " names workspace " + change.Key.Workspace + ", which is not there")
 		}
-	case RemoveWorkspace, RemoveService, RemoveRoute, WithdrawKey:
+	case RemoveWorkspace, RemoveService, RemoveRoute, WithdrawKey, RemoveKey, PutDocument, RemoveDocument:
+	}
+	return nil
+}
+
+func checkService(service Service) error {
+	if service.Name == "" || service.Floor < 0 || service.FloorShare < 0 || service.FloorShare > 1 || service.Connections < 0 {
+		return invalid("service " + service.Name + " needs a name, a floor of 0 or more and a floor share from 0 to 1")
 	}
 	return nil
 }
@@ -122,16 +150,19 @@
 		}
 	}
 	for _, route := range c.Routes() {
-		if _, ok := c.Service(route.Service); !ok && removed[route.Service] {
-			return invalid("service " + route.Service + " still has route " + route.Name)
+		for _, service := range route.Services() {
+			if _, ok := c.Service(service); !ok && removed[service] {
+				return invalid("service " + service + " still has route " + route.Name)
+			}
 		}
 	}
 	return nil
 }
 
 func checkWorkspace(workspace Workspace) error {
-	if workspace.Name == "" || workspace.Rate <= 0 || workspace.Burst < 1 || workspace.Weight < 0 {
-		return invalid("workspace " + workspace.Name + " needs a name, a rate above 0 and a burst of 1 or more")
+	limited := workspace.Rate > 0 && workspace.Burst >= 1 || workspace.Rate == 0 && workspace.Burst == 0
+	if workspace.Name == "" || !limited || workspace.Weight < 0 || workspace.Rank < 0 {
+		return invalid("workspace " + workspace.Name + " needs a name, and a rate above 0 and a burst of 1 or more, or neither")
 	}
 	return nil
 }
@@ -143,8 +174,27 @@
 	if route.Limit <= 0 || route.Limit > maxLimit {
 		return invalid("route " + route.Name + " needs a limit between 1 ms and 1 h")
 	}
-	if _, ok := c.Service(route.Service); !ok {
-		return invalid("route " + route.Name + " names service " + route.Service + ", which is not there")
+	if route.Attempts < 0 || route.Objective < 0 || route.Rank < 0 {
+		return invalid("route " + route.Name + " has attempts, an objective or a rank below 0")
+	}
+	return c.checkServices(route)
+}
+
+func (c Configuration) checkServices(route Route) error {
+	total := 0
+	for _, split := range route.Splits {
+		if split.Weight < 0 {
+			return invalid("route " + route.Name + " has a weight below 0")
+		}
+		total += split.Weight
+	}
+	if len(route.Splits) > 0 && (total == 0 || route.Service != "") {
+		return invalid("route " + route.Name + " needs one service, or several with a weight above 0")
+	}
+	for _, service := range route.Services() {
+		if _, ok := c.Service(service); !ok {
+			return invalid("route " + route.Name + " names service " + service + ", which is not there")
+		}
 	}
 	return nil
 }
--- a/core/configurer/configuration.go
+++ b/core/configurer/configuration.go
@@ -4,7 +4,9 @@
 // The zero value is the empty configuration at version 0.
 type Configuration struct {
 	version    uint64
+	number     uint64
 	removal    uint64
+	documents  shards[Document]
 	workspaces shards[Workspace]
 	keys       shards[Key]
 	routes     shards[Route]
@@ -21,6 +23,9 @@
 // Version returns the number of batches that made this configuration.
 func (c Configuration) Version() uint64 { return c.version }
 
+// Number returns the operators' own number of the configuration, or 0 if they never set one.
+func (c Configuration) Number() uint64 { return c.number }
+
 // At returns the configuration with its version set.
 func (c Configuration) At(version uint64) Configuration {
 	c.version = version
@@ -44,6 +49,18 @@
 // Service returns the service called name.
 func (c Configuration) Service(name string) (Service, bool) { return find(c.services, name) }
 
+// Document returns the document called name.
+func (c Configuration) Document(name string) (Document, bool) { return find(c.documents, name) }
+
+// Documents returns all documents, sorted by name.
+func (c Configuration) Documents() []Document { return values(c.documents) }
+
+// WithoutDocuments returns the configuration as a node needs it.
+func (c Configuration) WithoutDocuments() Configuration {
+	c.documents = shards[Document]{}
+	return c
+}
+
 // Workspaces returns all workspaces, sorted by name.
 func (c Configuration) Workspaces() []Workspace { return values(c.workspaces) }
 
@@ -68,7 +85,8 @@
 
 // Records returns the configuration as the changes that build it from nothing.
 func (c Configuration) Records() []Record {
-	records := make([]Record, 0, c.services.len()+c.workspaces.len()+c.routes.len()+c.keys.len())
+	records := make([]Record, 0, c.services.len()+c.workspaces.len()+c.routes.len()+c.keys.len()+c.documents.len())
+	records = appendRecords(records, c.documents, func(d Document) Change { return PutDocument{d} })
 	records = appendRecords(records, c.services, func(s Service) Change { return PutService{s} })
 	records = appendRecords(records, c.workspaces, func(w Workspace) Change { return PutWorkspace{w} })
 	records = appendRecords(records, c.routes, func(r Route) Change { return PutRoute{r} })
--- a/core/configurer/draft.go
+++ b/core/configurer/draft.go
@@ -7,6 +7,7 @@
 	base       Configuration
 	revision   uint64
 	removed    bool
+	documents  *editor[Document]
 	workspaces *editor[Workspace]
 	keys       *editor[Key]
 	routes     *editor[Route]
@@ -16,7 +17,7 @@
 func newDraft(base Configuration, revision uint64) *draft {
 	return &draft{
 		base: base, revision: revision, workspaces: base.workspaces.edit(), keys: base.keys.edit(),
-		routes: base.routes.edit(), services: base.services.edit(),
+		routes: base.routes.edit(), services: base.services.edit(), documents: base.documents.edit(),
 	}
 }
 
@@ -27,7 +28,7 @@
 		next.removal = version
 	}
 	next.workspaces, next.keys = d.workspaces.done(), d.keys.done()
-	next.routes, next.services = d.routes.done(), d.services.done()
+	next.routes, next.services, next.documents = d.routes.done(), d.services.done(), d.documents.done()
 	return next
 }
 
@@ -43,17 +44,29 @@
 		return d.issue(change.Key)
 	case WithdrawKey:
 		d.withdraw(change.ID)
+	case PutDocument:
+		d.documents.put(change.Document, d.revision)
+	case RemoveWorkspace, RemoveRoute, RemoveService, RemoveKey, RemoveDocument:
+		d.remove(change)
+	}
+	return nil
+}
+
+func (d *draft) remove(change Change) {
+	d.removed = true
+	switch change := change.(type) {
 	case RemoveWorkspace:
 		d.workspaces.remove(change.Name)
-		d.removed = true
 	case RemoveRoute:
 		d.routes.remove(change.Name)
-		d.removed = true
 	case RemoveService:
 		d.services.remove(change.Name)
-		d.removed = true
+	case RemoveKey:
+		d.keys.remove(change.ID)
+	case RemoveDocument:
+		d.documents.remove(change.Name)
+	case PutWorkspace, PutRoute, PutService, IssueKey, WithdrawKey, PutDocument:
 	}
-	return nil
 }
 
 // issue never brings a withdrawn key back: a withdrawal that arrived before the key itself wins.
--- a/core/configurer/record.go
+++ b/core/configurer/record.go
@@ -9,7 +9,8 @@
 )
 
 // Record is the flat form of a Change, for the operators' interface (JSON) and for the fleet's own (CBOR). Revision is
-// the version that changed the object last; it is set only in records that describe a whole configuration.
+// the version that changed the object last; it is set only in records that describe a whole configuration. Limit and
+// Objective are in milliseconds.
 type Record struct {
 	Verb       string    `cbor:"1,keyasint" json:"verb"`
 	Kind       string    `cbor:"2,keyasint" json:"kind"`
@@ -28,16 +29,26 @@
 	Limit      int64     `cbor:"15,keyasint,omitempty" json:"milliseconds,omitempty"`
 	Floor      int       `cbor:"16,keyasint,omitempty" json:"floor,omitempty"`
 	Revision   uint64    `cbor:"17,keyasint,omitempty" json:"revision,omitempty"`
+
+	Rank        Rank    `cbor:"18,keyasint,omitempty" json:"rank,omitempty"`
+	Splits      []Split `cbor:"19,keyasint,omitempty" json:"splits,omitempty"`
+	Objective   int64   `cbor:"20,keyasint,omitempty" json:"objective,omitempty"`
+	Attempts    int     `cbor:"21,keyasint,omitempty" json:"attempts,omitempty"`
+	FloorShare  float64 `cbor:"22,keyasint,omitempty" json:"share,omitempty"`
+	Connections int     `cbor:"23,keyasint,omitempty" json:"connections,omitempty"`
+	Text        string  `cbor:"24,keyasint,omitempty" json:"text,omitempty"`
 }
 
 const (
 	verbPut    = "put"
 	verbRemove = "remove"
+	verbForget = "forget"
 
 	kindWorkspace = "workspace"
 	kindRoute     = "route"
 	kindService   = "service"
 	kindKey       = "key"
+	kindDocument  = "document"
 )
 
 // NewRecord returns the flat form of change.
@@ -45,19 +56,20 @@
 	switch change := change.(type) {
 	case PutWorkspace:
 		w := change.Workspace
-		return Record{Verb: verbPut, Kind: kindWorkspace, Name: w.Name, Rate: w.Rate, Burst: w.Burst, Weight: w.Weight}
+		return Record{
+			Verb: verbPut, Kind: kindWorkspace, Name: w.Name, Rate: w.Rate, Burst: w.Burst, Weight: w.Weight, Rank: w.Rank,
+		}
 	case RemoveWorkspace:
 		return Record{Verb: verbRemove, Kind: kindWorkspace, Name: change.Name}
 	case PutRoute:
-		r := change.Route
-		return Record{
-			Verb: verbPut, Kind: kindRoute, Name: r.Name, Host: r.Host, Prefix: r.Prefix, Service: r.Service,
-			Open: r.Open, Repeatable: r.Repeatable, Limit: r.Limit.Milliseconds(),
-		}
+		return routeRecord(change.Route)
 	case RemoveRoute:
 		return Record{Verb: verbRemove, Kind: kindRoute, Name: change.Name}
 	case PutService:
-		return Record{Verb: verbPut, Kind: kindService, Name: change.Service.Name, Floor: change.Service.Floor}
+		s := change.Service
+		return Record{
+			Verb: verbPut, Kind: kindService, Name: s.Name, Floor: s.Floor, FloorShare: s.FloorShare, Connections: s.Connections,
+		}
 	case RemoveService:
 		return Record{Verb: verbRemove, Kind: kindService, Name: change.Name}
 	case IssueKey:
@@ -67,33 +79,76 @@
 		}
 	case WithdrawKey:
 		return Record{Verb: verbRemove, Kind: kindKey, Name: change.ID}
+	case RemoveKey:
+		return Record{Verb: verbForget, Kind: kindKey, Name: change.ID}
+	case PutDocument:
+		return Record{Verb: verbPut, Kind: kindDocument, Name: change.Document.Name, Text: change.Document.Text}
+	case RemoveDocument:
+		return Record{Verb: verbRemove, Kind: kindDocument, Name: change.Name}
 	}
 	return Record{}
 }
 
+func routeRecord(r Route) Record {
+	return Record{
+		Verb: verbPut, Kind: kindRoute, Name: r.Name, Host: r.Host, Prefix: r.Prefix, Service: r.Service,
+		Open: r.Open, Repeatable: r.Repeatable, Limit: r.Limit.Milliseconds(), Splits: r.Splits,
+		Objective: r.Objective.Milliseconds(), Attempts: r.Attempts, Rank: r.Rank,
+	}
+}
+
+func (r Record) route() Route {
+	return Route{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Service: r.Service, Open: r.Open, Repeatable: r.Repeatable,
+		Limit: time.Duration(r.Limit) * time.Millisecond, Splits: r.Splits,
+		Objective: time.Duration(r.Objective) * time.Millisecond, Attempts: r.Attempts, Rank: r.Rank,
+	}
+}
+
 // Change returns the change that the record describes. It fails on a verb, kind or digest that is not known.
 func (r Record) Change() (Change, error) {
-	switch r.Verb + " " + r.Kind {
-	case verbPut + " " + kindWorkspace:
-		return PutWorkspace{Workspace{Name: r.Name, Rate: r.Rate, Burst: r.Burst, Weight: r.Weight}}, nil
-	case verbRemove + " " + kindWorkspace:
-		return RemoveWorkspace{r.Name}, nil
-	case verbPut + " " + kindRoute:
-		limit := time.Duration(r.Limit) * time.Millisecond
-		return PutRoute{Route{r.Name, r.Host, r.Prefix, r.Service, r.Open, r.Repeatable, limit}}, nil
-	case verbRemove + " " + kindRoute:
-		return RemoveRoute{r.Name}, nil
-	case verbPut + " " + kindService:
-		return PutService{Service{Name: r.Name, Floor: r.Floor}}, nil
-	case verbRemove + " " + kindService:
-		return RemoveService{r.Name}, nil
-	case verbPut + " " + kindKey:
+	switch {
+	case r.Verb == verbPut:
+		return r.put()
+	case r.Verb == verbRemove:
+		return r.remove()
+	case r.Verb == verbForget && r.Kind == kindKey:
+		return RemoveKey{r.Name}, nil
+	}
+	return nil, errors.Newf("no change is called %q %q", r.Verb, r.Kind)
+}
+
+func (r Record) put() (Change, error) {
+	switch r.Kind {
+	case kindWorkspace:
+		return PutWorkspace{Workspace{Name: r.Name, Rate: r.Rate, Burst: r.Burst, Weight: r.Weight, Rank: r.Rank}}, nil
+	case kindRoute:
+		return PutRoute{r.route()}, nil
+	case kindService:
+		return PutService{Service{Name: r.Name, Floor: r.Floor, FloorShare: r.FloorShare, Connections: r.Connections}}, nil
+	case kindKey:
 		if len(r.Digest) != len(keyer.Digest{}) {
 			return nil, errors.Newf("key %s: digest has %d bytes", r.Name, len(r.Digest))
 		}
 		return IssueKey{Key{r.Name, r.Workspace, keyer.Digest(r.Digest), r.Withdrawn}}, nil
-	case verbRemove + " " + kindKey:
+	case kindDocument:
+		return PutDocument{Document{r.Name, r.Text}}, nil
+	}
+	return nil, errors.Newf("no change is called %q %q", r.Verb, r.Kind)
+}
+
+func (r Record) remove() (Change, error) {
+	switch r.Kind {
+	case kindWorkspace:
+		return RemoveWorkspace{r.Name}, nil
+	case kindRoute:
+		return RemoveRoute{r.Name}, nil
+	case kindService:
+		return RemoveService{r.Name}, nil
+	case kindKey:
 		return WithdrawKey{r.Name}, nil
+	case kindDocument:
+		return RemoveDocument{r.Name}, nil
 	}
 	return nil, errors.Newf("no change is called %q %q", r.Verb, r.Kind)
 }
--- a/core/configurer/shards.go
+++ b/core/configurer/shards.go
@@ -19,6 +19,7 @@
 func (k Key) identity() string       { return k.ID }
 func (r Route) identity() string     { return r.Name }
 func (s Service) identity() string   { return s.Name }
+func (d Document) identity() string  { return d.Name }
 
 // versioned is an object with the version that changed it last.
 type versioned[V named] struct {
--- a/core/configurer/snapshot.go
+++ b/core/configurer/snapshot.go
@@ -9,11 +9,12 @@
 	Removal  uint64             `cbor:"2,keyasint"`
 	Records  []Record           `cbor:"3,keyasint"`
 	Receipts []OperationReceipt `cbor:"4,keyasint"`
+	Number   uint64             `cbor:"5,keyasint,omitempty"`
 }
 
 // Snapshot returns the configuration's snapshot.
 func (c Configuration) Snapshot() Snapshot {
-	return Snapshot{Version: c.version, Removal: c.removal, Records: c.Records(), Receipts: c.receipts}
+	return Snapshot{Version: c.version, Number: c.number, Removal: c.removal, Records: c.Records(), Receipts: c.receipts}
 }
 
 // FromSnapshot builds the configuration that snapshot describes. It fails on a record that is malformed or that breaks
@@ -36,6 +37,7 @@
 	if err := configuration.check(changes); err != nil {
 		return Configuration{}, err
 	}
+	configuration.number = snapshot.Number
 	configuration.removal = snapshot.Removal
 	configuration.receipts = snapshot.Receipts
 	return configuration, nil
--- a/core/lender/lender.go
+++ b/core/lender/lender.go
@@ -41,12 +41,12 @@
 	Borrow(ctx context.Context, address string, message exchanger.Message) (exchanger.Reply, error)
 }
 
-// Dependencies are what a Lender needs. Lenders are the names of all lenders, alike on each of them. Peers are the
-// addresses of the others.
+// Dependencies are what a Lender needs. Lenders returns the names of all lenders, alike on each of them but for moments
+// after one joined or left. Peers returns the addresses of the others.
 type Dependencies struct {
 	Name          string
-	Lenders       []string
-	Peers         []string
+	Lenders       func() []string
+	Peers         func() []string
 	Configuration Configuration
 	Borrower      Borrower
 	Log           *slog.Logger
@@ -86,7 +86,7 @@
 // New returns a Lender that starts at now. Each start has another identity, so that reports about leases of an earlier
 // one change nothing.
 func New(now time.Time, dependencies Dependencies) *Lender {
-	lender := &Lender{
+	return &Lender{
 		Dependencies: dependencies,
 		life:         dependencies.Name + "/" + strconv.FormatInt(now.UnixMicro(), lifeBase),
 		ready:        now.Add(allotter.LenderTime),
@@ -94,10 +94,16 @@
 		peers:        make(map[string]*peer),
 		homes:        make(map[string]string),
 	}
-	for _, address := range dependencies.Peers {
-		lender.peers[address] = &peer{}
+}
+
+// peer returns what is known of the lender at address. The caller holds the lock.
+func (l *Lender) peer(address string) *peer {
+	known, ok := l.peers[address]
+	if !ok {
+		known = &peer{}
+		l.peers[address] = known
 	}
-	return lender
+	return known
 }
 
 // Borrow implements exchanger.Lender.
@@ -122,7 +128,7 @@
 
 // lend lends of the own part.
 func (l *Lender) lend(workspace configurer.Workspace, wanted int) exchanger.Reply {
-	part := allotter.Divide(workspace, l.Lenders, l.Name)
+	part := allotter.Divide(workspace, l.Lenders(), l.Name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -179,7 +185,7 @@
 			continue
 		}
 		workspace, _ := configuration.Workspace(report.Workspace)
-		part := allotter.Divide(workspace, l.Lenders, l.Name)
+		part := allotter.Divide(workspace, l.Lenders(), l.Name)
 		ledger, known := account.ledger.Settle(now, part, report.Report)
 		account.ledger = ledger
 		l.Log.Debug("lease settled", "workspace", report.Workspace, "lease", report.ID, "spent", report.Spent,
@@ -216,7 +222,7 @@
 	now := time.Now()
 	for name, account := range l.accounts {
 		workspace, _ := configuration.Workspace(name)
-		if account.ledger.Idle(now, allotter.Divide(workspace, l.Lenders, l.Name)) {
+		if account.ledger.Idle(now, allotter.Divide(workspace, l.Lenders(), l.Name)) {
 			delete(l.accounts, name)
 		}
 	}
--- a/core/lender/lender_test.go
+++ b/core/lender/lender_test.go
@@ -50,8 +50,9 @@
 	group, ctx := errgroup.WithContext(t.Context())
 	for name, peer := range map[string]string{"a": "b", "b": "a"} {
 		started := lender.New(time.Now().Add(-age), lender.Dependencies{
-			Name: name, Lenders: []string{"a", "b"}, Peers: []string{peer}, Configuration: fixed{configuration},
-			Borrower: n, Log: slog.New(slog.DiscardHandler),
+			Name: name, Lenders: func() []string { return []string{"a", "b"} }, Peers: func() []string { return []string{peer} },
+			Configuration: fixed{configuration},
+			Borrower:      n, Log: slog.New(slog.DiscardHandler),
 		})
 		n.lenders[name] = started
 		group.Go(func() error { return started.Run(ctx) })
--- a/core/lender/relay.go
+++ b/core/lender/relay.go
@@ -66,13 +66,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var owners []string
-	for _, address := range l.Peers {
-		name := l.peers[address].name
-		if name == "" || allotter.Divide(workspace, l.Lenders, name).Burst > 0 {
+	lenders := l.Lenders()
+	for _, address := range l.Peers() {
+		name := l.peer(address).name
+		if name == "" || allotter.Divide(workspace, lenders, name).Burst > 0 {
 			owners = append(owners, address)
 		}
 	}
-	slices.SortStableFunc(owners, func(a, b string) int { return cmp.Compare(l.peers[a].delay, l.peers[b].delay) })
+	slices.SortStableFunc(owners, func(a, b string) int { return cmp.Compare(l.peer(a).delay, l.peer(b).delay) })
 	return owners
 }
 
@@ -94,12 +95,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		l.peers[address].silent = time.Now().Add(peerPause)
+		l.peer(address).silent = time.Now().Add(peerPause)
 		l.Log.Warn("lender silent", "address", address, "workspace", workspace, "reason", err)
 		return exchanger.Reply{Reason: "lender " + address + " is silent", Again: now.Add(maxPause)}
 	}
-	l.peers[address].name, _, _ = strings.Cut(reply.Lender, "/")
-	l.peers[address].delay = (l.peers[address].delay*7 + time.Since(now)) / 8
+	l.peer(address).name, _, _ = strings.Cut(reply.Lender, "/")
+	l.peer(address).delay = (l.peer(address).delay*7 + time.Since(now)) / 8
 	if reply.Tokens() > 0 {
 		l.homes[reply.Lender] = address
 		l.Log.Info("loan relayed", "workspace", workspace, "lender", reply.Lender, "tokens", reply.Tokens(),
@@ -118,16 +119,16 @@
 	if account, ok := l.accounts[workspace]; ok {
 		short = account.short[address]
 	}
-	return short, l.peers[address].silent
+	return short, l.peer(address).silent
 }
 
 // flush sends the reports that wait for peers. Reports that a peer does not get are lost: it counts their leases until
 // they end.
 func (l *Lender) flush(ctx context.Context) {
-	for _, address := range l.Peers {
+	for _, address := range l.Peers() {
 		l.mu.Lock()
-		reports := l.peers[address].reports
-		l.peers[address].reports = nil
+		reports := l.peer(address).reports
+		l.peer(address).reports = nil
 		l.mu.Unlock()
 		if len(reports) == 0 {
 			continue
--- /dev/null
+++ b/core/locator/locator.go
@@ -0,0 +1,83 @@
+// Package locator tells where the control processes can be reached: at the addresses of the settings at first, and at
+// those that control itself spreads later, so that no setting must be right after the first start.
+package locator
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"samphiremount.example/core/tracker"
+)
+
+// Place is where the process that asks stands.
+type Place struct {
+	Name   string
+	Region string
+	Centre string
+}
+
+// Source supplies the control processes that are known now, which may be none.
+type Source interface {
+	Controls() []tracker.Control
+}
+
+// Locator orders the addresses of control processes for one process.
+type Locator struct {
+	place  Place
+	seeds  []string
+	source Source
+}
+
+// New returns a Locator for a process at place. Seeds are the addresses of its settings.
+func New(place Place, seeds []string, source Source) *Locator {
+	return &Locator{place: place, seeds: seeds, source: source}
+}
+
+// Addresses returns the addresses to try, best first: those of the own data centre, of the own region, and the others,
+// each in an order that differs by process so that the load spreads. Seeds that are not known as control processes
+// come last, in their own order.
+func (l *Locator) Addresses() []string {
+	controls := slices.Clone(l.source.Controls())
+	slices.SortFunc(controls, func(a, b tracker.Control) int {
+		return cmp.Or(cmp.Compare(l.distance(a), l.distance(b)), cmp.Compare(l.rank(a), l.rank(b)))
+	})
+	addresses := make([]string, 0, len(controls)+len(l.seeds))
+	for _, control := range controls {
+		addresses = append(addresses, control.Address)
+	}
+	for _, seed := range l.seeds {
+		if !slices.Contains(addresses, seed) {
+			addresses = append(addresses, seed)
+		}
+	}
+	return addresses
+}
+
+// Others returns the names and addresses of the control processes but the own one, in the order of Addresses.
+func (l *Locator) Others() []string {
+	own := ""
+	for _, control := range l.source.Controls() {
+		if control.Name == l.place.Name {
+			own = control.Address
+		}
+	}
+	return slices.DeleteFunc(l.Addresses(), func(address string) bool { return address == own })
+}
+
+func (l *Locator) distance(control tracker.Control) int {
+	switch {
+	case control.Region == l.place.Region && control.Centre == l.place.Centre:
+		return 0
+	case control.Region == l.place.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// rank is a rendezvous hash of the process and the control process (Thaler and Ravishankar, 1998).
+func (l *Locator) rank(control tracker.Control) uint64 {
+	return xxhash.Sum64String(l.place.Name + "\x00" + control.Address)
+}
--- a/core/refuser/kind.go
+++ b/core/refuser/kind.go
@@ -22,6 +22,7 @@
 	InProgress         Kind = "in-progress"
 	CapacityShort      Kind = "capacity-short"
 	TargetUnknown      Kind = "target-unknown"
+	TargetDeclined     Kind = "target-declined"
 	TargetUnreachable  Kind = "target-unreachable"
 	NodeUnreachable    Kind = "node-unreachable"
 	NodeStopping       Kind = "node-stopping"
--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -2,43 +2,109 @@
 package registrar
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
 	"time"
 )
 
-// Lifetime is how long an announcement counts. A target repeats it several times within that span.
-const Lifetime = 3 * time.Second
+const (
+	// Lifetime is how long an announcement counts. A target repeats it several times within that span.
+	Lifetime = 3 * time.Second
+	// leftLifetime is how long a target that left is remembered, so that a late announcement does not bring it back.
+	leftLifetime = time.Minute
+)
 
-// Announcement is what a target says of itself. Address is the IP address and port of its HTTP listener.
+// Announcement is what a target says of itself. Address is the IP address and port of its HTTP listener. Born orders the
+// starts of targets, in milliseconds since 1970, and Sequence the announcements of one start; both may be 0 for a
+// target that does not say.
 type Announcement struct {
-	Name    string `json:"name"`
-	Service string `json:"service"`
-	Address string `json:"address"`
-	Slots   int    `json:"slots"`
-	Leaving bool   `json:"leaving"`
+	Name     string `json:"name"`
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Slots    int    `json:"slots"`
+	Leaving  bool   `json:"leaving"`
+	Born     int64  `json:"born"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// older reports whether a was made before other.
+func (a Announcement) older(other Announcement) bool {
+	if a.Born != other.Born {
+		return a.Born < other.Born
+	}
+	return a.Sequence < other.Sequence
+}
+
+// replacedBy reports whether other is of a target that started later at the same address.
+func (a Announcement) replacedBy(other Announcement) bool {
+	return a.Address == other.Address && a.Born < other.Born
+}
+
+// differs reports whether other says something else of the target.
+func (a Announcement) differs(other Announcement) bool {
+	a.Sequence = other.Sequence
+	return a != other
 }
 
 // Registrar is the immutable set of announced targets. The zero value is empty.
 type Registrar struct {
-	entries map[string]entry
+	lifetime time.Duration
+	entries  map[string]entry
 }
 
 type entry struct {
 	announcement Announcement
 	deadline     time.Time
+	left         bool
+}
+
+// New returns an empty set in which an announcement counts for lifetime.
+func New(lifetime time.Duration) Registrar {
+	return Registrar{lifetime: lifetime}
 }
 
-// With returns the set after an announcement at now, and whether anything but the deadline changed.
+// With returns the set after an announcement at now, and whether anything but the deadline changed. An announcement
+// that is older than what the set holds of the target, or of another one at its address, changes nothing.
 func (r Registrar) With(now time.Time, announcement Announcement) (Registrar, bool) {
+	if r.outdates(announcement) {
+		return r, false
+	}
 	old, ok := r.entries[announcement.Name]
-	entries := maps.Clone(r.entries)
-	if entries == nil {
-		entries = make(map[string]entry)
+	entries := make(map[string]entry, len(r.entries)+1)
+	for name, other := range r.entries {
+		if name == announcement.Name || !other.announcement.replacedBy(announcement) {
+			entries[name] = other
+		}
+	}
+	entries[announcement.Name] = entry{announcement: announcement, deadline: now.Add(cmp.Or(r.lifetime, Lifetime))}
+	return Registrar{r.lifetime, entries}, !ok || old.left || announcement.differs(old.announcement)
+}
+
+// outdates reports whether the set holds something newer than announcement.
+func (r Registrar) outdates(announcement Announcement) bool {
+	old, ok := r.entries[announcement.Name]
+	if ok && (announcement.older(old.announcement) || old.left && announcement.Born == old.announcement.Born) {
+		return true
+	}
+	for name, other := range r.entries {
+		if name != announcement.Name && announcement.replacedBy(other.announcement) {
+			return true
+		}
+	}
+	return false
+}
+
+// WithLeft returns the set after the target called name said at now that it is gone, and whether that changed it.
+func (r Registrar) WithLeft(now time.Time, name string) (Registrar, bool) {
+	old, ok := r.entries[name]
+	if !ok || old.left {
+		return r, false
 	}
-	entries[announcement.Name] = entry{announcement, now.Add(Lifetime)}
-	return Registrar{entries}, !ok || old.announcement != announcement
+	entries := maps.Clone(r.entries)
+	entries[name] = entry{announcement: old.announcement, deadline: now.Add(leftLifetime), left: true}
+	return Registrar{r.lifetime, entries}, true
 }
 
 // Without returns the set without the targets whose deadline has passed at now, and the names of those.
@@ -57,20 +123,22 @@
 	for _, name := range expired {
 		delete(entries, name)
 	}
-	return Registrar{entries}, expired
+	return Registrar{r.lifetime, entries}, expired
 }
 
 // Announcement returns the last announcement of the target called name.
 func (r Registrar) Announcement(name string) (Announcement, bool) {
 	entry, ok := r.entries[name]
-	return entry.announcement, ok
+	return entry.announcement, ok && !entry.left
 }
 
 // Announcements returns all announcements, sorted by name.
 func (r Registrar) Announcements() []Announcement {
 	all := make([]Announcement, 0, len(r.entries))
 	for _, entry := range r.entries {
-		all = append(all, entry.announcement)
+		if !entry.left {
+			all = append(all, entry.announcement)
+		}
 	}
 	slices.SortFunc(all, func(a, b Announcement) int { return strings.Compare(a.Name, b.Name) })
 	return all
--- a/core/replicator/member.go
+++ b/core/replicator/member.go
@@ -11,6 +11,8 @@
 	Identity Identity `cbor:"1,keyasint"`
 	Name     string   `cbor:"2,keyasint"`
 	Address  string   `cbor:"3,keyasint,omitempty"`
+	Region   string   `cbor:"4,keyasint,omitempty"`
+	Centre   string   `cbor:"5,keyasint,omitempty"`
 }
 
 // Learner receives the log but counts for nothing until it has caught up. Then the member that it replaces is removed,
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -94,6 +94,35 @@
 // Members returns the membership in force.
 func (r Replicator) Members() Membership { return r.members }
 
+// Silent returns the members that this one, as the leader, does not hear, with the time from which it did not.
+func (r Replicator) Silent(now time.Time) map[Identity]time.Time {
+	l, ok := r.role.(*leader)
+	if !ok {
+		return nil
+	}
+	silent := make(map[Identity]time.Time)
+	for _, member := range r.members.All() {
+		if deadline := l.progress[member.Identity].heardDeadline; member.Identity != r.self && !now.Before(deadline) {
+			silent[member.Identity] = deadline.Add(-ElectionTimeout)
+		}
+	}
+	return silent
+}
+
+// Settled reports whether this member leads and no change of the membership is under way.
+func (r Replicator) Settled() bool {
+	_, leads := r.role.(*leader)
+	return leads && r.membersIndex <= r.commit && r.commitsOwn()
+}
+
+// Contact returns until when this member counts as in contact with the leader: always, if it leads.
+func (r Replicator) Contact(now time.Time) time.Time {
+	if _, leads := r.role.(*leader); leads {
+		return now
+	}
+	return r.leaseDeadline.Add(-ElectionTimeout)
+}
+
 // Commit returns the index up to which entries are known to be committed.
 func (r Replicator) Commit() uint64 { return r.commit }
 
--- a/core/replicator/step.go
+++ b/core/replicator/step.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Input is Tick, Received, Synced, Propose, Read, Replace, Compact or Found.
+// Input is Tick, Received, Synced, Propose, Read, Replace, Remove, Compact or Found.
 type Input interface {
 	input()
 }
@@ -36,6 +36,12 @@
 	Learner Learner
 }
 
+// Remove takes a member out without a successor. ID is repeated in the output.
+type Remove struct {
+	ID     uint64
+	Member Identity
+}
+
 // Compact replaces the log up to Index, which must be applied, by a snapshot with Data. Of the entries before Index the
 // newest stay for members that lag a little: at most KeepEntries with at most KeepBytes.
 type Compact struct {
@@ -54,6 +60,7 @@
 func (Propose) input()  {}
 func (Read) input()     {}
 func (Replace) input()  {}
+func (Remove) input()   {}
 func (Compact) input()  {}
 func (Found) input()    {}
 
@@ -132,6 +139,8 @@
 		s.read(input.ID)
 	case Replace:
 		s.replace(input)
+	case Remove:
+		s.remove(input)
 	case Compact:
 		s.compact(input)
 	case Found:
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -35,10 +35,12 @@
 func (Answered) event() {}
 func (Slow) event()     {}
 
-// Attempt describes one send of a request. Number is 1 for the first. Repeatable is the setting of the route.
+// Attempt describes one send of a request. Number is 1 for the first. Most is the setting of the route for the number of
+// targets that the request may be sent to, or 0. Repeatable is the setting of the route.
 type Attempt struct {
 	Service    string
 	Number     int
+	Most       int
 	Repeatable bool
 	Deadline   time.Time
 }
--- a/core/starter/settings.go
+++ b/core/starter/settings.go
@@ -27,12 +27,18 @@
 // ErrHelp is returned by Parse after it printed the help text that was asked for.
 var ErrHelp = errors.New("help was printed")
 
+// LogSettings say what a process writes to its log.
+type LogSettings struct {
+	Level string `long:"level" env:"SAMPHIRE_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"Least level of the log lines that are written"`
+}
+
 // Settings are what every process of the fleet needs.
 type Settings struct {
+	LogSettings
+
 	Cluster string `long:"cluster" env:"SAMPHIRE_CLUSTER" default:"samphire" description:"Name of the cluster; processes of other clusters are refused"`
 	Secret  string `long:"secret-file" env:"SAMPHIRE_SECRET_FILE" description:"File with the secret that all processes of the fleet share"`
 	Metrics string `long:"metrics" env:"SAMPHIRE_METRICS" default:"127.0.0.1:0" description:"IP address and port of the listener for metrics (expvar)"`
-	Level   string `long:"level" env:"SAMPHIRE_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"Least level of the log lines that are written"`
 }
 
 // Checker is a set of settings that can name everything wrong with itself.
@@ -92,7 +98,7 @@
 }
 
 // LogLevel returns the level as slog names it.
-func (s Settings) LogLevel() slog.Level {
+func (s LogSettings) LogLevel() slog.Level {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(s.Level)); err != nil {
 		return slog.LevelInfo
--- a/core/synchronizer/client.go
+++ b/core/synchronizer/client.go
@@ -30,6 +30,8 @@
 	Install(configuration configurer.Configuration) bool
 	Merge(records ...tracker.Node) []tracker.Node
 	Withdraw(ids ...string) []string
+	// Locate takes where the control processes can be reached.
+	Locate(controls []tracker.Control)
 	// Heard tells that a control process was heard that long ago, by the publisher or by this process itself.
 	Heard(age time.Duration)
 }
@@ -179,6 +181,9 @@
 		}
 		c.sink.Withdraw(update.Withdrawn...)
 		c.sink.Merge(update.Nodes...)
+		if len(update.Controls) > 0 {
+			c.sink.Locate(update.Controls)
+		}
 		if update.Snapshot {
 			snapshot = append(snapshot, update.Records...)
 		}
@@ -202,7 +207,7 @@
 func (c *Client) install(update updateMessage, snapshot []configurer.Record) error {
 	switch {
 	case update.Snapshot && update.Last:
-		return c.installSnapshot(update.Version, snapshot)
+		return c.installSnapshot(update, snapshot)
 	case !update.Snapshot && update.Operation != "":
 		return c.installBatch(update)
 	default:
@@ -210,13 +215,15 @@
 	}
 }
 
-func (c *Client) installSnapshot(version uint64, records []configurer.Record) error {
-	configuration, err := configurer.FromSnapshot(configurer.Snapshot{Version: version, Records: records})
+func (c *Client) installSnapshot(update updateMessage, records []configurer.Record) error {
+	configuration, err := configurer.FromSnapshot(configurer.Snapshot{
+		Version: update.Version, Number: update.Number, Records: records,
+	})
 	if err != nil {
 		return err
 	}
 	if c.sink.Install(configuration) {
-		c.log.Info("configuration in force", "version", version, "reason", "snapshot")
+		c.log.Info("configuration in force", "version", update.Version, "number", update.Number, "reason", "snapshot")
 	}
 	return nil
 }
@@ -233,12 +240,15 @@
 	if err != nil {
 		return err
 	}
-	next, _, err := current.With(configurer.Batch{Operation: update.Operation, Changes: changes})
+	next, _, err := current.With(configurer.Batch{
+		Operation: update.Operation, Changes: changes,
+		Numbering: configurer.Numbering{Number: update.Number, Expected: current.Number()},
+	})
 	if err != nil {
 		return err
 	}
 	if c.sink.Install(next) {
-		c.log.Info("configuration in force", "version", update.Version, "reason", "change")
+		c.log.Info("configuration in force", "version", update.Version, "number", update.Number, "reason", "change")
 	}
 	return nil
 }
--- a/core/synchronizer/hub.go
+++ b/core/synchronizer/hub.go
@@ -21,6 +21,7 @@
 	batches       []versionedBatch
 	snapshot      encodedSnapshot
 	directory     tracker.Directory
+	controls      []tracker.Control
 	withdrawn     map[string]struct{}
 	subscriptions map[*subscription]struct{}
 }
@@ -36,6 +37,7 @@
 	wake      chan struct{}
 	nodes     map[string]struct{}
 	withdrawn map[string]struct{}
+	controls  bool
 }
 
 // NewHub returns a Hub with the empty configuration and directory.
@@ -137,6 +139,27 @@
 	return added
 }
 
+// Controls returns where the control processes can be reached, as far as that is known. Callers must not change it.
+func (h *Hub) Controls() []tracker.Control {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.controls
+}
+
+// Locate implements Sink.
+func (h *Hub) Locate(controls []tracker.Control) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if slices.Equal(controls, h.controls) {
+		return
+	}
+	h.controls = controls
+	for s := range h.subscriptions {
+		s.controls = true
+	}
+	h.wakeAll()
+}
+
 // Heard implements Sink. A control process needs no other to be heard.
 func (h *Hub) Heard(time.Duration) {}
 
@@ -169,6 +192,7 @@
 	defer h.mu.Unlock()
 	s := &subscription{
 		wake: make(chan struct{}, 1), nodes: make(map[string]struct{}), withdrawn: make(map[string]struct{}),
+		controls: len(h.controls) > 0,
 	}
 	for _, node := range h.directory.Nodes() {
 		s.nodes[node.Name] = struct{}{}
@@ -201,6 +225,10 @@
 		return nil, version, err
 	}
 	messages = append(messages, configuration...)
+	if s.controls {
+		messages = append(messages, &updateMessage{Controls: h.controls})
+		s.controls = false
+	}
 	for chunk := range slices.Chunk(drain(s.nodes), nodesPerMessage) {
 		update := updateMessage{}
 		for _, name := range chunk {
@@ -239,12 +267,25 @@
 	messages := make([]drpc.Message, 0, len(missing))
 	for _, b := range missing {
 		messages = append(messages, &updateMessage{
-			Version: b.version, Operation: b.batch.Operation, Records: configurer.NewRecords(b.batch.Changes),
+			Version: b.version, Operation: b.batch.Operation, Number: b.batch.Numbering.Number,
+			Records: configurer.NewRecords(withoutDocuments(b.batch.Changes)),
 		})
 	}
 	return messages, nil
 }
 
+// withoutDocuments returns the changes that decide something on a node.
+func withoutDocuments(changes []configurer.Change) []configurer.Change {
+	return slices.DeleteFunc(slices.Clone(changes), func(change configurer.Change) bool {
+		switch change.(type) {
+		case configurer.PutDocument, configurer.RemoveDocument:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // encodedSnapshot keeps the messages of the last snapshot that was asked for, so that many subscribers that return at
 // once cost one encoding.
 type encodedSnapshot struct {
@@ -257,10 +298,12 @@
 		return e.messages, nil
 	}
 	updates := []updateMessage{}
-	for chunk := range slices.Chunk(configuration.Records(), recordsPerMessage) {
+	for chunk := range slices.Chunk(configuration.WithoutDocuments().Records(), recordsPerMessage) {
 		updates = append(updates, updateMessage{Version: configuration.Version(), Snapshot: true, Records: chunk})
 	}
-	updates = append(updates, updateMessage{Version: configuration.Version(), Snapshot: true, Last: true})
+	updates = append(updates, updateMessage{
+		Version: configuration.Version(), Number: configuration.Number(), Snapshot: true, Last: true,
+	})
 	messages := make([]drpc.Message, 0, len(updates))
 	for _, update := range updates {
 		encoded, err := messenger.Marshal(&update)
--- a/core/synchronizer/wire.go
+++ b/core/synchronizer/wire.go
@@ -32,8 +32,8 @@
 
 // updateMessage goes from the publisher to the subscriber. Records belong to the batch that makes Version, or, if
 // Snapshot is set, to the whole configuration; Last closes a snapshot. Age, in milliseconds, is how long ago a control
-// process was heard by the publisher: 0 for a control process itself. Withdrawn holds identifiers of keys. A message
-// with nothing else is a heartbeat.
+// process was heard by the publisher: 0 for a control process itself. Withdrawn holds identifiers of keys, Controls all
+// control processes, Number the operators' own number of Version. A message with nothing else is a heartbeat.
 type updateMessage struct {
 	Version   uint64              `cbor:"1,keyasint"`
 	Snapshot  bool                `cbor:"2,keyasint,omitempty"`
@@ -43,10 +43,12 @@
 	Nodes     []tracker.Node      `cbor:"6,keyasint,omitempty"`
 	Age       int64               `cbor:"7,keyasint,omitempty"`
 	Withdrawn []string            `cbor:"8,keyasint,omitempty"`
+	Controls  []tracker.Control   `cbor:"9,keyasint,omitempty"`
+	Number    uint64              `cbor:"10,keyasint,omitempty"`
 }
 
 // heartbeat reports whether the message closes what the publisher had to send. Only then the subscriber is as fresh as
 // the publisher: one that is still behind must not count as current.
 func (m updateMessage) heartbeat() bool {
-	return !m.Snapshot && m.Operation == "" && len(m.Nodes) == 0 && len(m.Withdrawn) == 0
+	return !m.Snapshot && m.Operation == "" && len(m.Nodes) == 0 && len(m.Withdrawn) == 0 && len(m.Controls) == 0
 }
--- /dev/null
+++ b/core/tracker/control.go
@@ -0,0 +1,10 @@
+package tracker
+
+// Control is one control process as the membership of the replicated log names it. Address is the IP address and port
+// of its listener for the fleet.
+type Control struct {
+	Name    string `cbor:"1,keyasint" json:"name"`
+	Region  string `cbor:"2,keyasint,omitempty" json:"region"`
+	Centre  string `cbor:"3,keyasint,omitempty" json:"centre"`
+	Address string `cbor:"4,keyasint" json:"address"`
+}
--- a/ctl/pkg/planner/holdings.go
+++ b/ctl/pkg/planner/holdings.go
@@ -37,7 +37,8 @@
 			if !change.Key.Withdrawn {
 				held.keys[change.Key.Workspace] = append(held.keys[change.Key.Workspace], change.Key.ID)
 			}
-		case configurer.RemoveService, configurer.RemoveWorkspace, configurer.RemoveRoute, configurer.WithdrawKey:
+		case configurer.RemoveService, configurer.RemoveWorkspace, configurer.RemoveRoute, configurer.WithdrawKey,
+			configurer.RemoveKey, configurer.PutDocument, configurer.RemoveDocument:
 		}
 	}
 	for _, ids := range held.keys {
--- a/ctl/pkg/planner/keep.go
+++ b/ctl/pkg/planner/keep.go
@@ -7,15 +7,17 @@
 	"samphiremount.example/ctl/pkg/importer"
 )
 
-// The keep functions take over from old what a sheet cannot say, since it lacks the column.
+// The keep functions take over from old what a sheet cannot say, since it lacks the column or has none for it.
 
 func keepService(service, old configurer.Service, missing []string) configurer.Service {
 	keep(missing, importer.ColumnFloor, &service.Floor, old.Floor)
+	service.FloorShare, service.Connections = old.FloorShare, old.Connections
 	return service
 }
 
 func keepWorkspace(workspace, old configurer.Workspace, missing []string) configurer.Workspace {
 	keep(missing, importer.ColumnWeight, &workspace.Weight, old.Weight)
+	workspace.Rank = old.Rank
 	return workspace
 }
 
@@ -23,6 +25,7 @@
 	keep(missing, importer.ColumnHost, &route.Host, old.Host)
 	keep(missing, importer.ColumnOpen, &route.Open, old.Open)
 	keep(missing, importer.ColumnRepeatable, &route.Repeatable, old.Repeatable)
+	route.Objective, route.Attempts, route.Rank = old.Objective, old.Attempts, old.Rank
 	return route
 }
 
--- a/ctl/pkg/planner/planner.go
+++ b/ctl/pkg/planner/planner.go
@@ -107,7 +107,7 @@
 		wanted[importer.KindRoute+route.Name] = true
 		old, ok := current.routes[route.Name]
 		route = keepRoute(route, old, sheet.Missing)
-		if !ok || old != route {
+		if !ok || !old.Equal(route) {
 			plan.add(configurer.PutRoute{Route: route})
 		}
 	}
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -2,35 +2,14 @@
 package acceptor
 
 import (
-	"log/slog"
-	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/rs/xid"
 
 	"samphiremount.example/core/refuser"
-	"samphiremount.example/core/retrier"
-	"samphiremount.example/core/router"
-	"samphiremount.example/node/pkg/carrier"
-	"samphiremount.example/node/pkg/viewer"
 )
 
-// Dependencies are what an Acceptor needs.
-type Dependencies struct {
-	Name    string
-	Viewer  *viewer.Viewer
-	Client  *carrier.Client
-	Place   router.Place
-	Random  *rand.Rand
-	Route   *slog.Logger
-	Admit   *slog.Logger
-	Drawer  Drawer
-	Retrier *retrier.Retrier
-	Watcher Watcher
-}
-
 // Acceptor serves callers.
 type Acceptor struct {
 	Dependencies
@@ -47,49 +26,31 @@
 func (a *Acceptor) Handler() http.Handler {
 	server := echo.New()
 	server.Any("/*", a.serve)
+	server.CONNECT("", a.serve)
 	server.HTTPErrorHandler = func(err error, c echo.Context) { refuse(c, "", err) }
 	return server
 }
 
 func (a *Acceptor) serve(c echo.Context) error {
+	request := c.Request()
 	id := xid.New().String()
-	answer, err := a.answer(c.Request(), id)
+	if request.Header.Get("Upgrade") != "" || request.Method == http.MethodConnect {
+		refuse(c, id, refuser.Refuse(refuser.UpgradeUnsupported, ""))
+		return nil
+	}
+	answer, err := a.Serve(request.Context(), Call{
+		ID: id, Method: request.Method, Host: request.Host, Path: request.URL.Path, URI: request.URL.RequestURI(),
+		Header: forwardHeader(request), Credentials: request.Header.Values("Authorization"),
+		Body: request.Body, Length: request.ContentLength, Trailer: request.Trailer,
+	})
 	if err != nil {
-		refusal := refuser.From(err)
-		a.Route.Info("request refused", "request", id, "kind", refusal.Kind, "outcome", refusal.Outcome,
-			"detail", refusal.Detail)
-		refuse(c, id, refusal)
+		refuse(c, id, err)
 		return nil
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if err := relay(c.Response(), id, answer); err != nil {
-		a.Route.Warn("answer cut", "request", id, "reason", err)
-		// The caller must see that the answer is not whole, so the connection ends without its end mark.
-		panic(http.ErrAbortHandler)
-	}
-	a.Route.Info("request answered", "request", id, "status", answer.Status, "outcome", refuser.Ran{})
+	answer.Header = withoutPrefix(EndToEnd(answer.Header))
+	answer.Header.Set(headerRequest, id)
+	answer.Header.Set(headerOutcome, refuser.Ran{}.String())
+	a.Relay(c.Response(), id, answer)
 	return nil
 }
-
-func (a *Acceptor) answer(request *http.Request, id string) (carrier.Answer, error) {
-	if err := checkRequest(request); err != nil {
-		return carrier.Answer{}, err
-	}
-	view := a.Viewer.View()
-	admission, err := authenticate(view, request)
-	if err != nil {
-		return carrier.Answer{}, err
-	}
-	if err := a.admit(request.Context(), admission, id); err != nil {
-		return carrier.Answer{}, err
-	}
-	deadline := time.Now().Add(admission.route.Limit)
-	head := carrier.Head{
-		ID: id, Service: admission.route.Service, Workspace: admission.workspace.Name,
-		Weight:     admission.workspace.Weight,
-		Repeatable: admission.route.Repeatable, Deadline: deadline, Method: request.Method,
-		URI: request.URL.RequestURI(), Host: request.Host, Header: forwardHeader(request, id, admission),
-		Length: request.ContentLength, Trailer: trailerNames(request.Trailer),
-	}
-	return a.forward(request.Context(), head, request, admission.presented)
-}
--- a/node/pkg/acceptor/admit.go
+++ b/node/pkg/acceptor/admit.go
@@ -13,7 +13,7 @@
 }
 
 func (a *Acceptor) admit(ctx context.Context, admission admission, id string) error {
-	if admission.route.Open {
+	if admission.route.Open || admission.workspace.Rate == 0 {
 		return nil
 	}
 	workspace := admission.workspace.Name
--- a/node/pkg/acceptor/authenticate.go
+++ b/node/pkg/acceptor/authenticate.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"strings"
 	"time"
 
@@ -25,15 +24,15 @@
 
 // authenticate finds the route and the workspace that the request's key belongs to. An open route needs no key and
 // runs for no workspace.
-func authenticate(view *viewer.View, request *http.Request) (admission, error) {
+func authenticate(view *viewer.View, call Call) (admission, error) {
 	if view.Configuration.Version() == 0 {
 		return admission{}, refuser.Refuse(refuser.ConfigurationStale, "no configuration is in force yet")
 	}
-	route, ok := view.Matcher.Match(hostname(request.Host), request.URL.Path)
+	route, ok := view.Matcher.Match(hostname(call.Host), call.Path)
 	if !ok {
 		return admission{}, refuser.Refuse(refuser.RouteUnknown, "")
 	}
-	values := request.Header.Values("Authorization")
+	values := call.Credentials
 	if len(values) > 1 {
 		return admission{}, refuser.Refuse(refuser.KeyRepeated, "")
 	}
@@ -64,7 +63,7 @@
 func owner(view *viewer.View, text string) (configurer.Workspace, error) {
 	key, err := keyer.Parse(text)
 	if err != nil {
-		return configurer.Workspace{}, refuser.Refuse(refuser.KeyUnknown, "")
+		key = keyer.Foreign(text)
 	}
 	stored, ok := view.Configuration.Key(key.ID)
 	if !ok || !key.Matches(stored.Digest) {
--- a/node/pkg/acceptor/body.go
+++ b/node/pkg/acceptor/body.go
@@ -28,9 +28,9 @@
 	end    error
 }
 
-// newBody returns the body of request. Its trailers are filled in once it was read. Those that contain key are dropped.
-func newBody(request *http.Request, key string) *body {
-	return &body{source: request.Body, trailer: request.Trailer, key: key}
+// newBody returns the body of call. Its trailers are filled in once it was read. Those that contain key are dropped.
+func newBody(call Call, key string) *body {
+	return &body{source: call.Body, trailer: call.Trailer, key: key}
 }
 
 // reader returns the body from its start for one more attempt. Readers of earlier attempts get nothing more.
--- /dev/null
+++ b/node/pkg/acceptor/call.go
@@ -0,0 +1,106 @@
+package acceptor
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/retrier"
+	"samphiremount.example/core/router"
+	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/viewer"
+)
+
+// Dependencies are what an Acceptor needs.
+type Dependencies struct {
+	Name    string
+	Viewer  *viewer.Viewer
+	Client  *carrier.Client
+	Place   router.Place
+	Random  *rand.Rand
+	Route   *slog.Logger
+	Admit   *slog.Logger
+	Drawer  Drawer
+	Retrier *retrier.Retrier
+	Watcher Watcher
+}
+
+// Call is a caller's request without the protocol that it came in. ID names it in logs and must be unique. Header holds
+// what the target gets of the caller's headers. Credentials are the texts of the keys that came with it. Length is the
+// body's length in bytes, or -1. Trailer is filled in once the body was read.
+type Call struct {
+	ID          string
+	Method      string
+	Host        string
+	Path        string
+	URI         string
+	Header      http.Header
+	Credentials []string
+	Body        io.Reader
+	Length      int64
+	Trailer     http.Header
+	// Deadline is when the caller stops waiting, or zero if it does not say.
+	Deadline time.Time
+	// Origin is the service of the VM where the request began, if that is known.
+	Origin string
+}
+
+// Serve authenticates, admits, routes and forwards call, and returns the target's answer, whose Body must be closed. The
+// error is a refusal.
+func (a *Acceptor) Serve(ctx context.Context, call Call) (carrier.Answer, error) {
+	answer, err := a.answer(ctx, call)
+	if err != nil {
+		refusal := refuser.From(err)
+		a.Route.Info("request refused", "request", call.ID, "kind", refusal.Kind, "outcome", refusal.Outcome,
+			"detail", refusal.Detail)
+		return carrier.Answer{}, refusal
+	}
+	return answer, nil
+}
+
+func (a *Acceptor) answer(ctx context.Context, call Call) (carrier.Answer, error) {
+	if err := checkCall(call); err != nil {
+		return carrier.Answer{}, err
+	}
+	view := a.Viewer.View()
+	admission, err := authenticate(view, call)
+	if err != nil {
+		return carrier.Answer{}, err
+	}
+	if err := a.admit(ctx, admission, call.ID); err != nil {
+		return carrier.Answer{}, err
+	}
+	now := time.Now()
+	deadline := now.Add(admission.route.Limit)
+	if !call.Deadline.IsZero() && call.Deadline.Before(deadline) {
+		deadline = call.Deadline
+	}
+	head := carrier.Head{
+		ID: call.ID, Request: call.ID, Origin: call.Origin, Service: a.chooser.service(admission.route),
+		Workspace: admission.workspace.Name, Weight: admission.workspace.Weight, Rank: rank(admission),
+		Repeatable: admission.route.Repeatable, Deadline: deadline, Objective: now.Add(objective(admission.route)),
+		Method: call.Method, URI: call.URI, Host: call.Host, Header: withoutKey(call.Header, admission.presented),
+		Length: call.Length, Trailer: trailerNames(call.Trailer),
+	}
+	return a.forward(ctx, forwarding{head: head, body: newBody(call, admission.presented), attempts: admission.route.Attempts})
+}
+
+// rank puts the workspace's rank before the route's.
+func rank(admission admission) configurer.Rank {
+	return admission.workspace.Rank*rankSpan + admission.route.Rank
+}
+
+// rankSpan is above every rank of a route that makes a difference.
+const rankSpan = 100
+
+func objective(route configurer.Route) time.Duration {
+	if route.Objective > 0 {
+		return route.Objective
+	}
+	return route.Limit
+}
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/ejector"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/router"
@@ -80,6 +81,27 @@
 	return choice, nil
 }
 
+// service draws one of the services of route by their weights.
+func (c *chooser) service(route configurer.Route) string {
+	if len(route.Splits) == 0 {
+		return route.Service
+	}
+	total := 0
+	for _, split := range route.Splits {
+		total += split.Weight
+	}
+	c.mu.Lock()
+	rest := c.random.IntN(total)
+	c.mu.Unlock()
+	for _, split := range route.Splits {
+		if rest < split.Weight {
+			return split.Service
+		}
+		rest -= split.Weight
+	}
+	return route.Splits[len(route.Splits)-1].Service
+}
+
 // subset returns the targets of service that this node uses. Others take the place of ejected ones.
 func (c *chooser) subset(view *viewer.View, service string, ejected map[string]ejector.Entry) []tracker.Placement {
 	if subset, ok := c.subsets[service]; ok && len(ejected) == 0 {
@@ -107,12 +129,14 @@
 		return nil
 	}
 	var present []ejector.Capacity
+	slots := 0
 	for _, placement := range view.Directory.Placements(name) {
 		if !placement.Target.Leaving {
 			present = append(present, ejector.Capacity{Target: placement.Target.Name, Slots: placement.Target.Slots})
+			slots += placement.Target.Slots
 		}
 	}
-	ejected := ejector.Enforce(entries, present, service.Floor)
+	ejected := ejector.Enforce(entries, present, service.FloorOf(slots))
 	for target := range c.followed[name] {
 		if _, still := ejected[target]; !still {
 			c.arrivals.Return(now, target)
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -70,9 +70,10 @@
 	client := carrier.NewClient(pool, new(expvar.Map))
 	counts := new(expvar.Map)
 	mux := messenger.Mux{}
-	seen := watcher.New(pool, nil, nil, log)
+	seen := watcher.New(pool, func() []string { return nil }, nil, log)
 	spread := func(string, quarantiner.Crash) {}
-	carrier.NewServer(gatekeeper.New(1, known, connector.New(counts), seen, counts, log, spread), client).Register(mux)
+	gate := gatekeeper.New(1, gatekeeper.OwnProtocol{}, known, connector.New(counts), seen, counts, log, spread)
+	carrier.NewServer(gate, client).Register(mux)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
@@ -16,22 +15,20 @@
 // forwarding is one request on its way through as many attempts as it takes. Doubt is set once an attempt may have
 // run: a later one that did not run does not take that back.
 type forwarding struct {
-	head    carrier.Head
-	body    *body
-	attempt retrier.Attempt
-	tried   []string
-	doubt   bool
+	head     carrier.Head
+	body     *body
+	attempts int
+	attempt  retrier.Attempt
+	tried    []string
+	doubt    bool
 }
 
 // forward sends a request to a target, and to another one after a failure where that is safe and within the budget.
-func (a *Acceptor) forward(
-	ctx context.Context, head carrier.Head, request *http.Request, key string,
-) (carrier.Answer, error) {
-	a.Retrier.Asked(time.Now(), head.Service)
-	f := &forwarding{
-		head:    head,
-		body:    newBody(request, key),
-		attempt: retrier.Attempt{Service: head.Service, Number: 1, Repeatable: head.Repeatable, Deadline: head.Deadline},
+func (a *Acceptor) forward(ctx context.Context, forwarded forwarding) (carrier.Answer, error) {
+	f := &forwarded
+	a.Retrier.Asked(time.Now(), f.head.Service)
+	f.attempt = retrier.Attempt{
+		Service: f.head.Service, Number: 1, Most: f.attempts, Repeatable: f.head.Repeatable, Deadline: f.head.Deadline,
 	}
 	var last error
 	for {
@@ -52,7 +49,7 @@
 			last = refuser.Fail(refuser.OutcomeUnknown, "a target failed it, and no other answered")
 		}
 		f.attempt.Number++
-		f.head.ID = fmt.Sprintf("%s.%d", head.ID, f.attempt.Number)
+		f.head.ID = fmt.Sprintf("%s.%d", f.head.Request, f.attempt.Number)
 	}
 }
 
--- a/node/pkg/acceptor/header.go
+++ b/node/pkg/acceptor/header.go
@@ -11,10 +11,9 @@
 
 // Headers of the fleet. Those that a caller sends are dropped.
 const (
-	headerPrefix    = "Samphire-"
-	headerRequest   = "Samphire-Request"
-	headerWorkspace = "Samphire-Workspace"
-	headerOutcome   = "Samphire-Outcome"
+	headerPrefix  = "Samphire-"
+	headerRequest = "Samphire-Request"
+	headerOutcome = "Samphire-Outcome"
 )
 
 // hopHeaders concern one connection only (RFC 9110, section 7.6.1). Expect is among them, since the entry answers it.
@@ -23,32 +22,39 @@
 	"Transfer-Encoding", "Upgrade",
 }
 
-// checkRequest refuses what the fleet does not carry. A path with dot segments is refused, since a route would be
-// matched on one path and the target would run another.
-func checkRequest(request *http.Request) error {
-	if request.Header.Get("Upgrade") != "" || request.Method == http.MethodConnect {
-		return refuser.Refuse(refuser.UpgradeUnsupported, "")
-	}
-	clean := path.Clean(request.URL.Path)
-	if request.URL.Path != clean && request.URL.Path != clean+"/" {
+// checkCall refuses a path with dot segments, since a route would be matched on one path and the target would run
+// another.
+func checkCall(call Call) error {
+	clean := path.Clean(call.Path)
+	if call.Path != clean && call.Path != clean+"/" {
 		return refuser.Refuse(refuser.RequestInvalid, "the path has empty or dot segments")
 	}
 	return nil
 }
 
-// forwardHeader returns the headers that the target gets: neither hop-by-hop headers, nor ones of the fleet, nor any
-// that holds the key.
-func forwardHeader(request *http.Request, id string, admission admission) http.Header {
-	header := endToEnd(request.Header)
+// forwardHeader returns the headers that the target gets: neither hop-by-hop headers, nor ones of the fleet, nor the key.
+func forwardHeader(request *http.Request) http.Header {
+	header := withoutPrefix(EndToEnd(request.Header))
 	header.Del("Authorization")
-	for name, values := range header {
-		if strings.HasPrefix(name, headerPrefix) || containsKey(values, admission.presented) {
+	return header
+}
+
+// withoutPrefix removes the headers of the fleet from header and returns it.
+func withoutPrefix(header http.Header) http.Header {
+	for name := range header {
+		if strings.HasPrefix(name, headerPrefix) {
 			header.Del(name)
 		}
 	}
-	header.Set(headerRequest, id)
-	if admission.workspace.Name != "" {
-		header.Set(headerWorkspace, admission.workspace.Name)
+	return header
+}
+
+// withoutKey removes the headers that hold key from header and returns it.
+func withoutKey(header http.Header, key string) http.Header {
+	for name, values := range header {
+		if containsKey(values, key) {
+			header.Del(name)
+		}
 	}
 	return header
 }
@@ -62,8 +68,8 @@
 	return false
 }
 
-// endToEnd returns a copy of header without the headers that end at this hop.
-func endToEnd(header http.Header) http.Header {
+// EndToEnd returns a copy of header without the headers that end at this hop.
+func EndToEnd(header http.Header) http.Header {
 	kept := header.Clone()
 	for _, value := range header.Values("Connection") {
 		for name := range strings.SplitSeq(value, ",") {
--- a/node/pkg/acceptor/reply.go
+++ b/node/pkg/acceptor/reply.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -38,16 +39,20 @@
 	_ = c.JSON(answer.Status, refusalReply{string(refusal.Kind), answer.Message, refusal.Outcome.String(), id})
 }
 
-// relay writes a target's answer to the caller, flushing each part so that a slow answer streams.
-func relay(response *echo.Response, id string, answer carrier.Answer) error {
-	header := response.Header()
-	for name, values := range endToEnd(answer.Header) {
-		if !strings.HasPrefix(name, headerPrefix) {
-			header[name] = values
-		}
+// Relay writes the answer to the request called id to the caller, with the headers that it holds. If the answer ends
+// early it does not return but ends the connection, so that the caller sees that the answer is not whole.
+func (a *Acceptor) Relay(response http.ResponseWriter, id string, answer carrier.Answer) {
+	if err := relay(response, answer); err != nil {
+		a.Route.Warn("answer cut", "request", id, "reason", err.Error())
+		panic(http.ErrAbortHandler)
 	}
-	header.Set(headerRequest, id)
-	header.Set(headerOutcome, refuser.Ran{}.String())
+	a.Route.Info("request answered", "request", id, "status", answer.Status, "outcome", refuser.Ran{})
+}
+
+// relay flushes each part so that a slow answer streams.
+func relay(response http.ResponseWriter, answer carrier.Answer) error {
+	header := response.Header()
+	maps.Copy(header, answer.Header)
 	response.WriteHeader(answer.Status)
 	buf := make([]byte, relayBytes)
 	var written int64
@@ -58,7 +63,7 @@
 			if _, err := response.Write(buf[:n]); err != nil {
 				return errors.Wrap(err, "write to caller")
 			}
-			_ = http.NewResponseController(response.Writer).Flush()
+			_ = http.NewResponseController(response).Flush()
 		}
 		if errors.Is(err, io.EOF) {
 			sendTrailer(header, answer.Body)
--- a/node/pkg/carrier/frame.go
+++ b/node/pkg/carrier/frame.go
@@ -55,7 +55,7 @@
 	Running bool `cbor:"1,keyasint"`
 }
 
-// headBody is the wire form of Head. Remaining is in milliseconds: clocks of two VMs are not compared.
+// headBody is the wire form of Head. Remaining and Objective are in milliseconds from now: clocks of two VMs are not compared.
 type headBody struct {
 	ID          string              `cbor:"1,keyasint"`
 	Incarnation uint64              `cbor:"2,keyasint"`
@@ -72,6 +72,10 @@
 	StartBefore int64               `cbor:"13,keyasint"`
 	Trailer     []string            `cbor:"14,keyasint,omitempty"`
 	Weight      int                 `cbor:"15,keyasint,omitempty"`
+	Request     string              `cbor:"16,keyasint,omitempty"`
+	Origin      string              `cbor:"17,keyasint,omitempty"`
+	Rank        int                 `cbor:"18,keyasint,omitempty"`
+	Objective   int64               `cbor:"19,keyasint,omitempty"`
 }
 
 type answerBody struct {
--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/tombstoner"
 )
@@ -13,10 +14,13 @@
 // HeaderBusy is set by the gate on each answer: the number of the target's slots in use. It does not reach callers.
 const HeaderBusy = "Samphire-Busy"
 
-// Head describes a request on its way to a target. ID identifies this attempt in the whole fleet. Incarnation is that
+// Head describes a request on its way to a target. ID identifies this attempt in the whole fleet, Request the request
+// that it is an attempt at. Origin is the service of the VM where the request began, if it is known. Incarnation is that
 // of the node beside the target, as the sender knows it. Length is the body's length in bytes, or -1.
 type Head struct {
 	ID          string
+	Request     string
+	Origin      string
 	Incarnation uint64
 	Target      string
 	Service     string
@@ -28,6 +32,10 @@
 	Host        string
 	Header      http.Header
 	Length      int64
+	// Rank orders requests when a target has more than it can serve.
+	Rank configurer.Rank
+	// Objective is when the answer begins to lose value to the caller.
+	Objective time.Time
 	// Weight is the workspace's share when workspaces compete for slots.
 	Weight int
 	// Trailer holds the names of the trailers that the body announces.
@@ -79,7 +87,8 @@
 		ID: h.ID, Incarnation: h.Incarnation, Target: h.Target, Service: h.Service, Workspace: h.Workspace,
 		Repeatable: h.Repeatable, Remaining: h.Deadline.Sub(now).Milliseconds(), Method: h.Method, URI: h.URI,
 		Host: h.Host, Header: h.Header, Length: h.Length, StartBefore: int64(h.StartBefore),
-		Trailer: h.Trailer, Weight: h.Weight,
+		Trailer: h.Trailer, Weight: h.Weight, Request: h.Request, Origin: h.Origin, Rank: int(h.Rank),
+		Objective: h.Objective.Sub(now).Milliseconds(),
 	}
 }
 
@@ -88,6 +97,7 @@
 		ID: b.ID, Incarnation: b.Incarnation, Target: b.Target, Service: b.Service, Workspace: b.Workspace,
 		Repeatable: b.Repeatable, Deadline: now.Add(time.Duration(b.Remaining) * time.Millisecond), Method: b.Method,
 		URI: b.URI, Host: b.Host, Header: b.Header, Length: b.Length, StartBefore: tombstoner.Reading(b.StartBefore),
-		Trailer: b.Trailer, Weight: b.Weight,
+		Trailer: b.Trailer, Weight: b.Weight, Request: b.Request, Origin: b.Origin, Rank: configurer.Rank(b.Rank),
+		Objective: now.Add(time.Duration(b.Objective) * time.Millisecond),
 	}
 }
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -41,7 +41,7 @@
 // Drawer holds the leases of the workspaces that are in use on this node.
 type Drawer struct {
 	borrower  Borrower
-	addresses []string
+	addresses func() []string
 	log       *slog.Logger
 	group     errgroup.Group
 
@@ -70,7 +70,7 @@
 }
 
 // New returns a Drawer without leases that asks the lenders at addresses, the first if it answers.
-func New(borrower Borrower, addresses []string, log *slog.Logger) *Drawer {
+func New(borrower Borrower, addresses func() []string, log *slog.Logger) *Drawer {
 	return &Drawer{borrower: borrower, addresses: addresses, log: log, accounts: make(map[string]*account)}
 }
 
@@ -228,7 +228,7 @@
 func (d *Drawer) borrow(message exchanger.Message) (time.Time, exchanger.Reply) {
 	ctx, cancel := context.WithTimeout(context.Background(), drawLimit)
 	defer cancel()
-	for range d.addresses {
+	for range d.addresses() {
 		asked := time.Now()
 		reply, err := d.send(ctx, message)
 		if err == nil {
--- a/node/pkg/drawer/settle.go
+++ b/node/pkg/drawer/settle.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"samphiremount.example/core/exchanger"
 )
 
@@ -80,6 +82,8 @@
 	}
 }
 
+var errNoLender = errors.New("no lender is known")
+
 // send sends message with the reports that wait to the current lender, and turns to the next one if it fails. Reports
 // that may not have arrived are sent again, which does no harm.
 func (d *Drawer) send(ctx context.Context, message exchanger.Message) (exchanger.Reply, error) {
@@ -88,12 +92,18 @@
 		d.current = 0
 	}
 	current := d.current
+	addresses := d.addresses()
+	if len(addresses) == 0 {
+		d.mu.Unlock()
+		return exchanger.Reply{}, errNoLender
+	}
+	address := addresses[current%len(addresses)]
 	message.Reports, d.reports = d.reports, nil
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, tryLimit)
 	defer cancel()
 	counters.Add("messages", 1)
-	reply, err := d.borrower.Borrow(ctx, d.addresses[current], message)
+	reply, err := d.borrower.Borrow(ctx, address, message)
 	if err == nil {
 		return reply, nil
 	}
@@ -101,9 +111,9 @@
 	defer d.mu.Unlock()
 	d.reports = append(message.Reports, d.reports...)[:min(reportsLimit, len(message.Reports)+len(d.reports))]
 	if d.current == current {
-		d.current = (current + 1) % len(d.addresses)
+		d.current = (current + 1) % len(addresses)
 		d.home = time.Now().Add(homePause)
-		d.log.Warn("lender failed", "address", d.addresses[current], "next", d.addresses[d.current], "reason", err)
+		d.log.Warn("lender failed", "address", address, "next", addresses[d.current], "reason", err.Error())
 	}
 	return reply, err
 }
--- a/node/pkg/enroller/enroller.go
+++ b/node/pkg/enroller/enroller.go
@@ -30,9 +30,10 @@
 	registrar registrar.Registrar
 }
 
-// New returns an Enroller without targets. It calls changed with all targets after each change; changed must not block.
-func New(log *slog.Logger, changed func([]tracker.Target)) *Enroller {
-	return &Enroller{log: log, changed: changed}
+// New returns an Enroller without targets. An announcement counts for lifetime. It calls changed with all targets after
+// each change; changed must not block.
+func New(lifetime time.Duration, log *slog.Logger, changed func([]tracker.Target)) *Enroller {
+	return &Enroller{log: log, changed: changed, registrar: registrar.New(lifetime)}
 }
 
 // Handler serves the interface for targets: POST /targets takes an announcement.
@@ -48,13 +49,33 @@
 	if err := c.Bind(&announcement); err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, "the announcement is malformed")
 	}
-	if err := check(announcement); err != nil {
+	if err := e.Announce(announcement); err != nil {
 		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 	}
-	e.merge(announcement)
 	return c.NoContent(http.StatusNoContent)
 }
 
+// Announce takes what a target says of itself. It fails if that is not enough to use the target.
+func (e *Enroller) Announce(announcement registrar.Announcement) error {
+	if err := check(announcement); err != nil {
+		return err
+	}
+	e.merge(announcement)
+	return nil
+}
+
+// Leave takes the target called name out of use at once. Requests that it runs go on.
+func (e *Enroller) Leave(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next, changed := e.registrar.WithLeft(time.Now(), name)
+	e.registrar = next
+	if changed {
+		e.log.Info("target left", "target", name, "reason", "it said so")
+		e.changed(e.targets())
+	}
+}
+
 func check(announcement registrar.Announcement) error {
 	if announcement.Name == "" || announcement.Service == "" || announcement.Slots < 1 {
 		return errors.New("an announcement needs a name, a service and at least one slot")
@@ -72,7 +93,8 @@
 	e.registrar = next
 	if changed {
 		e.log.Info("target announced", "target", announcement.Name, "service", announcement.Service,
-			"slots", announcement.Slots, "leaving", announcement.Leaving)
+			"slots", announcement.Slots, "leaving", announcement.Leaving, "born", announcement.Born,
+			"sequence", announcement.Sequence)
 		e.changed(e.targets())
 	}
 }
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -23,6 +23,9 @@
 	"samphiremount.example/node/pkg/connector"
 )
 
+// maxDeclined bounds the bytes that are read of an answer which is not passed on.
+const maxDeclined = 4 << 10
+
 // Targets looks targets of this VM up by name.
 type Targets interface {
 	Announcement(name string) (registrar.Announcement, bool)
@@ -47,19 +50,21 @@
 	lines      map[string]*line
 	tombstoner *tombstoner.Tombstoner
 
+	protocol    Protocol
 	quarantiner *quarantiner.Quarantiner
 	spread      func(service string, crash quarantiner.Crash)
 }
 
 var _ carrier.Gate = (*Gatekeeper)(nil)
 
-// New returns a Gatekeeper for the targets that targets knows. It refuses requests that are meant for another
+// New returns a Gatekeeper for the targets that targets knows and protocol speaks to. It refuses requests that are meant for another
 // incarnation of the node, and counts in counts. It calls spread to tell the other gates of a service of a crash.
 func New(
-	incarnation uint64, targets Targets, connector *connector.Connector, watcher Watcher, counts *expvar.Map,
-	log *slog.Logger, spread func(service string, crash quarantiner.Crash),
+	incarnation uint64, protocol Protocol, targets Targets, connector *connector.Connector, watcher Watcher,
+	counts *expvar.Map, log *slog.Logger, spread func(service string, crash quarantiner.Crash),
 ) *Gatekeeper {
 	return &Gatekeeper{
+		protocol:    protocol,
 		incarnation: incarnation,
 		started:     time.Now(),
 		targets:     targets,
@@ -124,7 +129,7 @@
 	if err != nil {
 		return carrier.Answer{}, err
 	}
-	request, err := newRequest(target, head, content.body)
+	request, err := g.newRequest(target, head, content.body)
 	if err != nil {
 		return carrier.Answer{}, err
 	}
@@ -137,6 +142,7 @@
 		release()
 		return carrier.Answer{}, err
 	}
+	g.protocol.Prepare(request.Header, head, target, time.Until(head.Deadline))
 	ended := g.watcher.Start(target.Name, target.Service)
 	response, err := g.connector.Exchange(ctx, target.Address, request, head.Repeatable) //nolint:bodyclose // slotBody closes it
 	if err != nil {
@@ -151,6 +157,13 @@
 		g.finish(head.ID, refusal.Outcome != refuser.NotRun{})
 		return carrier.Answer{}, refusal
 	}
+	if refusal := g.declined(head, response); refusal != nil {
+		ended(observer.Answered{Status: http.StatusServiceUnavailable})
+		_ = response.Body.Close()
+		release()
+		g.finish(head.ID, refusal.Outcome != refuser.NotRun{})
+		return carrier.Answer{}, refusal
+	}
 	ended(observer.Answered{Status: response.StatusCode})
 	response.Header.Set(carrier.HeaderBusy, strconv.Itoa(g.busy(target.Name)))
 	return carrier.Answer{
@@ -166,6 +179,28 @@
 	}, nil
 }
 
+// declined returns a refusal in place of an answer of a target that did not run the request, or of one that belongs to
+// another request. The connection of the latter must not be used again, so its body stays unread.
+func (g *Gatekeeper) declined(head carrier.Head, response *http.Response) *refuser.Refusal {
+	switch verdict := g.protocol.Judge(response.Header, response.StatusCode, head).(type) {
+	case Declined:
+		drain(response.Body)
+		return refuser.From(refuser.Refuse(verdict.Kind, "the target did not run it"))
+	case Crossed:
+		g.counts.Add("crossed_answers", 1)
+		return refuser.From(refuser.Fail(refuser.OutcomeUnknown, "the target answered another request"))
+	case Ran:
+	}
+	return nil
+}
+
+// drain reads a short body to its end, so that its connection can be used again.
+func drain(body io.Reader) {
+	if _, err := io.CopyN(io.Discard, body, maxDeclined); err != nil && !errors.Is(err, io.EOF) {
+		return
+	}
+}
+
 // start makes the request's identity known as started, unless it is buried, known already or too late.
 func (g *Gatekeeper) start(ctx context.Context, head carrier.Head) error {
 	if ctx.Err() != nil {
--- a/node/pkg/gatekeeper/gatekeeper_test.go
+++ b/node/pkg/gatekeeper/gatekeeper_test.go
@@ -42,7 +42,7 @@
 	t.Cleanup(server.Close)
 	known := targets{"a": {Name: "a", Service: "s", Address: server.Listener.Addr().String(), Slots: slots}}
 	counts := new(expvar.Map)
-	return gatekeeper.New(7, known, connector.New(counts), blindWatcher{}, counts, slog.New(slog.DiscardHandler),
+	return gatekeeper.New(7, gatekeeper.OwnProtocol{}, known, connector.New(counts), blindWatcher{}, counts, slog.New(slog.DiscardHandler),
 		func(string, quarantiner.Crash) {})
 }
 
--- a/node/pkg/gatekeeper/request.go
+++ b/node/pkg/gatekeeper/request.go
@@ -4,8 +4,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,11 +12,8 @@
 	"samphiremount.example/node/pkg/carrier"
 )
 
-// headerRemaining tells a target how many milliseconds are left to the request's deadline.
-const headerRemaining = "Samphire-Remaining"
-
 // newRequest builds the request that goes to target. It is written to a connection once, so it has no GetBody.
-func newRequest(target registrar.Announcement, head carrier.Head, body io.Reader) (*http.Request, error) {
+func (g *Gatekeeper) newRequest(target registrar.Announcement, head carrier.Head, body io.Reader) (*http.Request, error) {
 	uri, err := url.ParseRequestURI(head.URI)
 	if err != nil {
 		return nil, refuser.Refuse(refuser.RequestInvalid, "the request URI is malformed")
@@ -35,7 +30,6 @@
 	request := &http.Request{
 		Method: head.Method, URL: uri, Header: header, Host: head.Host, ContentLength: head.Length, Body: http.NoBody,
 	}
-	header.Set(headerRemaining, strconv.FormatInt(max(time.Until(head.Deadline).Milliseconds(), 0), 10))
 	if head.Length == 0 {
 		return request, nil
 	}
--- a/node/pkg/starter/callers.go
+++ b/node/pkg/starter/callers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,30 +13,31 @@
 const (
 	viewTimeout = 5 * time.Second
 	viewPoll    = 10 * time.Millisecond
-	firstDelay  = 500 * time.Millisecond
 	lastDelay   = 200 * time.Millisecond
+
+	headTimeout  = 10 * time.Second
+	idleTimeout  = 2 * time.Minute
+	maxHeadBytes = 64 << 10
 )
 
 // serveCallers serves callers until ctx or background ends. Then the node leaves the directory and goes on for
-// leaveDelay, in which each answer ends its connection. Idle connections are closed only after that: a request that
+// Stop.Leave, in which each answer ends its connection. Idle connections are closed only after that: a request that
 // crosses the close of its connection is lost.
-func (p parts) serveCallers(ctx, background context.Context, listener net.Listener) error {
-	var leaving atomic.Bool
-	handler := p.acceptor.Handler()
+func (n *Node) serveCallers(ctx, background context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if leaving.Load() {
+			if n.leaving.Load() {
 				w.Header().Set("Connection", "close")
 			}
 			handler.ServeHTTP(w, r)
 		}),
 		ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
 	}
-	p.awaitView(ctx)
+	n.awaitView(ctx)
 	group, running := errgroup.WithContext(background)
 	group.Go(func() error {
 		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) || leaving.Load() && errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, http.ErrServerClosed) || n.leaving.Load() && errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		return errors.Wrap(err, "serve callers")
@@ -47,14 +47,14 @@
 		case <-ctx.Done():
 		case <-running.Done():
 		}
-		leaving.Store(true)
-		p.reporter.Leave()
-		p.log.Part("node").Info("node leaving", "reason", "stop was asked for")
-		wait(running, leaveDelay)
+		n.leaving.Store(true)
+		n.reporter.Leave()
+		n.log.Part("node").Info("node leaving", "reason", "stop was asked for")
+		wait(running, n.options.Stop.Leave)
 		// Shutdown drops requests that it finds unread, so the connections that were taken last get time to send theirs.
 		_ = listener.Close()
-		wait(running, firstDelay)
-		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
+		wait(running, n.options.Stop.First)
+		ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.options.Stop.Grace)
 		defer cancel()
 		return errors.Wrap(server.Shutdown(ending), "finish callers' requests")
 	})
@@ -64,13 +64,13 @@
 // awaitView waits for the first configuration and directory, so that a node that was restarted does not refuse what it
 // could serve a moment later. Callers' connections wait in the listener. Without any after viewTimeout the node serves
 // with what it has.
-func (p parts) awaitView(ctx context.Context) {
+func (n *Node) awaitView(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
 	ticker := time.NewTicker(viewPoll)
 	defer ticker.Stop()
 	for {
-		view := p.view.View()
+		view := n.Viewer.View()
 		if view.Configuration.Version() > 0 && len(view.Directory.Nodes()) > 0 {
 			return
 		}
@@ -83,10 +83,10 @@
 }
 
 // finishGate refuses what other nodes still send, and waits for what they sent before.
-func (p parts) finishGate(ctx context.Context) error {
-	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopGrace)
+func (n *Node) finishGate(ctx context.Context) error {
+	ending, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.options.Stop.Grace)
 	defer cancel()
-	err := p.carrier.Stop(ending)
+	err := n.carrier.Stop(ending)
 	// Requests that are being opened get their refusal before the connections end.
 	wait(ending, lastDelay)
 	return err
--- /dev/null
+++ b/node/pkg/starter/node.go
@@ -0,0 +1,267 @@
+package starter
+
+import (
+	"context"
+	"expvar"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/explainer"
+	"samphiremount.example/core/lender"
+	"samphiremount.example/core/locator"
+	"samphiremount.example/core/logger"
+	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/quarantiner"
+	"samphiremount.example/core/retrier"
+	"samphiremount.example/core/router"
+	core "samphiremount.example/core/starter"
+	"samphiremount.example/core/synchronizer"
+	"samphiremount.example/core/tracker"
+	"samphiremount.example/node/pkg/acceptor"
+	"samphiremount.example/node/pkg/carrier"
+	"samphiremount.example/node/pkg/connector"
+	"samphiremount.example/node/pkg/drawer"
+	"samphiremount.example/node/pkg/enroller"
+	"samphiremount.example/node/pkg/gatekeeper"
+	"samphiremount.example/node/pkg/keeper"
+	"samphiremount.example/node/pkg/prober"
+	"samphiremount.example/node/pkg/recorder"
+	"samphiremount.example/node/pkg/reporter"
+	"samphiremount.example/node/pkg/viewer"
+	"samphiremount.example/node/pkg/watcher"
+)
+
+// maxPeers is the number of other nodes that a node may ask for the configuration while no control process is heard.
+const maxPeers = 3
+
+// Options describe one node, whatever fronts it is used through. Entry and Fleet are the addresses under which others
+// reach it. Seeds are addresses of control processes to try until control itself says where it is. Data may be empty.
+// Lenders are the nodes that lend parts of the workspaces' rates.
+type Options struct {
+	Name      string
+	Region    string
+	Centre    string
+	Entry     string
+	Fleet     string
+	Seeds     []string
+	Peers     []string
+	Data      string
+	Decisions int
+	Lenders   core.Peers
+	// AnnouncementTime is how long a target's announcement counts.
+	AnnouncementTime time.Duration
+	Protocol         gatekeeper.Protocol
+	Stop             Stop
+}
+
+// Stop says how a node ends. It goes on for Leave after it said that it leaves, then lets the last connections send
+// their request for First, and then waits for at most Grace until what it took has ended.
+type Stop struct {
+	Leave time.Duration
+	First time.Duration
+	Grace time.Duration
+}
+
+// Node is one node without its fronts.
+type Node struct {
+	Acceptor *acceptor.Acceptor
+	Enroller *enroller.Enroller
+	Viewer   *viewer.Viewer
+
+	options     Options
+	credentials messenger.Credentials
+	log         logger.Logger
+	mux         messenger.Mux
+	pool        *messenger.Pool
+	reporter    *reporter.Reporter
+	conns       *connector.Connector
+	client      *synchronizer.Client
+	prober      *prober.Prober
+	keeper      *keeper.Keeper
+	drawer      *drawer.Drawer
+	lender      *lender.Lender
+	watcher     *watcher.Watcher
+	carrier     *carrier.Server
+	leaving     atomic.Bool
+}
+
+// New returns a node that knows nothing yet but what its data folder holds.
+func New(options Options, credentials messenger.Credentials, log logger.Logger) *Node {
+	decisions := recorder.New(options.Decisions)
+	log = log.Through(decisions.Handler)
+	incarnation := uint64(time.Now().UnixNano())
+	hub := synchronizer.NewHub()
+	view := viewer.New(hub)
+	n := &Node{
+		Viewer: view, options: options, credentials: credentials, log: log, mux: messenger.Mux{},
+		pool: messenger.NewPool(credentials),
+		reporter: reporter.New(tracker.Node{
+			Name: options.Name, Region: options.Region, Centre: options.Centre, Incarnation: incarnation,
+			Address: options.Fleet, Entry: options.Entry,
+		}),
+	}
+	explainer.Register(n.mux, decisions)
+	n.assembleControl(hub, incarnation)
+	n.assembleRequests(incarnation)
+	return n
+}
+
+// assembleControl makes the parts that keep the node in touch with control.
+func (n *Node) assembleControl(hub *synchronizer.Hub, incarnation uint64) {
+	place := locator.Place{Name: n.options.Name, Region: n.options.Region, Centre: n.options.Centre}
+	located := locator.New(place, n.options.Seeds, hub)
+	age := func() time.Duration { return n.Viewer.View().ControlAge(time.Now()) }
+	synchronizer.NewServer(hub, age, n.log.Part("publish")).Register(n.mux)
+	random := rand.New(rand.NewPCG(incarnation, rand.Uint64()))
+	n.prober = prober.New(n.options.Name, n.options.Region, n.pool, n.Viewer, random, n.log.Part("probe"))
+	n.prober.Register(n.mux)
+	n.keeper = keeper.New(n.options.Data, hub, n.log.Part("keep"))
+	if n.options.Data != "" {
+		n.keeper.Load(n.Viewer)
+	}
+	n.client = synchronizer.NewClient(n.pool, n.publishers(located), n.Viewer, n.reporter, n.log.Part("subscribe"))
+	n.watcher = watcher.New(n.pool, located.Addresses, func() []tracker.Target { return n.reporter.Node().Targets }, n.log.Part("eject"))
+	n.lender = n.newLender(hub, located)
+	n.drawer = drawer.New(exchanger.NewClient(n.pool), n.lenderAddresses(located), n.log.Part("admit"))
+}
+
+// assembleRequests makes the parts that requests pass through.
+func (n *Node) assembleRequests(incarnation uint64) {
+	n.Enroller = enroller.New(n.options.AnnouncementTime, n.log.Part("enroll"), n.reporter.SetTargets)
+	client := carrier.NewClient(n.pool, expvar.NewMap("entry"))
+	counts := expvar.NewMap("gate")
+	n.conns = connector.New(counts)
+	gate := gatekeeper.New(
+		incarnation, n.options.Protocol, n.Enroller, n.conns, n.watcher, counts, n.log.Part("gate"), n.spreader(client),
+	)
+	n.carrier = carrier.NewServer(gate, client)
+	n.carrier.Register(n.mux)
+	n.Acceptor = acceptor.New(acceptor.Dependencies{
+		Name: n.options.Name, Viewer: n.Viewer, Client: client, Drawer: n.drawer, Retrier: retrier.New(), Watcher: n.watcher,
+		Place:  router.Place{Region: n.options.Region, Centre: n.options.Centre},
+		Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
+		Route:  n.log.Part("route"), Admit: n.log.Part("admit"),
+	})
+}
+
+// publishers returns the control processes, and after them, while none of them is heard, peers that may know more.
+func (n *Node) publishers(located *locator.Locator) synchronizer.Addresses {
+	return func() []string {
+		addresses := located.Addresses()
+		now := n.Viewer.View()
+		if now.ControlAge(time.Now()) < synchronizer.SilenceLimit {
+			return addresses
+		}
+		most := len(addresses) + maxPeers
+		addresses = append(addresses, n.options.Peers...)
+		for _, node := range now.Directory.Nodes() {
+			if node.Name != n.options.Name && !node.Gone && len(addresses) < most {
+				addresses = append(addresses, node.Address)
+			}
+		}
+		return addresses
+	}
+}
+
+// lenderAddresses returns whom the node borrows from: the control processes first, then the other lenders, which are
+// all that is left in an outage of control.
+func (n *Node) lenderAddresses(located *locator.Locator) func() []string {
+	return func() []string {
+		addresses := located.Addresses()
+		for _, address := range n.options.Lenders.Others("") {
+			if !slices.Contains(addresses, address) {
+				addresses = append(addresses, address)
+			}
+		}
+		return addresses
+	}
+}
+
+// newLender returns the lender of a node that is named as one, and nil on all others.
+func (n *Node) newLender(hub *synchronizer.Hub, located *locator.Locator) *lender.Lender {
+	lenders := n.options.Lenders
+	if _, ok := lenders[n.options.Name]; !ok {
+		return nil
+	}
+	rates := lender.New(time.Now(), lender.Dependencies{
+		Name: n.options.Name, Configuration: hub, Borrower: exchanger.NewClient(n.pool), Log: n.log.Part("lend"),
+		Lenders: func() []string {
+			names := lenders.Names()
+			for _, control := range hub.Controls() {
+				if !slices.Contains(names, control.Name) {
+					names = append(names, control.Name)
+				}
+			}
+			return names
+		},
+		Peers: func() []string {
+			own := lenders[n.options.Name]
+			return slices.DeleteFunc(n.lenderAddresses(located)(), func(address string) bool { return address == own })
+		},
+	})
+	exchanger.Register(n.mux, rates)
+	return rates
+}
+
+// spreader tells the other gates of a service of a crash.
+func (n *Node) spreader(client *carrier.Client) func(string, quarantiner.Crash) {
+	return func(service string, crash quarantiner.Crash) {
+		addresses := make(map[string]struct{})
+		for _, placement := range n.Viewer.View().Directory.Placements(service) {
+			if placement.Node.Name != n.options.Name {
+				addresses[placement.Node.Address] = struct{}{}
+			}
+		}
+		client.SpreadCrash(slices.Collect(maps.Keys(addresses)), crash)
+	}
+}
+
+// Ready reports whether a request that came now could be served: the node has a configuration and a directory, and is
+// not stopping.
+func (n *Node) Ready() bool {
+	view := n.Viewer.View()
+	return !n.leaving.Load() && view.Configuration.Version() > 0 && len(view.Directory.Nodes()) > 0
+}
+
+// Log returns the logger of the node's lines, which also keeps those about requests for samphire explain.
+func (n *Node) Log() logger.Logger { return n.log }
+
+// Run runs the node until ctx ends, with fleet as the listener for other processes and handler for callers. Local
+// runs beside it until the last request has ended. The parts stop in order: the node leaves the directory first, then
+// callers' connections finish, then what other nodes sent to the gate, and the stream to control ends last.
+func (n *Node) Run(
+	ctx context.Context, fleet, callers net.Listener, handler http.Handler, local func(ctx context.Context) error,
+) error {
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	group, background := errgroup.WithContext(background)
+	parts := []func(context.Context) error{
+		local, n.Enroller.Run, n.conns.Run, n.client.Run, n.prober.Run, n.drawer.Run, n.watcher.Run,
+	}
+	if n.options.Data != "" {
+		parts = append(parts, n.keeper.Run)
+	}
+	if n.lender != nil {
+		parts = append(parts, n.lender.Run)
+	}
+	for _, part := range parts {
+		group.Go(func() error { return part(background) })
+	}
+	server := messenger.NewServer(n.credentials, n.mux, n.log.Part("fleet"))
+	group.Go(func() error { return server.Serve(background, fleet) })
+	group.Go(func() error {
+		defer stopBackground()
+		err := n.serveCallers(ctx, background, callers, handler)
+		return errors.Join(err, n.finishGate(ctx))
+	})
+	return group.Wait()
+}
--- a/node/pkg/starter/settings.go
+++ b/node/pkg/starter/settings.go
@@ -2,8 +2,6 @@
 package starter
 
 import (
-	"slices"
-
 	"github.com/cockroachdb/errors"
 
 	core "samphiremount.example/core/starter"
@@ -64,15 +62,3 @@
 	lenders, _ := core.ParsePeers("--lender", s.Lenders)
 	return lenders
 }
-
-// lenderAddresses returns whom the node borrows from: the control processes first, then the other lenders, which are
-// all that is left in an outage of control.
-func (s *Settings) lenderAddresses() []string {
-	addresses := slices.Clone(s.Controls)
-	for _, address := range s.AllLenders().Others("") {
-		if !slices.Contains(addresses, address) {
-			addresses = append(addresses, address)
-		}
-	}
-	return addresses
-}
--- a/node/pkg/viewer/viewer.go
+++ b/node/pkg/viewer/viewer.go
@@ -113,6 +113,9 @@
 	return added
 }
 
+// Locate implements synchronizer.Sink.
+func (v *Viewer) Locate(controls []tracker.Control) { v.hub.Locate(controls) }
+
 // Heard implements synchronizer.Sink.
 func (v *Viewer) Heard(age time.Duration) {
 	v.assess(func(a assessor.Assessor) assessor.Assessor { return a.WithContact(time.Now().Add(-age)) })
--- a/node/pkg/watcher/watcher.go
+++ b/node/pkg/watcher/watcher.go
@@ -25,7 +25,7 @@
 // Watcher holds one node's evidence and its list of ejections.
 type Watcher struct {
 	pool     *messenger.Pool
-	controls []string
+	controls func() []string
 	targets  func() []tracker.Target
 	log      *slog.Logger
 
@@ -37,8 +37,8 @@
 	deadline time.Time
 }
 
-// New returns a Watcher that reports to one of controls at a time. Targets returns those beside the node.
-func New(pool *messenger.Pool, controls []string, targets func() []tracker.Target, log *slog.Logger) *Watcher {
+// New returns a Watcher that reports to one of the addresses that controls returns at a time. Targets returns those beside the node.
+func New(pool *messenger.Pool, controls func() []string, targets func() []tracker.Target, log *slog.Logger) *Watcher {
 	return &Watcher{
 		pool: pool, controls: controls, targets: targets, log: log,
 		gate: observer.NewRecorder(), entry: make(map[string]observer.Digest),
@@ -85,8 +85,13 @@
 			return nil
 		case <-ticker.C:
 		}
-		if err := w.report(ctx, w.controls[current%len(w.controls)]); err != nil && ctx.Err() == nil {
-			w.log.Warn("evidence not delivered", "address", w.controls[current%len(w.controls)], "reason", err)
+		controls := w.controls()
+		if len(controls) == 0 {
+			continue
+		}
+		address := controls[current%len(controls)]
+		if err := w.report(ctx, address); err != nil && ctx.Err() == nil {
+			w.log.Warn("evidence not delivered", "address", address, "reason", err.Error())
 			current++
 		}
 	}
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -11,7 +11,7 @@
   go test -race -count=1 -timeout 10m "${flags[@]}" "$@"
 }
 
-for module in core control ctl node standin; do
+for module in core control ctl node platform standin; do
   echo "test $module"
   (
     cd "$module"
--- a/standin/allowances/fleet_test.go
+++ b/standin/allowances/fleet_test.go
@@ -150,8 +150,9 @@
 func (f *fleet) startLender(centre int) {
 	ctx, stop := context.WithCancel(f.ctx)
 	started := lender.New(time.Now(), lender.Dependencies{
-		Name: names[centre], Lenders: names, Peers: nearest(centre), Configuration: fixed{f.configuration},
-		Borrower: place{f.network, centre}, Log: slog.New(slog.DiscardHandler),
+		Name: names[centre], Lenders: func() []string { return names }, Peers: func() []string { return nearest(centre) },
+		Configuration: fixed{f.configuration},
+		Borrower:      place{f.network, centre}, Log: slog.New(slog.DiscardHandler),
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -170,7 +171,7 @@
 // startNode returns a node's drawer. A node that is replaced is not stopped: its leases stay out until they end.
 func (f *fleet) startNode(centre int) drawing {
 	addresses := append([]string{names[centre]}, nearest(centre)...)
-	started := drawer.New(place{f.network, centre}, addresses, slog.New(slog.DiscardHandler))
+	started := drawer.New(place{f.network, centre}, func() []string { return addresses }, slog.New(slog.DiscardHandler))
 	f.group.Go(func() error { return started.Run(f.ctx) })
 	return started
 }
--- a/standin/pkg/sloper/subscribers.go
+++ b/standin/pkg/sloper/subscribers.go
@@ -70,6 +70,8 @@
 // Heard implements synchronizer.Sink.
 func (s *subscriber) Heard(time.Duration) {}
 
+func (s *subscriber) Locate([]tracker.Control) {}
+
 // Node implements synchronizer.Reporter.
 func (s *subscriber) Node() *tracker.Node {
 	s.mu.Lock()
