Wait for the next token of a rate instead of refusing, and ask its owners first

Nodes now ask the owners themselves, questions have the time of a new connection between regions, a request waits for a token that is near, and where no lender answers at all a node may admit an even part (only where the front asks for it).

--- a/core/lender/lender.go
+++ b/core/lender/lender.go
@@ -16,12 +16,14 @@
 )
 
 const (
-	minPause     = 25 * time.Millisecond
-	maxPause     = 100 * time.Millisecond
-	flushPeriod  = 20 * time.Millisecond
-	sweepPeriod  = time.Second
-	relayLimit   = 60 * time.Millisecond
-	relaysLimit  = 150 * time.Millisecond
+	minPause    = 25 * time.Millisecond
+	maxPause    = 100 * time.Millisecond
+	flushPeriod = 20 * time.Millisecond
+	sweepPeriod = time.Second
+	// relayLimit bounds one question to a peer, and relaysLimit all that one message causes. A new connection to another
+	// region takes four ways there and back.
+	relayLimit   = 200 * time.Millisecond
+	relaysLimit  = 250 * time.Millisecond
 	peerPause    = time.Second
 	reportsLimit = 4096
 
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -2,33 +2,43 @@
 package drawer
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"fmt"
 	"log/slog"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/core/allotter"
+	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/refuser"
 )
 
 const (
 	// drawLimit bounds how long a request waits for a token.
-	drawLimit   = 300 * time.Millisecond
-	tryLimit    = 200 * time.Millisecond
-	shortPause  = 50 * time.Millisecond
-	leastPause  = 5 * time.Millisecond
-	homePause   = 5 * time.Second
+	drawLimit = 600 * time.Millisecond
+	// tryLimit bounds one question to a lender: a new connection to another region takes four ways there and back.
+	tryLimit   = 300 * time.Millisecond
+	shortPause = 50 * time.Millisecond
+	leastPause = 5 * time.Millisecond
+	// silentPause is how long a lender that did not answer is asked only after the others.
+	silentPause = time.Second
 	flushPeriod = 50 * time.Millisecond
 	sweepPeriod = 250 * time.Millisecond
 	idleTime    = 3 * time.Second
 	// returnTime is how much of a lease is left when its unspent tokens go back.
 	returnTime   = allotter.LeaseTime / 4
 	reportsLimit = 4096
+	// maxWaiters is the number of requests of a workspace that may wait for the next token of a rate that is used up, and
+	// waitLimit how near that token must be. Parts of a rate run empty at moments when the whole does not.
+	maxWaiters = 2
+	waitLimit  = 120 * time.Millisecond
 )
 
 var counters = expvar.NewMap("admit")
@@ -38,18 +48,26 @@
 	Borrow(ctx context.Context, address string, message exchanger.Message) (exchanger.Reply, error)
 }
 
+// Sources say where tokens come from.
+type Sources struct {
+	// Lenders returns the addresses of the lenders to ask for tokens of workspace, best first.
+	Lenders func(workspace string) []string
+	// Share returns the rate of workspace and the number of nodes that share it while no lender answers. Without it such
+	// requests are refused, which keeps the rate strictly.
+	Share func(workspace string) (rate configurer.PerSecond, nodes int)
+}
+
 // Drawer holds the leases of the workspaces that are in use on this node.
 type Drawer struct {
-	borrower  Borrower
-	addresses func() []string
-	log       *slog.Logger
-	group     errgroup.Group
+	borrower Borrower
+	sources  Sources
+	log      *slog.Logger
+	group    errgroup.Group
 
 	mu       sync.Mutex
 	accounts map[string]*account
 	reports  []exchanger.Report
-	current  int
-	home     time.Time
+	silent   map[string]time.Time
 	stopped  bool
 }
 
@@ -62,6 +80,7 @@
 	asking  chan struct{}
 	waiting int
 	short   exchanger.Reply
+	share   allotter.Share
 	used    time.Time
 
 	partial     bool
@@ -69,9 +88,11 @@
 	spreadAgain time.Time
 }
 
-// New returns a Drawer without leases that asks the lenders at addresses, the first if it answers.
-func New(borrower Borrower, addresses func() []string, log *slog.Logger) *Drawer {
-	return &Drawer{borrower: borrower, addresses: addresses, log: log, accounts: make(map[string]*account)}
+// New returns a Drawer without leases.
+func New(borrower Borrower, sources Sources, log *slog.Logger) *Drawer {
+	return &Drawer{
+		borrower: borrower, sources: sources, log: log, accounts: make(map[string]*account), silent: make(map[string]time.Time),
+	}
 }
 
 // Draw spends one token of workspace, and returns why it could. Without a token it asks a lender and waits for at most
@@ -90,7 +111,7 @@
 			d.leave(workspace)
 		case <-deadline.C:
 			d.leave(workspace)
-			return "", refuse(false, "no lender answered in time")
+			return d.drawShare(workspace)
 		case <-ctx.Done():
 			d.leave(workspace)
 			return "", refuse(false, "the caller left")
@@ -119,7 +140,7 @@
 		d.prefetch(workspace, a, now)
 		return fmt.Sprintf("lease %d of %s, %d left", lease.ID, lease.Lender, lease.Left()), nil, nil
 	}
-	if a.short.Used && now.Before(a.short.Again) {
+	if a.short.Used && now.Before(a.short.Again) && (a.waiting >= maxWaiters || a.short.Again.Sub(now) > waitLimit) {
 		return "", nil, refuse(true, a.short.Reason)
 	}
 	if d.stopped {
@@ -127,7 +148,7 @@
 	}
 	a.waiting++
 	if now.Before(a.short.Again) {
-		// Nobody said that the rate is used up: a lender that restarts is ready, or another one found, before long.
+		// A token of the rate, or a lender that restarts, is there before long.
 		return "", after(a.short.Again.Sub(now)), nil
 	}
 	if a.asking == nil {
@@ -136,6 +157,31 @@
 	return "", a.asking, nil
 }
 
+// drawShare spends a token of the node's own share, since no lender answered.
+func (d *Drawer) drawShare(workspace string) (string, error) {
+	const reason = "no lender answered in time"
+	if d.sources.Share == nil {
+		return "", refuse(false, reason)
+	}
+	rate, nodes := d.sources.Share(workspace)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a, ok := d.accounts[workspace]
+	if !ok {
+		return "", refuse(false, reason)
+	}
+	if a.short.Used {
+		return "", refuse(true, a.short.Reason)
+	}
+	share, ok := a.share.Draw(time.Now(), rate, nodes)
+	a.share = share
+	if !ok {
+		return "", refuse(false, reason+", and the node's share of the rate is used up")
+	}
+	counters.Add("admitted_alone", 1)
+	return "share of " + strconv.Itoa(nodes) + " nodes: " + reason, nil
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -228,12 +274,36 @@
 func (d *Drawer) borrow(message exchanger.Message) (time.Time, exchanger.Reply) {
 	ctx, cancel := context.WithTimeout(context.Background(), drawLimit)
 	defer cancel()
-	for range d.addresses() {
+	last := exchanger.Reply{Reason: "no lender answered", Again: time.Now().Add(shortPause)}
+	for _, address := range d.order(message.Workspace) {
 		asked := time.Now()
-		reply, err := d.send(ctx, message)
-		if err == nil {
+		reply, err := d.send(ctx, address, message)
+		if err != nil {
+			continue
+		}
+		if reply.Tokens() > 0 || reply.Used {
 			return asked, reply
 		}
+		last = reply
+	}
+	return time.Time{}, last
+}
+
+// order returns the lenders to ask, those that were silent lately last.
+func (d *Drawer) order(workspace string) []string {
+	addresses := slices.Clone(d.sources.Lenders(workspace))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	slices.SortStableFunc(addresses, func(a, b string) int {
+		return cmp.Compare(btoi(now.Before(d.silent[a])), btoi(now.Before(d.silent[b])))
+	})
+	return addresses
+}
+
+func btoi(value bool) int {
+	if value {
+		return 1
 	}
-	return time.Time{}, exchanger.Reply{Reason: "no lender answered", Again: time.Now().Add(shortPause)}
+	return 0
 }
--- a/node/pkg/drawer/drawer_test.go
+++ b/node/pkg/drawer/drawer_test.go
@@ -61,7 +61,7 @@
 }
 
 func newDrawer(s *stock) *drawer.Drawer {
-	return drawer.New(s, func() []string { return []string{"near", "far"} }, slog.New(slog.DiscardHandler))
+	return drawer.New(s, drawer.Sources{Lenders: func(string) []string { return []string{"near", "far"} }}, slog.New(slog.DiscardHandler))
 }
 
 func kindOf(err error) refuser.Kind {
@@ -134,7 +134,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		lender := newStock(0)
 		lender.answer(exchanger.Reply{Reason: "starting", Again: time.Now().Add(50 * time.Millisecond)})
-		d := drawer.New(lender, func() []string { return []string{"near"} }, slog.New(slog.DiscardHandler))
+		d := drawer.New(lender, drawer.Sources{Lenders: func(string) []string { return []string{"near"} }}, slog.New(slog.DiscardHandler))
 		time.AfterFunc(100*time.Millisecond, func() {
 			lender.mu.Lock()
 			defer lender.mu.Unlock()
--- a/node/pkg/drawer/settle.go
+++ b/node/pkg/drawer/settle.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"samphiremount.example/core/exchanger"
 )
 
@@ -77,43 +75,34 @@
 	if waiting == 0 {
 		return
 	}
-	if _, err := d.send(ctx, exchanger.Message{}); err != nil {
-		d.log.Warn("reports not taken", "reports", waiting, "reason", err)
+	for _, address := range d.order("") {
+		if _, err := d.send(ctx, address, exchanger.Message{}); err == nil {
+			return
+		}
 	}
+	d.log.Warn("reports not taken", "reports", waiting, "reason", "no lender answered")
 }
 
-var errNoLender = errors.New("no lender is known")
-
-// send sends message with the reports that wait to the current lender, and turns to the next one if it fails. Reports
-// that may not have arrived are sent again, which does no harm.
-func (d *Drawer) send(ctx context.Context, message exchanger.Message) (exchanger.Reply, error) {
+// send sends message with the reports that wait to the lender at address. Reports that may not have arrived are sent
+// again, which does no harm.
+func (d *Drawer) send(ctx context.Context, address string, message exchanger.Message) (exchanger.Reply, error) {
 	d.mu.Lock()
-	if d.current != 0 && time.Now().After(d.home) {
-		d.current = 0
-	}
-	current := d.current
-	addresses := d.addresses()
-	if len(addresses) == 0 {
-		d.mu.Unlock()
-		return exchanger.Reply{}, errNoLender
-	}
-	address := addresses[current%len(addresses)]
 	message.Reports, d.reports = d.reports, nil
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, tryLimit)
 	defer cancel()
 	counters.Add("messages", 1)
 	reply, err := d.borrower.Borrow(ctx, address, message)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if err == nil {
+		delete(d.silent, address)
 		return reply, nil
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.reports = append(message.Reports, d.reports...)[:min(reportsLimit, len(message.Reports)+len(d.reports))]
-	if d.current == current {
-		d.current = (current + 1) % len(addresses)
-		d.home = time.Now().Add(homePause)
-		d.log.Warn("lender failed", "address", address, "next", addresses[d.current], "reason", err.Error())
+	if _, known := d.silent[address]; !known {
+		d.log.Warn("lender silent", "address", address, "reason", err.Error())
 	}
+	d.silent[address] = time.Now().Add(silentPause)
 	return reply, err
 }
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -14,6 +14,8 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"samphiremount.example/core/allotter"
+	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/explainer"
 	"samphiremount.example/core/lender"
@@ -61,6 +63,9 @@
 	AnnouncementTime time.Duration
 	Protocol         gatekeeper.Protocol
 	Stop             Stop
+	// ShareRates lets a node admit an even part of a workspace's rate while no lender answers. All nodes together may then
+	// exceed the rate a little while some of them still reach a lender.
+	ShareRates bool
 }
 
 // Stop says how a node ends. It goes on for Leave after it said that it leaves, then lets the last connections send
@@ -131,7 +136,7 @@
 	n.client = synchronizer.NewClient(n.pool, n.publishers(located), n.Viewer, n.reporter, n.log.Part("subscribe"))
 	n.watcher = watcher.New(n.pool, located.Addresses, func() []tracker.Target { return n.reporter.Node().Targets }, n.log.Part("eject"))
 	n.lender = n.newLender(hub, located)
-	n.drawer = drawer.New(exchanger.NewClient(n.pool), n.lenderAddresses(located), n.log.Part("admit"))
+	n.drawer = drawer.New(exchanger.NewClient(n.pool), n.sources(hub, located), n.log.Part("admit"))
 }
 
 // assembleRequests makes the parts that requests pass through.
@@ -172,6 +177,37 @@
 	}
 }
 
+// sources returns where the node gets tokens: from the lenders that own a part of the workspace's rate, and then from
+// the others, which ask those.
+func (n *Node) sources(hub *synchronizer.Hub, located *locator.Locator) drawer.Sources {
+	all := n.lenderAddresses(located)
+	sources := drawer.Sources{Lenders: func(name string) []string {
+		workspace, ok := hub.Configuration().Workspace(name)
+		if !ok {
+			return all()
+		}
+		names := make(map[string]string)
+		var lenders []string
+		for _, control := range hub.Controls() {
+			names[control.Address] = control.Name
+			lenders = append(lenders, control.Name)
+		}
+		owns := func(address string) bool {
+			return allotter.Divide(workspace, lenders, names[address]).Burst > 0
+		}
+		addresses := all()
+		return append(slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return !owns(a) }),
+			slices.DeleteFunc(addresses, owns)...)
+	}}
+	if n.options.ShareRates {
+		sources.Share = func(name string) (configurer.PerSecond, int) {
+			workspace, _ := hub.Configuration().Workspace(name)
+			return workspace.Rate, len(hub.Directory().Nodes())
+		}
+	}
+	return sources
+}
+
 // lenderAddresses returns whom the node borrows from: the control processes first, then the other lenders, which are
 // all that is left in an outage of control.
 func (n *Node) lenderAddresses(located *locator.Locator) func() []string {
