--- a/control/pkg/starter/control.go
+++ b/control/pkg/starter/control.go
@@ -14,6 +14,7 @@
 	"samphiremount.example/control/pkg/follower"
 	"samphiremount.example/control/pkg/proposer"
 	"samphiremount.example/control/pkg/storer"
+	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/explainer"
 	"samphiremount.example/core/judger"
@@ -32,6 +33,8 @@
 	Lean            judger.Lean
 	Lenders         []string
 	LenderAddresses []string
+	// Retries bounds the further sends that nodes share.
+	Retries budgeter.Allowance
 }
 
 // Control is one control process without its fronts: it takes part in the log, publishes to nodes, judges targets and
@@ -77,6 +80,7 @@
 	replicated.Register(c.mux)
 	exchanger.Register(c.mux, c.rates)
 	c.examiner.Register(c.mux)
+	budgeter.NewServer(options.Retries, log.Part("budget")).Register(c.mux)
 	return c, nil
 }
 
--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -10,6 +10,7 @@
 
 	"samphiremount.example/control/pkg/proposer"
 	"samphiremount.example/control/pkg/storer"
+	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/judger"
 	"samphiremount.example/core/logger"
 	core "samphiremount.example/core/starter"
@@ -59,7 +60,7 @@
 	lenders, _ := core.ParsePeers("--lender", s.Lenders)
 	options := Options{
 		Member: proposer.Settings{Name: s.Name, Address: members[s.Name], MayFound: true},
-		Lean:   lean, Lenders: lenders.Names(), LenderAddresses: lenders.Others(""),
+		Lean:   lean, Retries: budgeter.Allowance{Window: time.Minute}, Lenders: lenders.Names(), LenderAddresses: lenders.Others(""),
 	}
 	for _, name := range members.Names() {
 		founder := proposer.Founder{Name: name, Address: members[name]}
--- /dev/null
+++ b/core/budgeter/client.go
@@ -0,0 +1,93 @@
+package budgeter
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/core/messenger"
+)
+
+const (
+	// drawLimit bounds how long a request waits for the answer, and tellPeriod how long requests that came in stay untold.
+	drawLimit  = 150 * time.Millisecond
+	tellPeriod = 2 * time.Second
+)
+
+// Client draws on behalf of one node.
+type Client struct {
+	pool  *messenger.Pool
+	owner func(service string) (address string, ok bool)
+	log   *slog.Logger
+
+	mu    sync.Mutex
+	asked map[string]int
+}
+
+// NewClient returns a client. Owner returns the control process that keeps the ledger of a service, alike on all nodes.
+func NewClient(pool *messenger.Pool, owner func(service string) (string, bool), log *slog.Logger) *Client {
+	return &Client{pool: pool, owner: owner, log: log, asked: make(map[string]int)}
+}
+
+// Asked counts a request of service.
+func (c *Client) Asked(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked[service]++
+}
+
+// Draw reports whether a request of service may be sent once more. Without an answer it may not.
+func (c *Client) Draw(ctx context.Context, service string) bool {
+	granted, err := c.send(ctx, service, true)
+	if err != nil {
+		c.log.Info("further send not granted", "service", service, "reason", err.Error())
+	}
+	return granted
+}
+
+func (c *Client) send(ctx context.Context, service string, draw bool) (bool, error) {
+	address, ok := c.owner(service)
+	if !ok {
+		return false, errors.New("no control process is known")
+	}
+	c.mu.Lock()
+	message := drawMessage{Service: service, Asked: c.asked[service], Draw: draw}
+	delete(c.asked, service)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, drawLimit)
+	defer cancel()
+	var reply drawReply
+	err := c.pool.Get(ctx, address).Invoke(ctx, callDraw, messenger.Encoding{}, &message, &reply)
+	return reply.Granted, errors.Wrap(err, "draw from the shared budget")
+}
+
+// Run tells of requests until ctx ends. What does not arrive is lost, which makes the budget smaller.
+func (c *Client) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tellPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, service := range c.untold() {
+			if _, err := c.send(ctx, service, false); err != nil {
+				c.log.Debug("requests not told", "service", service, "reason", err.Error())
+			}
+		}
+	}
+}
+
+func (c *Client) untold() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var services []string
+	for service := range c.asked {
+		services = append(services, service)
+	}
+	return services
+}
--- /dev/null
+++ b/core/budgeter/ledger.go
@@ -0,0 +1,46 @@
+// Package budgeter keeps the part of the retry budget that all nodes share. Each node has a budget of its own, which is
+// too small where failures meet few nodes at a time; what those lack, a control process grants.
+//
+// The load pattern that it answers: some targets of a service hang at once, and the requests that wait for them came in
+// at a few of many nodes.
+package budgeter
+
+import "time"
+
+// Allowance bounds what is granted for one service: in any Window at most Ratio times the requests that nodes told of in
+// it, and Slack more.
+type Allowance struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// heldPart is the part of the slack that may be granted at one moment. The rest becomes available evenly over the window.
+const heldPart = 0.3
+
+// Ledger is the account of one service. It is immutable; the zero value is empty.
+type Ledger struct {
+	level   float64
+	updated time.Time
+}
+
+// With returns the ledger after nodes told at now of asked requests.
+func (l Ledger) With(now time.Time, allowance Allowance, asked int) Ledger {
+	if !l.updated.IsZero() {
+		l.level += (1 - heldPart) * allowance.Slack * now.Sub(l.updated).Seconds() / allowance.Window.Seconds()
+	}
+	l.updated = now
+	l.level += allowance.Ratio * float64(asked)
+	l.level = min(l.level, heldPart*allowance.Slack)
+	return l
+}
+
+// Draw grants one send at now, if the ledger holds one.
+func (l Ledger) Draw(now time.Time, allowance Allowance) (Ledger, bool) {
+	l = l.With(now, allowance, 0)
+	if l.level < 1 {
+		return l, false
+	}
+	l.level--
+	return l, true
+}
--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -66,6 +66,19 @@
 	return slices.DeleteFunc(l.Addresses(), func(address string) bool { return address == own })
 }
 
+// Owner returns the address of the control process that keeps what is kept once for name. It is the same for all
+// processes that know the same control processes, and differs by name.
+func (l *Locator) Owner(name string) (string, bool) {
+	var owner string
+	var best uint64
+	for _, control := range l.source.Controls() {
+		if rank := xxhash.Sum64String(name + "\x00" + control.Name); owner == "" || rank > best {
+			owner, best = control.Address, rank
+		}
+	}
+	return owner, owner != ""
+}
+
 func (l *Locator) distance(control tracker.Control) int {
 	switch {
 	case control.Region == l.place.Region && control.Centre == l.place.Centre:
--- a/core/refuser/kind.go
+++ b/core/refuser/kind.go
@@ -22,6 +22,7 @@
 	InProgress         Kind = "in-progress"
 	CapacityShort      Kind = "capacity-short"
 	TargetUnknown      Kind = "target-unknown"
+	TargetSuspect      Kind = "target-suspect"
 	TargetDeclined     Kind = "target-declined"
 	TargetUnreachable  Kind = "target-unreachable"
 	NodeUnreachable    Kind = "node-unreachable"
--- a/core/retrier/budget.go
+++ b/core/retrier/budget.go
@@ -2,22 +2,26 @@
 
 import "time"
 
-const (
-	// bucketPeriod times buckets is the window over which sends are counted: at the target size a node sees some 20
-	// requests of a service in a minute, so a shorter window would never allow a retry.
-	bucketPeriod = 5 * time.Second
-	buckets      = 12
+// buckets is the number of parts of the window over which sends are counted.
+const buckets = 12
 
-	// extraPerRequests is the number of requests that pay for one extra send.
-	extraPerRequests = 10
-)
+// Allowance bounds the extra sends: in each Window at most Ratio times the requests in it, and Slack more.
+type Allowance struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// ownAllowance is the product's own. At the target size a node sees some 20 requests of a service in a minute, so a
+// shorter window would never allow a retry.
+var ownAllowance = Allowance{Ratio: 0.1, Window: time.Minute}
 
 // Budget counts the requests and the extra sends (retries and hedges) of one service over a sliding window. It is an
 // immutable value. Its zero value is empty and allows nothing.
 //
-// Extra sends never exceed a tenth of the requests: at each extra send the bound holds for the window that ends with
-// it, and the whole history is covered by disjoint windows, taken backwards from the last extra send. Budgets of
-// different nodes add up to the same bound, so no node needs to know another's.
+// Without slack, extra sends never exceed their part of the requests: at each extra send the bound holds for the window
+// that ends with it, and the whole history is covered by disjoint windows, taken backwards from the last extra send.
+// Budgets of different nodes add up to the same bound, so no node needs to know another's.
 type Budget struct {
 	epoch  int64
 	counts [buckets]count
@@ -29,22 +33,22 @@
 }
 
 // WithAsked returns the budget after a new request at now.
-func (b Budget) WithAsked(now time.Time) Budget {
-	b = b.at(now)
+func (b Budget) WithAsked(now time.Time, allowance Allowance) Budget {
+	b = b.at(now, allowance)
 	b.counts[b.slot()].asked++
 	return b
 }
 
 // WithExtra returns the budget after an extra send at now, and whether the budget allows it. If not, the budget is
 // unchanged but for the passage of time.
-func (b Budget) WithExtra(now time.Time) (Budget, bool) {
-	b = b.at(now)
+func (b Budget) WithExtra(now time.Time, allowance Allowance) (Budget, bool) {
+	b = b.at(now, allowance)
 	var total count
 	for _, c := range b.counts {
 		total.asked += c.asked
 		total.extra += c.extra
 	}
-	if (total.extra+1)*extraPerRequests > total.asked {
+	if float64(total.extra+1) > allowance.Ratio*float64(total.asked)+allowance.Slack {
 		return b, false
 	}
 	b.counts[b.slot()].extra++
@@ -52,8 +56,8 @@
 }
 
 // at drops the buckets that have left the window. A clock that steps back counts into the newest bucket.
-func (b Budget) at(now time.Time) Budget {
-	epoch := now.UnixNano() / int64(bucketPeriod)
+func (b Budget) at(now time.Time, allowance Allowance) Budget {
+	epoch := now.UnixNano() / int64(allowance.Window/buckets)
 	if epoch-b.epoch >= buckets {
 		return Budget{epoch: epoch}
 	}
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -10,9 +10,20 @@
 	"samphiremount.example/core/refuser"
 )
 
-// MaxAttempts is the most sends of one request.
+// MaxAttempts is the most sends of one request, unless its route or the policy says otherwise.
 const MaxAttempts = 3
 
+// Policy says what further sends are allowed. Moves is the number of times that a request may be sent elsewhere without
+// a charge because it was refused before it reached a target: with it, sends that reach a target are what is bounded,
+// and not all sends. With 0 every send counts.
+type Policy struct {
+	Allowance Allowance
+	Moves     int
+}
+
+// OwnPolicy is the product's own.
+func OwnPolicy() Policy { return Policy{Allowance: ownAllowance} }
+
 // Event is what became of an attempt. It is Refused, Answered or Slow.
 type Event interface {
 	event()
@@ -35,11 +46,13 @@
 func (Answered) event() {}
 func (Slow) event()     {}
 
-// Attempt describes one send of a request. Number is 1 for the first. Most is the setting of the route for the number of
-// targets that the request may be sent to, or 0. Repeatable is the setting of the route.
+// Attempt describes one send of a request. Number is 1 for the first. Reached is the number of sends that a target may have
+// run, this one included. Most is the setting of the route for the number of targets that the request may be sent
+// to, or 0. Repeatable is the setting of the route.
 type Attempt struct {
 	Service    string
 	Number     int
+	Reached    int
 	Most       int
 	Repeatable bool
 	Deadline   time.Time
@@ -55,9 +68,11 @@
 	Reason string
 }
 
-// Stop ends the request with what its last attempt got.
+// Stop ends the request with what its last attempt got. Unpaid says that only the budget of this node stands against
+// another send.
 type Stop struct {
 	Reason string
+	Unpaid bool
 }
 
 func (Send) decision() {}
@@ -65,20 +80,26 @@
 
 // Retrier holds the budgets of all services on one node. It is safe for concurrent use.
 type Retrier struct {
+	policy func() Policy
+
 	mu      sync.Mutex
 	budgets map[string]Budget
 }
 
-// New returns a Retrier with empty budgets.
-func New() *Retrier {
-	return &Retrier{budgets: make(map[string]Budget)}
+// New returns a Retrier with empty budgets and the product's own policy.
+func New() *Retrier { return NewWith(OwnPolicy) }
+
+// NewWith returns a Retrier with empty budgets. Policy is asked at each decision, since a node's part of a slack that
+// all nodes share depends on their number.
+func NewWith(policy func() Policy) *Retrier {
+	return &Retrier{policy: policy, budgets: make(map[string]Budget)}
 }
 
 // Asked counts a new request of service at now. It is called once for each request, before its first attempt.
 func (r *Retrier) Asked(now time.Time, service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budgets[service] = r.budgets[service].WithAsked(now)
+	r.budgets[service] = r.budgets[service].WithAsked(now, r.policy().Allowance)
 }
 
 // Decide returns whether the request of attempt is sent once more after event at now. A request that may not be
@@ -88,29 +109,56 @@
 //
 // Decide is called only for attempts that were sent: without a target to choose there is nothing to decide.
 func (r *Retrier) Decide(now time.Time, event Event, attempt Attempt) Decision {
-	if attempt.Number >= MaxAttempts {
-		return Stop{"all attempts are used"}
+	policy := r.policy()
+	moved := policy.Moves > 0 && !reached(event)
+	if attempt.exhausted(policy, moved) {
+		return Stop{Reason: "all attempts are used"}
 	}
 	if !now.Before(attempt.Deadline) {
-		return Stop{"the deadline has passed"}
+		return Stop{Reason: "the deadline has passed"}
 	}
 	reason, ok := judge(event, attempt.Repeatable)
 	if !ok {
-		return Stop{reason}
+		return Stop{Reason: reason}
 	}
-	if attempt.Number == 1 && left(event) {
+	if moved || attempt.Number == 1 && left(event) {
 		return Send{reason}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	budget, ok := r.budgets[attempt.Service].WithExtra(now)
+	budget, ok := r.budgets[attempt.Service].WithExtra(now, policy.Allowance)
 	r.budgets[attempt.Service] = budget
 	if !ok {
-		return Stop{"the retry budget is used up"}
+		return Stop{Reason: "the retry budget is used up", Unpaid: true}
 	}
 	return Send{reason}
 }
 
+// exhausted reports whether no further send is allowed, whatever the budget says.
+func (a Attempt) exhausted(policy Policy, moved bool) bool {
+	most := MaxAttempts
+	if a.Most > 0 {
+		most = a.Most
+	}
+	if policy.Moves == 0 {
+		return a.Number >= most
+	}
+	if moved {
+		return a.Number > policy.Moves
+	}
+	return a.Reached >= most || a.Number > policy.Moves
+}
+
+// reached reports whether the attempt may have reached a target.
+func reached(event Event) bool {
+	refused, ok := event.(Refused)
+	if !ok {
+		return true
+	}
+	_, notRun := refused.Refusal.Outcome.(refuser.NotRun)
+	return !notRun || refused.Refusal.Kind == refuser.TargetDeclined
+}
+
 // judge returns whether sending again is safe and can help, with the reason.
 func judge(event Event, repeatable bool) (string, bool) {
 	switch event := event.(type) {
@@ -141,6 +189,7 @@
 func helped(kind refuser.Kind) bool {
 	switch kind {
 	case refuser.CapacityShort, refuser.TargetUnknown, refuser.TargetUnreachable, refuser.NodeUnreachable,
+		refuser.TargetSuspect, refuser.TargetDeclined,
 		refuser.NodeStopping, refuser.DeadlinePassed, refuser.AnswerCut, refuser.OutcomeUnknown, refuser.Internal:
 		return true
 	default:
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -39,20 +39,40 @@
 	Standing  Standing
 }
 
-// Choice is a chosen target, with the reason for the log.
+// Choice is a chosen target, with the reason for the log. Trial says that it may well fail.
 type Choice struct {
 	Placement tracker.Placement
 	Reason    string
+	Trial     bool
 }
 
-// Router chooses among targets for requests that enter at one place.
+// Router chooses among targets for requests that enter at one place. It is immutable.
 type Router struct {
-	place Place
+	place     Place
+	regional  bool
+	slowStart time.Duration
 }
 
 // New returns the router for a node at place.
 func New(place Place) Router {
-	return Router{place: place}
+	return Router{place: place, slowStart: SlowStart}
+}
+
+// Place returns the place of the node that the router is for.
+func (r Router) Place() Place { return r.place }
+
+// WithRegion returns the router that counts the own region as one tier, in which targets of the own data centre are
+// preferred while they are little loaded. It suits services with few targets in each data centre: a tier of two that
+// both hang has no room, though its load shows that late.
+func (r Router) WithRegion() Router {
+	r.regional = true
+	return r
+}
+
+// WithSlowStart returns the router whose targets reach their full share that long after they joined or returned.
+func (r Router) WithSlowStart(slowStart time.Duration) Router {
+	r.slowStart = slowStart
+	return r
 }
 
 // Choose picks one of candidates: the nearest tier (own data centre, own region, other region) that has a usable
@@ -67,7 +87,7 @@
 	var tiers [tierCount]tier
 	var trials, all tier
 	for _, candidate := range candidates {
-		weighed, ok := weigh(now, request, candidate)
+		weighed, ok := r.weigh(now, request, candidate)
 		if !ok {
 			continue
 		}
@@ -80,7 +100,7 @@
 		tiers[place] = tiers[place].with(weighed)
 	}
 	if trials.slots > random.Float64()*all.slots {
-		return Choice{trials.draw(random).candidate.Placement, "on trial after an ejection"}, nil
+		return Choice{Placement: trials.draw(random).candidate.Placement, Reason: "on trial after an ejection", Trial: true}, nil
 	}
 	chosen, reason := -1, ""
 	for place := range tiers {
@@ -89,7 +109,7 @@
 			continue
 		}
 		if chosen >= 0 {
-			reason = fmt.Sprintf(", since %s has %.2f of its slots in flight", tierNames[chosen], tiers[chosen].load())
+			reason = fmt.Sprintf(", since %s has %.2f of its slots in flight", r.tierName(chosen), tiers[chosen].load())
 		}
 		chosen = place
 		if !spills(random, next.load()) {
@@ -100,11 +120,11 @@
 		return Choice{}, refuser.Refuse(refuser.CapacityShort, "no usable target")
 	}
 	picked := tiers[chosen].pick(random)
-	reason = fmt.Sprintf("%s at %.2f in flight per slot%s", tierNames[chosen], picked.load(), reason)
-	return Choice{picked.candidate.Placement, reason}, nil
+	reason = fmt.Sprintf("%s at %.2f in flight per slot%s", r.tierName(chosen), picked.load(), reason)
+	return Choice{Placement: picked.candidate.Placement, Reason: reason}, nil
 }
 
-func weigh(now time.Time, request Request, candidate Candidate) (weighed, bool) {
+func (r Router) weigh(now time.Time, request Request, candidate Candidate) (weighed, bool) {
 	target := candidate.Placement.Target
 	if target.Leaving || slices.Contains(request.Tried, target.Name) {
 		return weighed{}, false
@@ -112,7 +132,7 @@
 	warmth := 0.0
 	switch standing := candidate.Standing.(type) {
 	case Serving:
-		warmth = standing.warmth(now)
+		warmth = standing.warmth(now, r.slowStart)
 	case Trial:
 		if !request.Repeatable {
 			return weighed{}, false
@@ -122,6 +142,7 @@
 		return weighed{}, false
 	}
 	return weighed{
+		penalty:   r.penalty(candidate.Placement.Node),
 		candidate: candidate,
 		slots:     warmth * float64(max(target.Slots, 1)),
 		inFlight:  max(float64(candidate.Load), candidate.Report.inFlight(now)),
--- a/core/router/standing.go
+++ b/core/router/standing.go
@@ -3,7 +3,8 @@
 import "time"
 
 const (
-	// SlowStart is how long a target that joins or returns takes to reach its full share.
+	// SlowStart is how long a target that joins or returns takes to reach its full share, unless the router says
+	// otherwise.
 	SlowStart = 15 * time.Second
 
 	coldWarmth = 0.1
@@ -35,12 +36,12 @@
 func (Trial) standing()   {}
 func (Ejected) standing() {}
 
-// warmth is the part of its slots that a target may use at now: it grows linearly over SlowStart.
-func (s Serving) warmth(now time.Time) float64 {
-	if s.Since.IsZero() || now.Sub(s.Since) >= SlowStart {
+// warmth is the part of its slots that a target may use at now: it grows linearly over slowStart.
+func (s Serving) warmth(now time.Time, slowStart time.Duration) float64 {
+	if s.Since.IsZero() || now.Sub(s.Since) >= slowStart {
 		return 1
 	}
-	return coldWarmth + (1-coldWarmth)*float64(max(now.Sub(s.Since), 0))/float64(SlowStart)
+	return coldWarmth + (1-coldWarmth)*float64(max(now.Sub(s.Since), 0))/float64(slowStart)
 }
 
 // Report is what a target's gate last said of it: the number of slots in use at a time. The zero value says nothing.
--- a/core/router/tier.go
+++ b/core/router/tier.go
@@ -10,9 +10,16 @@
 
 var tierNames = [tierCount]string{"own data centre", "own region", "other region"}
 
+func (r Router) tierName(place int) string {
+	if r.regional && place == 0 {
+		place = 1
+	}
+	return tierNames[place]
+}
+
 func (r Router) tierOf(node tracker.Node) int {
 	switch {
-	case node.Region == r.place.Region && node.Centre == r.place.Centre:
+	case node.Region == r.place.Region && (r.regional || node.Centre == r.place.Centre):
 		return 0
 	case node.Region == r.place.Region:
 		return 1
@@ -22,8 +29,10 @@
 }
 
 // weighed is a usable candidate. Slots are those that it may use now, fewer while it starts slowly.
+// Penalty is added to its load in a comparison with others.
 type weighed struct {
 	candidate Candidate
+	penalty   float64
 	slots     float64
 	inFlight  float64
 }
@@ -32,6 +41,25 @@
 	return w.inFlight / w.slots
 }
 
+const (
+	// centrePenalty is the load that a target of the own data centre may have more than one of another, where both
+	// belong to one tier. Traffic between data centres of a region costs little.
+	centrePenalty = 0.2
+	// lostPenalty is the load that a target on a node which control lost counts as having.
+	lostPenalty = 0.5
+)
+
+func (r Router) penalty(node tracker.Node) float64 {
+	penalty := 0.0
+	if r.regional && node.Centre != r.place.Centre {
+		penalty += centrePenalty
+	}
+	if node.Gone {
+		penalty += lostPenalty
+	}
+	return penalty
+}
+
 // tier is the set of usable candidates at one distance.
 type tier struct {
 	usable   []weighed
@@ -50,7 +78,7 @@
 // pick draws two candidates by their slots and returns the less loaded one. Without load, shares follow the slots.
 func (t tier) pick(random *rand.Rand) weighed {
 	first, second := t.draw(random), t.draw(random)
-	if second.load() < first.load() {
+	if second.load()+second.penalty < first.load()+first.penalty {
 		return second
 	}
 	return first
--- /dev/null
+++ b/core/suspector/suspector.go
@@ -0,0 +1,139 @@
+// Package suspector judges, from what a gate sees of the one target beside it, whether that target fails grayly at the
+// moment: it answers its health check and accepts requests, but hangs or fails many of them. The judgement follows
+// within a request or two, long before the fleet's own statistics would show it, and ends as fast. It only decides which
+// requests the gate takes; it ejects nothing.
+//
+// The load pattern that it answers: some targets hang on most of their requests for some seconds at a time, while others
+// are idle. Every request that is let in meanwhile holds a slot until its deadline.
+package suspector
+
+import (
+	"math"
+	"time"
+)
+
+// The judgement is a cumulative sum of log likelihood ratios (Page 1954) of a bad request: at healthyRate the target is
+// sound, at grayRate it fails grayly.
+const (
+	healthyRate = 0.05
+	grayRate    = 0.85
+	// suspectAfter is the number of bad requests in a row that make a sound target suspect, and mostBad the number of
+	// them that is remembered.
+	suspectAfter = 2
+	mostBad      = 2.5
+	// trialPause is the least time between two requests that a suspect target gets.
+	trialPause = 400 * time.Millisecond
+)
+
+var (
+	badWeight  = math.Log(grayRate / healthyRate)
+	goodWeight = math.Log((1 - grayRate) / (1 - healthyRate))
+)
+
+// Result is how a request ended. It is Served, Failed or Withdrawn.
+type Result interface{ result() }
+
+// Served is a request that the target answered.
+type Served struct{}
+
+// Failed is a request that the target failed, declined or cut.
+type Failed struct{}
+
+// Withdrawn is a request that its caller gave up. It says nothing of the target unless it was overdue.
+type Withdrawn struct{}
+
+func (Served) result()    {}
+func (Failed) result()    {}
+func (Withdrawn) result() {}
+
+// Verdict says which requests a target gets. It is Sound, Doubtful or Suspect.
+type Verdict interface{ verdict() }
+
+// Sound lets all requests in.
+type Sound struct{}
+
+// Doubtful lets only those in that may be repeated.
+type Doubtful struct{}
+
+// Suspect lets one of those in at a time, as a trial. Trial reports whether that may start now.
+type Suspect struct{ Trial bool }
+
+func (Sound) verdict()    {}
+func (Doubtful) verdict() {}
+func (Suspect) verdict()  {}
+
+// Suspector holds the evidence on one target. It is not safe for concurrent use.
+type Suspector struct {
+	level   float64
+	running map[string]run
+	tried   time.Time
+}
+
+// run is a request in progress. It is overdue from due on, which counts as bad once.
+type run struct {
+	due     time.Time
+	overdue bool
+}
+
+// New returns a Suspector without evidence.
+func New() *Suspector {
+	return &Suspector{running: make(map[string]run)}
+}
+
+// Start notes that the request called id went to the target at now. A sound target answers nearly all requests before
+// due.
+func (s *Suspector) Start(now time.Time, id string, due time.Time) {
+	if _, suspect := s.Judge(now).(Suspect); suspect {
+		s.tried = now
+	}
+	s.running[id] = run{due: due}
+}
+
+// End notes that the request called id ended at now.
+func (s *Suspector) End(now time.Time, id string, result Result) {
+	s.count(now)
+	ended, ok := s.running[id]
+	if !ok {
+		return
+	}
+	delete(s.running, id)
+	switch result.(type) {
+	case Served:
+		s.level = max(0, s.level+goodWeight)
+		// A trial that went well is followed by the next one at once.
+		s.tried = time.Time{}
+	case Failed:
+		if !ended.overdue {
+			s.bad()
+		}
+	case Withdrawn:
+	}
+}
+
+// Judge returns the verdict at now.
+func (s *Suspector) Judge(now time.Time) Verdict {
+	s.count(now)
+	switch {
+	case s.level >= suspectAfter*badWeight:
+		return Suspect{Trial: now.Sub(s.tried) >= trialPause}
+	case s.level >= badWeight:
+		return Doubtful{}
+	default:
+		return Sound{}
+	}
+}
+
+// count counts the requests that became overdue.
+func (s *Suspector) count(now time.Time) {
+	for id, r := range s.running {
+		if !r.overdue && !now.Before(r.due) {
+			r.overdue = true
+			s.running[id] = r
+			s.bad()
+		}
+	}
+}
+
+func (s *Suspector) bad() {
+	s.level = min(s.level+badWeight, mostBad*badWeight)
+}
--- a/core/tracker/directory.go
+++ b/core/tracker/directory.go
@@ -10,6 +10,7 @@
 type Directory struct {
 	nodes    map[string]Node
 	services map[string][]Placement
+	lost     map[string][]Placement
 }
 
 // Placement is one target together with the node beside it.
@@ -40,7 +41,10 @@
 	if len(changed) == 0 {
 		return d, nil
 	}
-	return Directory{nodes: nodes, services: place(nodes)}, changed
+	directory := Directory{nodes: nodes}
+	directory.services = place(nodes, func(node Node) bool { return !node.Gone })
+	directory.lost = place(nodes, func(node Node) bool { return node.Gone })
+	return directory, changed
 }
 
 // Nodes returns all records, sorted by name, those of lost nodes included.
@@ -63,10 +67,16 @@
 	return d.services[service]
 }
 
-func place(nodes map[string]Node) map[string][]Placement {
+// Lost returns the targets of service on nodes that control lost, sorted by name. Other nodes may reach them still.
+// Callers must not change it.
+func (d Directory) Lost(service string) []Placement {
+	return d.lost[service]
+}
+
+func place(nodes map[string]Node, wanted func(Node) bool) map[string][]Placement {
 	services := make(map[string][]Placement)
 	for _, node := range nodes {
-		if node.Gone || node.Leaving {
+		if node.Leaving || !wanted(node) {
 			continue
 		}
 		for _, target := range node.Targets {
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -22,12 +22,26 @@
 	Viewer  *viewer.Viewer
 	Client  *carrier.Client
 	Place   router.Place
+	Router  router.Router
 	Random  *rand.Rand
 	Route   *slog.Logger
 	Admit   *slog.Logger
 	Drawer  Drawer
 	Retrier *retrier.Retrier
 	Watcher Watcher
+	// Budget grants sends that the node's own budget does not cover; nil grants none.
+	Budget Budget
+	// UseLost lets requests go to nodes that control lost, as long as this node reaches them.
+	UseLost bool
+	// HedgeAfter is the part of its objective after which a request that may be repeated is sent to a second target; 0
+	// turns hedges off.
+	HedgeAfter float64
+}
+
+// Budget is the part of the retry budget that all nodes share.
+type Budget interface {
+	Asked(service string)
+	Draw(ctx context.Context, service string) bool
 }
 
 // Call is a caller's request without the protocol that it came in. ID names it in logs and must be unique. Header holds
@@ -84,9 +98,13 @@
 		ID: call.ID, Request: call.ID, Origin: call.Origin, Service: a.chooser.service(admission.route),
 		Workspace: admission.workspace.Name, Weight: admission.workspace.Weight, Rank: rank(admission),
 		Repeatable: admission.route.Repeatable, Deadline: deadline, Objective: now.Add(objective(admission.route)),
-		Method: call.Method, URI: call.URI, Host: call.Host, Header: withoutKey(call.Header, admission.presented),
+		Allowed: admission.route.Objective, Method: call.Method, URI: call.URI, Host: call.Host, Header: withoutKey(call.Header, admission.presented),
 		Length: call.Length, Trailer: trailerNames(call.Trailer),
 	}
+	a.Route.Info("request matched", "request", call.ID, "route", admission.route.Name, "service", head.Service,
+		"workspace", head.Workspace, "rank", int(head.Rank), "repeatable", head.Repeatable, "remaining", deadline.Sub(now),
+		"version", view.Configuration.Version(), "number", view.Configuration.Number())
+	head.Hedged = a.HedgeAfter > 0 && head.Repeatable && head.Length == 0 && head.Allowed > 0
 	return a.forward(ctx, forwarding{head: head, body: newBody(call, admission.presented), attempts: admission.route.Attempts})
 }
 
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -10,6 +10,7 @@
 
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/ejector"
+	"samphiremount.example/core/pather"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/router"
 	"samphiremount.example/core/tracker"
@@ -23,19 +24,32 @@
 	Unreached(target, service string)
 }
 
-// chooser runs the router on what this node sees: the directory, its own requests in flight and the loads that gates
-// report with their answers.
+const (
+	// suspectPause is how long a target is passed over after its gate refused a request because it is suspect.
+	suspectPause = 300 * time.Millisecond
+	// trialShare is the part of the requests that may be repeated which try a suspect target, if there is one.
+	trialShare = 0.4
+	// lostLifetime is how long the targets of a node that control lost may still be used.
+	lostLifetime = 30 * time.Second
+)
+
+// chooser runs the router on what this node sees: the directory, its own requests in flight, the loads that gates report
+// with their answers, and which nodes it reaches.
 type chooser struct {
 	name    string
 	place   router.Place
 	router  router.Router
 	log     *slog.Logger
 	watcher Watcher
+	useLost bool
 
 	mu       sync.Mutex
 	random   *rand.Rand
 	inFlight map[string]int
 	reports  map[string]router.Report
+	paths    map[string]pather.Path
+	suspects map[string]time.Time
+	lost     map[string]time.Time
 	followed map[string]map[string]ejector.Entry
 	arrivals router.Arrivals
 
@@ -47,29 +61,27 @@
 
 func newChooser(dependencies Dependencies) *chooser {
 	return &chooser{
-		name: dependencies.Name, place: dependencies.Place, router: router.New(dependencies.Place),
-		log: dependencies.Route, watcher: dependencies.Watcher, random: dependencies.Random,
-		inFlight: make(map[string]int), reports: make(map[string]router.Report),
+		name: dependencies.Name, place: dependencies.Place, router: dependencies.Router,
+		log: dependencies.Route, watcher: dependencies.Watcher, useLost: dependencies.UseLost, random: dependencies.Random,
+		inFlight: make(map[string]int), reports: make(map[string]router.Report), paths: make(map[string]pather.Path),
+		suspects: make(map[string]time.Time), lost: make(map[string]time.Time),
 		followed: make(map[string]map[string]ejector.Entry),
 	}
 }
 
 // choose picks a target for the request and counts it as in flight there until leave is called. Tried are the targets
-// of the request's earlier attempts.
+// of the request's earlier attempts. Targets that are suspect or that this node does not reach are chosen only for a
+// request that insists.
 func (c *chooser) choose(view *viewer.View, head carrier.Head, tried ...string) (router.Choice, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.follow(now, view)
-	ejected := c.ejected(now, view, head.Service)
-	subset := c.subset(view, head.Service, ejected)
-	candidates := make([]router.Candidate, 0, len(subset))
-	for _, placement := range subset {
-		name := placement.Target.Name
-		candidates = append(candidates, router.Candidate{
-			Placement: placement, Load: c.inFlight[name], Report: c.reports[name], Standing: c.standing(ejected, name),
-		})
+	if choice, ok := c.trial(now, view, head, tried); ok {
+		return choice, nil
 	}
+	ejected := c.ejected(now, view, head.Service)
+	candidates := c.candidates(now, view, head, ejected)
 	request := router.Request{Repeatable: head.Repeatable, Tried: tried}
 	choice, err := c.router.Choose(now, c.random, request, candidates)
 	if err != nil {
@@ -77,10 +89,67 @@
 	}
 	c.inFlight[choice.Placement.Target.Name]++
 	c.log.Info("target chosen", "request", head.ID, "workspace", head.Workspace, "service", head.Service,
-		"target", choice.Placement.Target.Name, "node", choice.Placement.Node.Name, "reason", choice.Reason)
+		"target", choice.Placement.Target.Name, "node", choice.Placement.Node.Name, "candidates", len(candidates),
+		"insists", head.Insist, "reason", choice.Reason)
 	return choice, nil
 }
 
+// trial picks a suspect target for some of the requests that may be repeated, so that it is seen when the target has
+// recovered. Such a request is hedged early.
+func (c *chooser) trial(now time.Time, view *viewer.View, head carrier.Head, tried []string) (router.Choice, bool) {
+	if !head.Hedged || len(tried) > 0 || c.random.Float64() >= trialShare {
+		return router.Choice{}, false
+	}
+	var suspects []tracker.Placement
+	for _, placement := range view.Directory.Placements(head.Service) {
+		suspect := now.Before(c.suspects[placement.Target.Name]) && !placement.Target.Leaving
+		if suspect && placement.Node.Region == c.place.Region && !c.paths[placement.Node.Name].Avoided(now) {
+			suspects = append(suspects, placement)
+		}
+	}
+	if len(suspects) == 0 {
+		return router.Choice{}, false
+	}
+	placement := suspects[c.random.IntN(len(suspects))]
+	c.inFlight[placement.Target.Name]++
+	const reason = "trial of a suspect target"
+	c.log.Info("target chosen", "request", head.ID, "workspace", head.Workspace, "service", head.Service,
+		"target", placement.Target.Name, "node", placement.Node.Name, "candidates", len(suspects), "reason", reason)
+	return router.Choice{Placement: placement, Reason: reason, Trial: true}, true
+}
+
+func (c *chooser) candidates(
+	now time.Time, view *viewer.View, head carrier.Head, ejected map[string]ejector.Entry,
+) []router.Candidate {
+	placements := c.subset(view, head.Service, ejected)
+	if c.useLost {
+		placements = append(slices.Clip(placements), c.reachable(now, view.Directory.Lost(head.Service))...)
+	}
+	candidates := make([]router.Candidate, 0, len(placements))
+	for _, placement := range placements {
+		name := placement.Target.Name
+		avoided := c.paths[placement.Node.Name].Avoided(now) || now.Before(c.suspects[name])
+		if avoided && !head.Insist {
+			continue
+		}
+		candidates = append(candidates, router.Candidate{
+			Placement: placement, Load: c.inFlight[name], Report: c.reports[name], Standing: c.standing(ejected, name),
+		})
+	}
+	return candidates
+}
+
+// reachable returns the placements on nodes that control lost not long ago.
+func (c *chooser) reachable(now time.Time, placements []tracker.Placement) []tracker.Placement {
+	var usable []tracker.Placement
+	for _, placement := range placements {
+		if since, ok := c.lost[placement.Node.Name]; ok && now.Sub(since) < lostLifetime {
+			usable = append(usable, placement)
+		}
+	}
+	return usable
+}
+
 // service draws one of the services of route by their weights.
 func (c *chooser) service(route configurer.Route) string {
 	if len(route.Splits) == 0 {
@@ -166,9 +235,18 @@
 	nodes := view.Directory.Nodes()
 	var serving []string
 	reports := make(map[string]router.Report, len(c.reports))
+	paths := make(map[string]pather.Path, len(c.paths))
+	lost := make(map[string]time.Time)
 	for _, node := range nodes {
+		paths[node.Name] = c.paths[node.Name]
+		if node.Gone {
+			lost[node.Name] = now
+			if since, ok := c.lost[node.Name]; ok {
+				lost[node.Name] = since
+			}
+		}
 		for _, target := range node.Targets {
-			if node.Gone || node.Leaving || target.Leaving {
+			if node.Gone && !c.useLost || node.Leaving || target.Leaving {
 				continue
 			}
 			serving = append(serving, target.Name)
@@ -178,20 +256,29 @@
 		}
 	}
 	c.arrivals.Update(now, serving)
-	c.view, c.reports = view, reports
+	c.view, c.reports, c.paths, c.lost = view, reports, paths, lost
 	c.fleet = router.Count(c.place, nodes)
 	c.subsets = make(map[string][]tracker.Placement)
+	for target, until := range c.suspects {
+		if !now.Before(until) {
+			delete(c.suspects, target)
+		}
+	}
 }
 
-// observe takes what an attempt's end tells of the target's load.
-func (c *chooser) observe(target tracker.Target, answer carrier.Answer, err error) {
+// observe takes what an attempt's end tells of the target's load and of the way there.
+func (c *chooser) observe(placement tracker.Placement, answer carrier.Answer, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	target, now := placement.Target, time.Now()
 	if err != nil {
 		switch refuser.From(err).Kind {
 		case refuser.CapacityShort:
-			c.reports[target.Name] = router.Report{InFlight: target.Slots, At: time.Now()}
+			c.reports[target.Name] = router.Report{InFlight: target.Slots, At: now}
+		case refuser.TargetSuspect:
+			c.suspects[target.Name] = now.Add(suspectPause)
 		case refuser.NodeUnreachable:
+			c.failPath(now, placement.Node.Name, err)
 			c.watcher.Unreached(target.Name, target.Service)
 		default:
 		}
@@ -199,8 +286,37 @@
 	}
 	if busy, err := strconv.Atoi(answer.Header.Get(carrier.HeaderBusy)); err == nil {
 		// The answer's own slot is about to be free again.
-		c.reports[target.Name] = router.Report{InFlight: max(busy-1, 0), At: time.Now()}
+		c.reports[target.Name] = router.Report{InFlight: max(busy-1, 0), At: now}
+	}
+}
+
+func (c *chooser) failPath(now time.Time, node string, cause error) {
+	before := c.paths[node]
+	c.paths[node] = before.WithFailure(now)
+	if c.paths[node] != before {
+		c.log.Info("path avoided", "node", node, "reason", cause.Error())
+	}
+}
+
+// way returns how to reach the node of placement.
+func (c *chooser) way(placement tracker.Placement, relays func() []string) carrier.Way {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name := placement.Node.Name
+	return carrier.Way{
+		Address: placement.Node.Address, Relays: relays, Patience: c.paths[name].Limit(),
+		Reached: func(trip time.Duration) { c.reach(name, trip) },
+	}
+}
+
+func (c *chooser) reach(node string, trip time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.paths[node].Avoided(now) {
+		c.log.Info("path used again", "node", node, "trip", trip)
 	}
+	c.paths[node] = c.paths[node].WithReached(now, trip)
 }
 
 // leave ends the count of a request in flight.
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -103,7 +103,7 @@
 	})
 	entry := acceptor.New(acceptor.Dependencies{
 		Name: "node", Viewer: view, Client: client, Drawer: freeDrawer{}, Retrier: retrier.New(),
-		Place: router.Place{Region: "r", Centre: "c"}, Random: rand.New(rand.NewPCG(1, 2)),
+		Place: router.Place{Region: "r", Centre: "c"}, Router: router.New(router.Place{Region: "r", Centre: "c"}), Random: rand.New(rand.NewPCG(1, 2)),
 		Route: log, Admit: log, Watcher: seen,
 	})
 	server := httptest.NewServer(entry.Handler())
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -3,23 +3,25 @@
 import (
 	"context"
 	"fmt"
-	"sync"
+	"slices"
 	"time"
 
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
+	"samphiremount.example/core/router"
 	"samphiremount.example/node/pkg/carrier"
 	"samphiremount.example/node/pkg/viewer"
 )
 
 // forwarding is one request on its way through as many attempts as it takes. Doubt is set once an attempt may have
-// run: a later one that did not run does not take that back.
+// run: a later one that did not run does not take that back. Reached are the targets that may have run it, tried all that it was sent to.
 type forwarding struct {
 	head     carrier.Head
 	body     *body
 	attempts int
 	attempt  retrier.Attempt
 	tried    []string
+	reached  []string
 	doubt    bool
 }
 
@@ -27,6 +29,9 @@
 func (a *Acceptor) forward(ctx context.Context, forwarded forwarding) (carrier.Answer, error) {
 	f := &forwarded
 	a.Retrier.Asked(time.Now(), f.head.Service)
+	if a.Budget != nil {
+		a.Budget.Asked(f.head.Service)
+	}
 	f.attempt = retrier.Attempt{
 		Service: f.head.Service, Number: 1, Most: f.attempts, Repeatable: f.head.Repeatable, Deadline: f.head.Deadline,
 	}
@@ -48,30 +53,37 @@
 			_ = answer.Body.Close()
 			last = refuser.Fail(refuser.OutcomeUnknown, "a target failed it, and no other answered")
 		}
-		f.attempt.Number++
-		f.head.ID = fmt.Sprintf("%s.%d", f.head.Request, f.attempt.Number)
+		f.next()
 	}
 }
 
-// try makes one attempt. Sent is false if there was no target to send it to.
+// next prepares the attempt that follows.
+func (f *forwarding) next() {
+	f.attempt.Number++
+	f.head.ID = fmt.Sprintf("%s.%d", f.head.Request, f.attempt.Number)
+}
+
+// try makes one attempt, which may be hedged. Sent is false if there was no target to send it to.
 func (a *Acceptor) try(ctx context.Context, f *forwarding) (answer carrier.Answer, sent bool, err error) {
-	view := a.Viewer.View()
-	choice, err := a.chooser.choose(view, f.head, f.tried...)
+	first, err := a.launch(ctx, f)
 	if err != nil {
 		return carrier.Answer{}, false, err
 	}
-	target, node := choice.Placement.Target, choice.Placement.Node
-	f.tried = append(f.tried, target.Name)
-	f.head.Target, f.head.Incarnation = target.Name, node.Incarnation
-	way := carrier.Way{Address: node.Address, Relays: func() []string { return a.relays(view, node.Name) }}
-	answer, err = a.Client.Carry(ctx, way, f.head, f.body.reader())
-	a.chooser.observe(target, answer, err)
-	if err != nil {
-		a.chooser.leave(target.Name)
-		return carrier.Answer{}, true, f.blame(ctx, err)
+	second := a.hedge(ctx, f, first)
+	answer, err = a.await(f, first, second)
+	return answer, true, err
+}
+
+// choose picks a target for the next attempt. Once no other is left it insists on those that are suspect or were not
+// reached before, but never on one that may have got the request.
+func (a *Acceptor) choose(view *viewer.View, f *forwarding) (router.Choice, error) {
+	choice, err := a.chooser.choose(view, f.head, f.tried...)
+	if err == nil || f.head.Insist {
+		return choice, err
 	}
-	answer.Body = countedBody{answer.Body, sync.OnceFunc(func() { a.chooser.leave(target.Name) })}
-	return answer, true, nil
+	f.head.Insist = true
+	f.tried = slices.Clone(f.reached)
+	return a.chooser.choose(view, f.head, f.tried...)
 }
 
 // again reports whether the request goes out once more after an attempt that ended with answer or err.
@@ -80,13 +92,13 @@
 	if err != nil {
 		event = retrier.Refused{Refusal: refuser.From(err)}
 	}
+	f.count(err)
 	if ctx.Err() != nil || !f.body.replayable() {
 		return false
 	}
-	switch decision := a.Retrier.Decide(time.Now(), event, f.attempt).(type) {
+	switch decision := a.decide(ctx, event, f.attempt).(type) {
 	case retrier.Send:
 		a.Route.Info("request sent again", "request", f.head.ID, "target", f.head.Target, "reason", decision.Reason)
-		f.doubt = f.doubt || err == nil || refuser.From(err).Outcome != refuser.NotRun{}
 		return true
 	case retrier.Stop:
 		if err != nil {
@@ -96,6 +108,25 @@
 	return false
 }
 
+// decide asks the node's own budget first, and then the shared one.
+func (a *Acceptor) decide(ctx context.Context, event retrier.Event, attempt retrier.Attempt) retrier.Decision {
+	decision := a.Retrier.Decide(time.Now(), event, attempt)
+	if stop, ok := decision.(retrier.Stop); ok && stop.Unpaid && a.Budget != nil && a.Budget.Draw(ctx, attempt.Service) {
+		return retrier.Send{Reason: "the shared budget granted it"}
+	}
+	return decision
+}
+
+// count notes whether the attempt that ended may have run.
+func (f *forwarding) count(err error) {
+	if err != nil && refuser.From(err).Outcome == (refuser.NotRun{}) {
+		return
+	}
+	f.doubt = true
+	f.reached = append(f.reached, f.head.Target)
+	f.attempt.Reached++
+}
+
 // blame names the caller's cut body as the cause of err. The end of ctx can be seen before the cut, which ends it.
 func (f *forwarding) blame(ctx context.Context, err error) error {
 	if ctx.Err() == nil || !f.body.cut() {
--- a/node/pkg/carrier/client.go
+++ b/node/pkg/carrier/client.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"io"
@@ -12,6 +13,9 @@
 	"samphiremount.example/core/refuser"
 )
 
+// connectTrips is the number of round trips of a new connection with its greeting.
+const connectTrips = 3
+
 // Client sends requests to the gates of other nodes.
 type Client struct {
 	pool   *messenger.Pool
@@ -28,28 +32,35 @@
 // body only as fast as the gate takes it. The error is a refusal: NotRun when no connection could be had, when the gate
 // says so or promises a tombstone, else Unknown.
 func (c *Client) Carry(ctx context.Context, way Way, head Head, body io.Reader) (Answer, error) {
-	answer, running, err := c.try(ctx, way.Address, &head, body)
-	if err == nil || running || head.StartBefore == 0 || !doubtful(ctx, err) {
+	answer, running, err := c.try(ctx, way, &head, body)
+	if err == nil || running || head.StartBefore == 0 || head.Repeatable || !doubtful(ctx, err) {
 		return answer, err
 	}
 	return Answer{}, c.settle(ctx, way, head, err)
 }
 
 // try makes one exchange. Running is true if the gate said that the request went to a target.
-func (c *Client) try(ctx context.Context, address string, head *Head, body io.Reader) (Answer, bool, error) {
+func (c *Client) try(ctx context.Context, way Way, head *Head, body io.Reader) (Answer, bool, error) {
+	address := way.Address
 	ctx, cancel := context.WithDeadline(ctx, head.Deadline)
+	// Until the stream is open nothing can have run, so a way that takes long is given up early.
+	connecting := time.AfterFunc(connectTrips*cmp.Or(way.Patience, silenceLimit), cancel)
 	reading, err := c.reading(ctx, address, head.Incarnation)
 	if err != nil {
 		cancel()
 		return Answer{}, false, refuser.Refuse(refuser.NodeUnreachable, err.Error())
 	}
 	stream, err := c.pool.Get(ctx, address).NewStream(ctx, callCarry, frameEncoding{})
+	if !connecting.Stop() && err == nil {
+		_ = stream.Close()
+		err = errors.New("connecting took too long")
+	}
 	if err != nil {
 		cancel()
 		return Answer{}, false, refuser.Refuse(refuser.NodeUnreachable, err.Error())
 	}
 	head.StartBefore = startBefore(reading, time.Now(), head.Deadline)
-	exchange := newExchange(stream, cancel)
+	exchange := newExchange(stream, cancel, way)
 	answer, err := exchange.run(*head, body)
 	if exchange.reading > 0 {
 		c.clocks.set(address, Clock{head.Incarnation, exchange.reading}, time.Now())
--- a/node/pkg/carrier/exchange.go
+++ b/node/pkg/carrier/exchange.go
@@ -1,6 +1,7 @@
 package carrier
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -24,6 +25,8 @@
 type exchange struct {
 	stream  drpc.Stream
 	cancel  context.CancelFunc
+	way     Way
+	began   time.Time
 	group   errgroup.Group
 	answer  *bodyReader
 	silence *time.Timer
@@ -31,12 +34,13 @@
 	sent    atomic.Bool
 	refused bool
 	running bool
+	reached bool
 	reading tombstoner.Reading
 }
 
-func newExchange(stream drpc.Stream, cancel context.CancelFunc) *exchange {
-	e := &exchange{stream: stream, cancel: cancel}
-	e.silence = time.AfterFunc(silenceLimit, func() {
+func newExchange(stream drpc.Stream, cancel context.CancelFunc, way Way) *exchange {
+	e := &exchange{stream: stream, cancel: cancel, way: way, began: time.Now()}
+	e.silence = time.AfterFunc(cmp.Or(way.Patience, silenceLimit), func() {
 		e.silent.Store(true)
 		cancel()
 	})
@@ -48,10 +52,13 @@
 func (e *exchange) receive(into *frame) error {
 	defer e.silence.Stop()
 	for {
-		e.silence.Reset(silenceLimit)
+		if e.reached {
+			e.silence.Reset(silenceLimit)
+		}
 		if err := e.stream.MsgRecv(into, frameEncoding{}); err != nil {
 			return errors.Wrap(err, "receive answer")
 		}
+		e.reach()
 		if into.kind != frameProgress {
 			return nil
 		}
@@ -63,6 +70,17 @@
 	}
 }
 
+// reach notes the gate's first sign of life.
+func (e *exchange) reach() {
+	if e.reached {
+		return
+	}
+	e.reached = true
+	if e.way.Reached != nil {
+		e.way.Reached(time.Since(e.began))
+	}
+}
+
 func (e *exchange) run(head Head, body io.Reader) (Answer, error) {
 	if err := send(e.stream, frameHead, head.wire(time.Now())); err != nil {
 		return Answer{}, err
@@ -127,6 +145,9 @@
 	if errors.As(err, &refusal) {
 		return refusal
 	}
+	if e.silent.Load() && !e.reached {
+		return refuser.Fail(refuser.NodeUnreachable, "the gate gave no sign of life")
+	}
 	if e.silent.Load() {
 		return refuser.Fail(refuser.OutcomeUnknown, "the connection to the gate went silent")
 	}
--- a/node/pkg/carrier/frame.go
+++ b/node/pkg/carrier/frame.go
@@ -55,7 +55,7 @@
 	Running bool `cbor:"1,keyasint"`
 }
 
-// headBody is the wire form of Head. Remaining and Objective are in milliseconds from now: clocks of two VMs are not compared.
+// headBody is the wire form of Head. Remaining, Objective and Allowed are in milliseconds: clocks of two VMs are not compared.
 type headBody struct {
 	ID          string              `cbor:"1,keyasint"`
 	Incarnation uint64              `cbor:"2,keyasint"`
@@ -76,6 +76,8 @@
 	Origin      string              `cbor:"17,keyasint,omitempty"`
 	Rank        int                 `cbor:"18,keyasint,omitempty"`
 	Objective   int64               `cbor:"19,keyasint,omitempty"`
+	Insist      bool                `cbor:"20,keyasint,omitempty"`
+	Allowed     int64               `cbor:"21,keyasint,omitempty"`
 }
 
 type answerBody struct {
--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -40,6 +40,12 @@
 	Weight int
 	// Trailer holds the names of the trailers that the body announces.
 	Trailer []string
+	// Allowed is how long a sound target nearly always takes at most; 0 if that is not known.
+	Allowed time.Duration
+	// Hedged says that the request goes to a second target if this one takes long. It stays with the entry.
+	Hedged bool
+	// Insist asks for a target that its gate takes for suspect, since no other is left.
+	Insist bool
 	// StartBefore is set by Client.Carry from what it knows of the gate's clock.
 	StartBefore tombstoner.Reading
 }
@@ -77,9 +83,12 @@
 }
 
 // Way leads to a gate. Relays returns addresses of other nodes that may still reach the gate when this one does not.
+// Patience is how long to wait for the gate's first sign of life, and Reached is called with how long that took.
 type Way struct {
-	Address string
-	Relays  func() []string
+	Address  string
+	Relays   func() []string
+	Patience time.Duration
+	Reached  func(trip time.Duration)
 }
 
 func (h Head) wire(now time.Time) headBody {
@@ -88,7 +97,7 @@
 		Repeatable: h.Repeatable, Remaining: h.Deadline.Sub(now).Milliseconds(), Method: h.Method, URI: h.URI,
 		Host: h.Host, Header: h.Header, Length: h.Length, StartBefore: int64(h.StartBefore),
 		Trailer: h.Trailer, Weight: h.Weight, Request: h.Request, Origin: h.Origin, Rank: int(h.Rank),
-		Objective: h.Objective.Sub(now).Milliseconds(),
+		Objective: h.Objective.Sub(now).Milliseconds(), Insist: h.Insist, Allowed: h.Allowed.Milliseconds(),
 	}
 }
 
@@ -98,6 +107,7 @@
 		Repeatable: b.Repeatable, Deadline: now.Add(time.Duration(b.Remaining) * time.Millisecond), Method: b.Method,
 		URI: b.URI, Host: b.Host, Header: b.Header, Length: b.Length, StartBefore: tombstoner.Reading(b.StartBefore),
 		Trailer: b.Trailer, Weight: b.Weight, Request: b.Request, Origin: b.Origin, Rank: configurer.Rank(b.Rank),
-		Objective: now.Add(time.Duration(b.Objective) * time.Millisecond),
+		Objective: now.Add(time.Duration(b.Objective) * time.Millisecond), Insist: b.Insist,
+		Allowed: time.Duration(b.Allowed) * time.Millisecond,
 	}
 }
--- a/node/pkg/carrier/progress.go
+++ b/node/pkg/carrier/progress.go
@@ -7,7 +7,7 @@
 
 const (
 	// progressPeriod is how often a gate tells that a request is still with it.
-	progressPeriod = 500 * time.Millisecond
+	progressPeriod = 300 * time.Millisecond
 	// silenceLimit is how long an entry waits for any frame of a gate.
 	silenceLimit = 4 * progressPeriod
 )
--- a/node/pkg/carrier/server.go
+++ b/node/pkg/carrier/server.go
@@ -97,6 +97,8 @@
 		return s.refuse(stream, refuser.From(refuser.Refuse(refuser.NodeStopping, "")))
 	}
 	defer s.leave()
+	// The entry learns at once that the way is open. A way that is not is its business.
+	_ = send(stream, frameProgress, progressBody{})
 	progress := newProgress(func() { _ = send(stream, frameProgress, progressBody{s.gate.Running(head.ID)}) })
 	defer progress.stop()
 	answer, err := s.gate.Run(ctx, head, body)
--- a/node/pkg/carrier/settle.go
+++ b/node/pkg/carrier/settle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
 
 	"samphiremount.example/core/messenger"
@@ -15,7 +16,7 @@
 const (
 	// settlePart bounds each way of asking for a tombstone, settleLimit all of them.
 	settlePart  = 400 * time.Millisecond
-	settleLimit = 3 * settlePart
+	settleLimit = settlePart + 100*time.Millisecond
 )
 
 // buryBody asks for a tombstone. With Address set, the receiver passes the question on to the gate there.
@@ -45,24 +46,16 @@
 	return !errors.Is(ctx.Err(), context.Canceled)
 }
 
-// settle asks for a tombstone for the request of head, whose exchange failed with cause: by a new connection to the
-// gate, then through other nodes. It returns a refusal that is NotRun if the gate promised that the request will
+// settle asks for a tombstone for the request of head, whose exchange failed with cause: by a new connection to the gate
+// and through other nodes at the same time. It returns a refusal that is NotRun if the gate promised that the request will
 // not start, else cause. It may outlast the deadline of the request by settleLimit.
 func (c *Client) settle(ctx context.Context, way Way, head Head, cause error) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
 	defer cancel()
 	identity := head.Identity()
 	question := buryBody{ID: identity.ID, Incarnation: identity.Incarnation, StartBefore: int64(identity.StartBefore)}
-	state, err := c.ask(ctx, way.Address, question)
-	if err != nil {
-		question.Address = way.Address
-		for _, relay := range way.Relays() {
-			if state, err = c.ask(ctx, relay, question); err == nil {
-				break
-			}
-		}
-	}
-	if err != nil {
+	state, ok := c.askAll(ctx, way, question)
+	if !ok {
 		c.counts.Add("settle_no_reply", 1)
 		return cause
 	}
@@ -79,6 +72,36 @@
 	return &refusal
 }
 
+// askAll returns the first reply to question.
+func (c *Client) askAll(ctx context.Context, way Way, question buryBody) (tombstoner.State, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	relayed := question
+	relayed.Address = way.Address
+	relays := way.Relays()
+	replies := make(chan tombstoner.State, 1+len(relays))
+	var group errgroup.Group
+	ask := func(address string, question buryBody) {
+		group.Go(func() error {
+			state, err := c.ask(ctx, address, question)
+			if err == nil {
+				replies <- state
+			}
+			return nil
+		})
+	}
+	ask(way.Address, question)
+	for _, relay := range relays {
+		ask(relay, relayed)
+	}
+	select {
+	case state := <-replies:
+		return state, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 // ask makes one bury call on a connection of its own, since the pooled ones may be those that went silent.
 func (c *Client) ask(ctx context.Context, address string, question buryBody) (tombstoner.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, settlePart)
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -39,6 +39,8 @@
 	// waitLimit how near that token must be. Parts of a rate run empty at moments when the whole does not.
 	maxWaiters = 2
 	waitLimit  = 120 * time.Millisecond
+	// usedLimit bounds how long a request waits for tokens of a rate that is used up.
+	usedLimit = 200 * time.Millisecond
 )
 
 var counters = expvar.NewMap("admit")
@@ -101,8 +103,9 @@
 func (d *Drawer) Draw(ctx context.Context, workspace string) (string, error) {
 	deadline := time.NewTimer(drawLimit)
 	defer deadline.Stop()
+	began := time.Now()
 	for first := true; ; first = false {
-		reason, answered, err := d.try(workspace, first)
+		reason, answered, err := d.try(workspace, began, first)
 		if answered == nil {
 			return reason, err
 		}
@@ -120,7 +123,7 @@
 }
 
 // try spends a token, or refuses, or returns what to wait for.
-func (d *Drawer) try(workspace string, first bool) (reason string, answered <-chan struct{}, err error) {
+func (d *Drawer) try(workspace string, began time.Time, first bool) (reason string, answered <-chan struct{}, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -140,7 +143,7 @@
 		d.prefetch(workspace, a, now)
 		return fmt.Sprintf("lease %d of %s, %d left", lease.ID, lease.Lender, lease.Left()), nil, nil
 	}
-	if a.short.Used && now.Before(a.short.Again) && (a.waiting >= maxWaiters || a.short.Again.Sub(now) > waitLimit) {
+	if a.short.Used && now.Before(a.short.Again) && (a.waiting >= maxWaiters || a.short.Again.Sub(now) > waitLimit || now.Sub(began) > usedLimit) {
 		return "", nil, refuse(true, a.short.Reason)
 	}
 	if d.stopped {
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -18,6 +18,7 @@
 	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/suspector"
 	"samphiremount.example/core/tombstoner"
 	"samphiremount.example/node/pkg/carrier"
 	"samphiremount.example/node/pkg/connector"
@@ -143,7 +144,7 @@
 		return carrier.Answer{}, err
 	}
 	g.protocol.Prepare(request.Header, head, target, time.Until(head.Deadline))
-	ended := g.watcher.Start(target.Name, target.Service)
+	ended := g.watch(target, head)
 	response, err := g.connector.Exchange(ctx, target.Address, request, head.Repeatable) //nolint:bodyclose // slotBody closes it
 	if err != nil {
 		refusal := explain(ctx, err)
@@ -231,16 +232,44 @@
 	g.tombstoner.Finish(g.reading(), id, ran)
 }
 
-// busy returns the number of slots in use.
+// busy returns the number of slots in use and of requests that wait for one.
 func (g *Gatekeeper) busy(name string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l, ok := g.lines[name]; ok {
-		return l.inFlight
+		return l.inFlight + len(l.waiting)
 	}
 	return 0
 }
 
+// watch records an attempt on target, and returns the function that records how it ended.
+func (g *Gatekeeper) watch(target registrar.Announcement, head carrier.Head) func(observer.Result) {
+	ended := g.watcher.Start(target.Name, target.Service)
+	if head.Allowed == 0 {
+		return ended
+	}
+	g.note(target.Name, func(now time.Time, s *suspector.Suspector) { s.Start(now, head.ID, now.Add(head.Allowed)) })
+	return func(result observer.Result) {
+		ended(result)
+		g.note(target.Name, func(now time.Time, s *suspector.Suspector) { s.End(now, head.ID, suspicion(result)) })
+	}
+}
+
+// suspicion is what a result says of the target's present state.
+func suspicion(result observer.Result) suspector.Result {
+	switch result := result.(type) {
+	case observer.Answered:
+		if result.Status >= http.StatusInternalServerError {
+			return suspector.Failed{}
+		}
+		return suspector.Served{}
+	case observer.Withdrawn:
+		return suspector.Withdrawn{}
+	default:
+		return suspector.Failed{}
+	}
+}
+
 // explain turns the error of an exchange with a target into a refusal.
 func explain(ctx context.Context, err error) *refuser.Refusal {
 	var failure *connector.Failure
--- a/node/pkg/gatekeeper/line.go
+++ b/node/pkg/gatekeeper/line.go
@@ -9,6 +9,7 @@
 	"samphiremount.example/core/queuer"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/suspector"
 	"samphiremount.example/node/pkg/carrier"
 )
 
@@ -17,22 +18,77 @@
 	waitersPerSlot = 8
 	// patience bounds how long a request waits for a slot before it is refused as not run.
 	patience = time.Second
+	// waitPart is the part of the time to a request's objective, and after that to its deadline, for which it waits at
+	// one target. What is left is enough to be served by another.
+	waitPart = 0.4
 )
 
+// waitUntil returns when a request that begins to wait at now gives this target up.
+func waitUntil(now time.Time, head carrier.Head) time.Time {
+	end := head.Deadline
+	if head.Objective.After(now) && head.Objective.Before(end) {
+		end = head.Objective
+	}
+	wait := min(time.Duration(waitPart*float64(end.Sub(now))), patience)
+	return now.Add(max(wait, 0))
+}
+
+// examine refuses a request that the target should not get now, since it would most likely hang or fail there. Routes
+// that do not say what a sound target takes are not judged.
+func (l *line) examine(now time.Time, head carrier.Head) error {
+	if head.Insist || head.Allowed == 0 {
+		return nil
+	}
+	switch verdict := l.suspector.Judge(now).(type) {
+	case suspector.Doubtful:
+		if !head.Repeatable {
+			return refuser.Refuse(refuser.TargetSuspect, "doubtful")
+		}
+	case suspector.Suspect:
+		if !head.Repeatable || !verdict.Trial {
+			return refuser.Refuse(refuser.TargetSuspect, "suspect")
+		}
+	case suspector.Sound:
+	}
+	return nil
+}
+
+// line returns the line before target. The caller holds the lock.
+func (g *Gatekeeper) line(target registrar.Announcement) *line {
+	l, ok := g.lines[target.Name]
+	if !ok || l.slots != target.Slots && l.inFlight == 0 && len(l.waiting) == 0 {
+		l = newLine(target.Slots)
+		g.lines[target.Name] = l
+	}
+	return l
+}
+
+// note passes evidence on a target to its suspector.
+func (g *Gatekeeper) note(name string, evidence func(now time.Time, s *suspector.Suspector)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l, ok := g.lines[name]; ok {
+		evidence(time.Now(), l.suspector)
+	}
+}
+
 // line is the slots of one target and the queue before them.
 type line struct {
-	slots    int
-	inFlight int
-	queue    *queuer.Queuer
-	waiting  map[string]chan bool
-	tickets  uint64
+	slots     int
+	inFlight  int
+	suspector *suspector.Suspector
+	queue     *queuer.Queuer
+	waiting   map[string]chan bool
+	tickets   uint64
 	// alone holds the tickets of requests that wait for all slots, exclusive is set while one has them.
 	alone     []string
 	exclusive bool
 }
 
 func newLine(slots int) *line {
-	return &line{slots: slots, queue: queuer.New(waitersPerSlot * slots), waiting: make(map[string]chan bool)}
+	return &line{
+		slots: slots, suspector: suspector.New(), queue: queuer.New(waitersPerSlot * slots), waiting: make(map[string]chan bool),
+	}
 }
 
 // join adds a request to the queue. The channel delivers whether it got a slot.
@@ -45,10 +101,7 @@
 		l.fill(now)
 		return ticket, granted
 	}
-	deadline := now.Add(patience)
-	if head.Deadline.Before(deadline) {
-		deadline = head.Deadline
-	}
+	deadline := waitUntil(now, head)
 	dropped := l.queue.Push(queuer.Waiter{
 		ID: ticket, Workspace: head.Workspace, Weight: head.Weight, Deadline: deadline,
 	})
@@ -111,10 +164,10 @@
 	ctx context.Context, target registrar.Announcement, head carrier.Head, alone bool,
 ) error {
 	g.mu.Lock()
-	l, ok := g.lines[target.Name]
-	if !ok || l.slots != target.Slots && l.inFlight == 0 && len(l.waiting) == 0 {
-		l = newLine(target.Slots)
-		g.lines[target.Name] = l
+	l := g.line(target)
+	if err := l.examine(time.Now(), head); err != nil {
+		g.mu.Unlock()
+		return err
 	}
 	ticket, granted := l.join(time.Now(), head, alone)
 	g.mu.Unlock()
@@ -123,7 +176,7 @@
 		return verdict(ok)
 	default:
 	}
-	timer := time.NewTimer(patience)
+	timer := time.NewTimer(time.Until(waitUntil(time.Now(), head)))
 	defer timer.Stop()
 	select {
 	case ok := <-granted:
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/core/allotter"
+	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/explainer"
@@ -63,6 +64,12 @@
 	AnnouncementTime time.Duration
 	Protocol         gatekeeper.Protocol
 	Stop             Stop
+	Router           router.Router
+	// Retries is asked with the number of nodes.
+	Retries func(nodes int) retrier.Policy
+	// UseLost and HedgeAfter are those of acceptor.Dependencies.
+	UseLost    bool
+	HedgeAfter float64
 	// ShareRates lets a node admit an even part of a workspace's rate while no lender answers. All nodes together may then
 	// exceed the rate a little while some of them still reach a lender.
 	ShareRates bool
@@ -93,6 +100,7 @@
 	prober      *prober.Prober
 	keeper      *keeper.Keeper
 	drawer      *drawer.Drawer
+	budget      *budgeter.Client
 	lender      *lender.Lender
 	watcher     *watcher.Watcher
 	carrier     *carrier.Server
@@ -136,6 +144,7 @@
 	n.client = synchronizer.NewClient(n.pool, n.publishers(located), n.Viewer, n.reporter, n.log.Part("subscribe"))
 	n.watcher = watcher.New(n.pool, located.Addresses, func() []tracker.Target { return n.reporter.Node().Targets }, n.log.Part("eject"))
 	n.lender = n.newLender(hub, located)
+	n.budget = budgeter.NewClient(n.pool, located.Owner, n.log.Part("budget"))
 	n.drawer = drawer.New(exchanger.NewClient(n.pool), n.sources(hub, located), n.log.Part("admit"))
 }
 
@@ -151,13 +160,18 @@
 	n.carrier = carrier.NewServer(gate, client)
 	n.carrier.Register(n.mux)
 	n.Acceptor = acceptor.New(acceptor.Dependencies{
-		Name: n.options.Name, Viewer: n.Viewer, Client: client, Drawer: n.drawer, Retrier: retrier.New(), Watcher: n.watcher,
-		Place:  router.Place{Region: n.options.Region, Centre: n.options.Centre},
+		Name: n.options.Name, Viewer: n.Viewer, Client: client, Drawer: n.drawer, Retrier: retrier.NewWith(n.retries),
+		Watcher: n.watcher, Place: n.options.Router.Place(), Router: n.options.Router, UseLost: n.options.UseLost,
+		HedgeAfter: n.options.HedgeAfter, Budget: n.budget,
 		Random: rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 		Route:  n.log.Part("route"), Admit: n.log.Part("admit"),
 	})
 }
 
+func (n *Node) retries() retrier.Policy {
+	return n.options.Retries(len(n.Viewer.View().Directory.Nodes()))
+}
+
 // publishers returns the control processes, and after them, while none of them is heard, peers that may know more.
 func (n *Node) publishers(located *locator.Locator) synchronizer.Addresses {
 	return func() []string {
@@ -282,6 +296,7 @@
 	group, background := errgroup.WithContext(background)
 	parts := []func(context.Context) error{
 		local, n.Enroller.Run, n.conns.Run, n.client.Run, n.prober.Run, n.drawer.Run, n.watcher.Run,
+		n.budget.Run,
 	}
 	if n.options.Data != "" {
 		parts = append(parts, n.keeper.Run)
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -11,6 +11,8 @@
 
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/retrier"
+	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
 	"samphiremount.example/node/pkg/gatekeeper"
 )
@@ -35,7 +37,8 @@
 		Entry: listeners.entry.Addr().String(), Fleet: cmp.Or(settings.Advertise, listeners.fleet.Addr().String()),
 		Seeds: settings.Controls, Peers: settings.Peers, Data: settings.Data, Decisions: settings.Decisions,
 		Lenders: settings.AllLenders(), AnnouncementTime: registrar.Lifetime, Protocol: gatekeeper.OwnProtocol{},
-		Stop: ownStop,
+		Stop: ownStop, Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
+		Retries: func(int) retrier.Policy { return retrier.OwnPolicy() },
 	}, credentials, logger.New(os.Stderr, settings.LogLevel()))
 	node.Log().Part("node").Info("node started", "node", settings.Name, "entry", listeners.entry.Addr(),
 		"fleet", listeners.fleet.Addr(), "metrics", listeners.metrics.Addr())
