Send a hedge that is refused elsewhere, and let hedges ask for sound targets only

Cause: of the requests that may be repeated and failed, most had a hedge that its gate refused, after which only the hung first attempt was waited for.

--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/carrier"
@@ -80,24 +81,61 @@
 	})
 }
 
-// hedge waits for first, and launches a second attempt if that takes long and the budget allows it. It returns nil once
-// first has a result.
-func (a *Acceptor) hedge(ctx context.Context, f *forwarding, first *sending) *sending {
-	if !f.head.Hedged || f.head.Insist {
+// race runs one attempt and, if that takes long and the budget allows it, a second one beside it. It returns the first
+// good result, or else the last one. A second attempt that its gate refuses goes elsewhere.
+func (a *Acceptor) race(ctx context.Context, f *forwarding, first *sending) (carrier.Answer, error) {
+	select {
+	case r := <-first.done:
+		return r.answer, r.err
+	case <-a.hedgeDue(f, first):
+	}
+	second := a.hedge(ctx, f)
+	for second != nil {
+		select {
+		case r := <-first.done:
+			return a.settle(f, first, r, second)
+		case r := <-second.done:
+			if r.err == nil || refuser.From(r.err).Outcome != (refuser.NotRun{}) {
+				return a.settle(f, second, r, first)
+			}
+			second = a.relaunch(ctx, f, second, r.err)
+		}
+	}
+	r := <-first.done
+	f.head.Target = first.head.Target
+	return r.answer, r.err
+}
+
+// settle takes the result of one attempt while another is on its way.
+func (a *Acceptor) settle(f *forwarding, ended *sending, r result, other *sending) (carrier.Answer, error) {
+	f.head.Target = ended.head.Target
+	if r.good() {
+		other.abandon()
+		return r.answer, nil
+	}
+	f.count(r.err)
+	if r.err == nil {
+		_ = r.answer.Body.Close()
+	}
+	r = <-other.done
+	f.head.Target = other.head.Target
+	return r.answer, r.err
+}
+
+// hedgeDue returns when first is to be hedged, or a channel that is never ready.
+func (a *Acceptor) hedgeDue(f *forwarding, first *sending) <-chan time.Time {
+	if !f.head.Hedged || f.head.Insist || f.attempt.Reached > 0 {
 		return nil
 	}
 	after := a.HedgeAfter
 	if first.trial {
 		after *= trialHedge
 	}
-	timer := time.NewTimer(time.Duration(after * float64(f.head.Allowed)))
-	defer timer.Stop()
-	select {
-	case r := <-first.done:
-		first.done <- r
-		return nil
-	case <-timer.C:
-	}
+	return time.After(time.Duration(after * float64(f.head.Allowed)))
+}
+
+// hedge launches a second attempt, if the budget allows it.
+func (a *Acceptor) hedge(ctx context.Context, f *forwarding) *sending {
 	attempt := f.attempt
 	attempt.Reached++
 	decision := a.decide(ctx, retrier.Slow{}, attempt)
@@ -105,7 +143,12 @@
 		a.Route.Info("request not hedged", "request", f.head.ID, "reason", stop.Reason)
 		return nil
 	}
+	return a.launchHedge(ctx, f)
+}
+
+func (a *Acceptor) launchHedge(ctx context.Context, f *forwarding) *sending {
 	f.next()
+	f.head.Careful = true
 	second, err := a.launch(ctx, f)
 	if err != nil {
 		a.Route.Info("request not hedged", "request", f.head.ID, "reason", err.Error())
@@ -115,31 +158,12 @@
 	return second
 }
 
-// await returns the first good result of the attempts, or else the last one. The attempt that it belongs to is the one
-// that f goes on from.
-func (a *Acceptor) await(f *forwarding, first, second *sending) (carrier.Answer, error) {
-	if second == nil {
-		r := <-first.done
-		return r.answer, r.err
-	}
-	current, other := first, second
-	var r result
-	select {
-	case r = <-first.done:
-	case r = <-second.done:
-		current, other = second, first
-	}
-	if r.good() {
-		other.abandon()
-		f.head.Target = current.head.Target
-		return r.answer, nil
-	}
-	f.head.Target = current.head.Target
-	f.count(r.err)
-	if r.err == nil {
-		_ = r.answer.Body.Close()
+// relaunch sends a second attempt elsewhere that was refused before it ran, as often as the policy allows.
+func (a *Acceptor) relaunch(ctx context.Context, f *forwarding, refused *sending, err error) *sending {
+	decision := a.Retrier.Decide(time.Now(), retrier.Refused{Refusal: refuser.From(err)}, f.attempt)
+	if stop, ok := decision.(retrier.Stop); ok {
+		a.Route.Info("hedge given up", "request", refused.head.ID, "reason", stop.Reason)
+		return nil
 	}
-	r = <-other.done
-	f.head.Target = other.head.Target
-	return r.answer, r.err
+	return a.launchHedge(ctx, f)
 }
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -60,6 +60,7 @@
 // next prepares the attempt that follows.
 func (f *forwarding) next() {
 	f.attempt.Number++
+	f.head.Careful = !f.head.Repeatable || f.attempt.Reached > 0
 	f.head.ID = fmt.Sprintf("%s.%d", f.head.Request, f.attempt.Number)
 }
 
@@ -69,8 +70,7 @@
 	if err != nil {
 		return carrier.Answer{}, false, err
 	}
-	second := a.hedge(ctx, f, first)
-	answer, err = a.await(f, first, second)
+	answer, err = a.race(ctx, f, first)
 	return answer, true, err
 }
 
--- a/node/pkg/carrier/frame.go
+++ b/node/pkg/carrier/frame.go
@@ -78,6 +78,7 @@
 	Objective   int64               `cbor:"19,keyasint,omitempty"`
 	Insist      bool                `cbor:"20,keyasint,omitempty"`
 	Allowed     int64               `cbor:"21,keyasint,omitempty"`
+	Careful     bool                `cbor:"22,keyasint,omitempty"`
 }
 
 type answerBody struct {
--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -44,6 +44,8 @@
 	Allowed time.Duration
 	// Hedged says that the request goes to a second target if this one takes long. It stays with the entry.
 	Hedged bool
+	// Careful asks for a sound target only: the request may not be repeated, or was sent to another one before.
+	Careful bool
 	// Insist asks for a target that its gate takes for suspect, since no other is left.
 	Insist bool
 	// StartBefore is set by Client.Carry from what it knows of the gate's clock.
@@ -97,7 +99,7 @@
 		Repeatable: h.Repeatable, Remaining: h.Deadline.Sub(now).Milliseconds(), Method: h.Method, URI: h.URI,
 		Host: h.Host, Header: h.Header, Length: h.Length, StartBefore: int64(h.StartBefore),
 		Trailer: h.Trailer, Weight: h.Weight, Request: h.Request, Origin: h.Origin, Rank: int(h.Rank),
-		Objective: h.Objective.Sub(now).Milliseconds(), Insist: h.Insist, Allowed: h.Allowed.Milliseconds(),
+		Objective: h.Objective.Sub(now).Milliseconds(), Insist: h.Insist, Careful: h.Careful, Allowed: h.Allowed.Milliseconds(),
 	}
 }
 
@@ -107,7 +109,7 @@
 		Repeatable: b.Repeatable, Deadline: now.Add(time.Duration(b.Remaining) * time.Millisecond), Method: b.Method,
 		URI: b.URI, Host: b.Host, Header: b.Header, Length: b.Length, StartBefore: tombstoner.Reading(b.StartBefore),
 		Trailer: b.Trailer, Weight: b.Weight, Request: b.Request, Origin: b.Origin, Rank: configurer.Rank(b.Rank),
-		Objective: now.Add(time.Duration(b.Objective) * time.Millisecond), Insist: b.Insist,
+		Objective: now.Add(time.Duration(b.Objective) * time.Millisecond), Insist: b.Insist, Careful: b.Careful,
 		Allowed: time.Duration(b.Allowed) * time.Millisecond,
 	}
 }
--- a/node/pkg/gatekeeper/line.go
+++ b/node/pkg/gatekeeper/line.go
@@ -41,11 +41,11 @@
 	}
 	switch verdict := l.suspector.Judge(now).(type) {
 	case suspector.Doubtful:
-		if !head.Repeatable {
+		if head.Careful {
 			return refuser.Refuse(refuser.TargetSuspect, "doubtful")
 		}
 	case suspector.Suspect:
-		if !head.Repeatable || !verdict.Trial {
+		if head.Careful || !verdict.Trial {
 			return refuser.Refuse(refuser.TargetSuspect, "suspect")
 		}
 	case suspector.Sound:
