Queue by objective and rank, spill to the other region by a margin, switch publishers sooner

Cause: under overload every request waited its turn and came late; both regions passed each other their load, at the price of the link; requests whose calls take long were hedged at once; nodes stayed with control processes that a cut had left behind.

--- a/control/pkg/proposer/status.go
+++ b/control/pkg/proposer/status.go
@@ -35,7 +35,6 @@
 	mu        sync.Mutex
 	status    Status
 	contact   time.Time
-	leads     bool
 	newcomers map[string]recruiter.Newcomer
 	known     map[replicator.Identity]replicator.Member
 }
@@ -80,19 +79,15 @@
 			k.status.Leader, k.status.Address = member.Name, member.Address
 		}
 	}
-	k.leads = r.Leads()
 	if contact := r.Contact(time.Now()); contact.After(k.contact) {
 		k.contact = contact
 	}
 }
 
-// age returns how long ago this process was in contact with the leader. A leader is in contact as long as it leads.
+// age returns how long ago this process was in contact with the leader, or with a quorum if it leads.
 func (k *statusKeeper) age() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.leads {
-		return 0
-	}
 	return time.Since(k.contact)
 }
 
--- a/core/queuer/queuer.go
+++ b/core/queuer/queuer.go
@@ -1,5 +1,10 @@
-// Package queuer shares the slots of a target among workspaces by start-time fair queueing (Goyal, Vin and Cheng, 1996):
-// each request gets a start tag of virtual time, one request costs 1/weight, and the smallest tag goes first.
+// Package queuer orders the requests that wait for a target. Those whose answers can still come within their objective
+// go first, then those of the more urgent rank. Among the rest, workspaces share the slots by start-time fair queueing
+// (Goyal, Vin and Cheng, 1996): each request gets a start tag of virtual time, one request costs 1/weight, and the
+// smallest tag goes first.
+//
+// The load pattern that it answers: for some seconds more requests come than can be served. First in, first out would
+// then serve all of them late.
 package queuer
 
 import (
@@ -7,14 +12,21 @@
 	"time"
 )
 
-// Waiter is a request that waits for a slot. It leaves the queue at Deadline.
+// Waiter is a request that waits for a slot. It leaves the queue at Deadline. From Late on its answer would miss its
+// objective; the zero time states none. Rank 1 is the most urgent.
 type Waiter struct {
 	ID        string
 	Workspace string
 	Weight    int
+	Rank      int
+	Late      time.Time
 	Deadline  time.Time
 }
 
+func (w Waiter) late(now time.Time) bool {
+	return !w.Late.IsZero() && !now.Before(w.Late)
+}
+
 type entry struct {
 	waiter Waiter
 	start  float64
@@ -38,9 +50,9 @@
 // Len returns the number of waiters, expired ones included.
 func (q *Queuer) Len() int { return len(q.waiting) }
 
-// Push adds waiter. If the queue is over its limit then, it drops the waiter with the greatest start tag and returns
-// its ID: that is the newest of the workspace which asks for most beyond its share, and may be the new one.
-func (q *Queuer) Push(waiter Waiter) (dropped string) {
+// Push adds waiter at now. If the queue is over its limit then, it drops the waiter that would go last and returns its
+// ID. Among equals that is the newest of the workspace which asks for most beyond its share, and may be the new one.
+func (q *Queuer) Push(now time.Time, waiter Waiter) (dropped string) {
 	start := max(q.virtual, q.finish[waiter.Workspace])
 	q.finish[waiter.Workspace] = start + cost(waiter)
 	q.order++
@@ -50,7 +62,7 @@
 	}
 	last := 0
 	for i, e := range q.waiting {
-		if q.waiting[last].before(e) {
+		if q.waiting[last].before(e, now) {
 			last = i
 		}
 	}
@@ -75,7 +87,7 @@
 	}
 	first := 0
 	for i, e := range q.waiting {
-		if e.before(q.waiting[first]) {
+		if e.before(q.waiting[first], now) {
 			first = i
 		}
 	}
@@ -96,7 +108,13 @@
 	return false
 }
 
-func (e entry) before(other entry) bool {
+func (e entry) before(other entry, now time.Time) bool {
+	if late := e.waiter.late(now); late != other.waiter.late(now) {
+		return !late
+	}
+	if e.waiter.Rank != other.waiter.Rank {
+		return e.waiter.Rank < other.waiter.Rank
+	}
 	if e.start != other.start {
 		return e.start < other.start
 	}
--- a/core/queuer/queuer_test.go
+++ b/core/queuer/queuer_test.go
@@ -23,7 +23,7 @@
 		for i, weight := range weights {
 			sum += weight
 			for n := range 100 {
-				q.Push(queuer.Waiter{ID: fmt.Sprint(i, "/", n), Workspace: fmt.Sprint(i), Weight: weight, Deadline: epoch.Add(1)})
+				q.Push(epoch, queuer.Waiter{ID: fmt.Sprint(i, "/", n), Workspace: fmt.Sprint(i), Weight: weight, Deadline: epoch.Add(1)})
 			}
 		}
 		served := make(map[string]int)
@@ -53,7 +53,7 @@
 					Weight: 1, Deadline: now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "patience"))),
 				}
 				waiting[waiter.ID] = waiter.Deadline
-				if dropped := q.Push(waiter); dropped != "" {
+				if dropped := q.Push(now, waiter); dropped != "" {
 					_, ok := waiting[dropped]
 					assert.Assert(t, ok)
 					delete(waiting, dropped)
@@ -110,7 +110,7 @@
 					served[i]++
 					ends = append(ends, now.Add(work))
 				} else if limit > 0 {
-					q.Push(queuer.Waiter{ID: fmt.Sprint(i, now), Workspace: fmt.Sprint(i), Weight: 1, Deadline: now.Add(patience)})
+					q.Push(now, queuer.Waiter{ID: fmt.Sprint(i, now), Workspace: fmt.Sprint(i), Weight: 1, Deadline: now.Add(patience)})
 				}
 			}
 		}
--- a/core/replicator/replicator.go
+++ b/core/replicator/replicator.go
@@ -115,12 +115,20 @@
 	return leads && r.membersIndex <= r.commit && r.commitsOwn()
 }
 
-// Contact returns until when this member counts as in contact with the leader: always, if it leads.
+// Contact returns when this member last was in contact with the leader, or, if it leads, with a quorum.
 func (r Replicator) Contact(now time.Time) time.Time {
-	if _, leads := r.role.(*leader); leads {
-		return now
+	l, leads := r.role.(*leader)
+	if !leads {
+		return r.leaseDeadline.Add(-ElectionTimeout)
 	}
-	return r.leaseDeadline.Add(-ElectionTimeout)
+	heard := []time.Time{now}
+	for _, member := range r.members.Voters {
+		if member.Identity != r.self {
+			heard = append(heard, l.progress[member.Identity].heardDeadline.Add(-ElectionTimeout))
+		}
+	}
+	slices.SortFunc(heard, func(a, b time.Time) int { return b.Compare(a) })
+	return heard[min(r.members.quorum(), len(heard))-1]
 }
 
 // Commit returns the index up to which entries are known to be committed.
--- a/core/router/router.go
+++ b/core/router/router.go
@@ -29,6 +29,8 @@
 type Request struct {
 	Repeatable bool
 	Tried      []string
+	// Heavy says that the answer is large: it does not go to another region for the sake of load alone.
+	Heavy bool
 }
 
 // Candidate is a target that a request may go to. Load is the number of its requests in flight from this node.
@@ -105,7 +107,7 @@
 	chosen, reason := -1, ""
 	for place := range tiers {
 		next := tiers[place]
-		if len(next.usable) == 0 || chosen >= 0 && next.load() >= tiers[chosen].load() {
+		if len(next.usable) == 0 || chosen >= 0 && !r.relieves(request, next, tiers[chosen]) {
 			continue
 		}
 		if chosen >= 0 {
--- a/core/router/tier.go
+++ b/core/router/tier.go
@@ -60,6 +60,18 @@
 	return penalty
 }
 
+// farMargin is by how much less a tier must be loaded that is in another region, where the own region is one tier. Both
+// regions being as loaded, requests would only change places.
+const farMargin = 0.3
+
+// relieves reports whether a request should go to the farther tier next, since near is short of capacity.
+func (r Router) relieves(request Request, next, near tier) bool {
+	if !r.regional {
+		return next.load() < near.load()
+	}
+	return !request.Heavy && next.load()+farMargin < near.load()
+}
+
 // tier is the set of usable candidates at one distance.
 type tier struct {
 	usable   []weighed
--- a/core/synchronizer/client.go
+++ b/core/synchronizer/client.go
@@ -20,10 +20,13 @@
 	maxPause = 2 * time.Second
 	// substitutePeriod is how long a client stays, on average, with a publisher that is not its best.
 	substitutePeriod = 30 * time.Second
-	// staleStay is how long a client stays with a publisher that is cut off from the leader.
-	staleStay = 2 * time.Second
+	// staleStay is how long a client stays with a publisher that is cut off from the leader, so that it has what that one
+	// knows.
+	staleStay = 300 * time.Millisecond
 )
 
+var errStale = errors.New("the publisher is out of contact with the leader")
+
 // Sink takes what a publisher sends, if it is newer than what it holds.
 type Sink interface {
 	Configuration() configurer.Configuration
@@ -73,9 +76,12 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		c.log.Warn("subscription lost", "address", address, "reason", err)
+		c.log.Warn("subscription lost", "address", address, "reason", err.Error())
 		if time.Since(started) > SilenceLimit {
-			wait, turn = minPause, -1
+			wait = minPause
+			if !errors.Is(err, errStale) {
+				turn = -1
+			}
 		}
 		pause(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, maxPause)
@@ -198,8 +204,8 @@
 		}
 		age := time.Duration(update.Age) * time.Millisecond
 		c.sink.Heard(age)
-		if age > SilenceLimit && time.Now().After(deadline) {
-			return errors.Newf("the publisher has had no contact for %s", age.Round(time.Second))
+		if age > staleAge && time.Now().After(deadline) && len(c.addresses()) > 1 {
+			return errors.Wrapf(errStale, "last contact %s ago", age.Round(time.Millisecond))
 		}
 	}
 }
--- a/core/synchronizer/wire.go
+++ b/core/synchronizer/wire.go
@@ -13,9 +13,11 @@
 
 const (
 	// HeartbeatPeriod is the longest silence of a side that has nothing to say.
-	HeartbeatPeriod = time.Second
+	HeartbeatPeriod = 500 * time.Millisecond
 	// SilenceLimit is how long a side waits for the other before it gives the connection up.
-	SilenceLimit = 3 * time.Second
+	SilenceLimit = 4 * HeartbeatPeriod
+	// staleAge is the age of a publisher's last contact with the leader from which on another one is asked.
+	staleAge = 1200 * time.Millisecond
 
 	recordsPerMessage = 4096
 	nodesPerMessage   = 256
--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -14,8 +14,12 @@
 	"samphiremount.example/node/pkg/carrier"
 )
 
-// trialHedge is the part of the usual time after which a request on trial is hedged.
-const trialHedge = 0.6
+const (
+	// trialHedge is the part of the usual time after which a request on trial is hedged.
+	trialHedge = 0.6
+	// latestHedge is the part of the objective after which a request is hedged, however long such requests take.
+	latestHedge = 0.9
+)
 
 // sending is one attempt on its way. Its result comes once.
 type sending struct {
@@ -53,7 +57,7 @@
 	body := f.body.reader()
 	s.group.Go(func() error {
 		answer, err := a.Client.Carry(ctx, way, s.head, body)
-		a.chooser.observe(s.placement, answer, err)
+		a.chooser.observe(s.placement, s.head, answer, err)
 		ended := sync.OnceFunc(func() {
 			cancel()
 			a.chooser.leave(target.Name)
@@ -127,11 +131,12 @@
 	if !f.head.Hedged || f.head.Insist || f.attempt.Reached > 0 {
 		return nil
 	}
-	after := a.HedgeAfter
+	after := max(time.Duration(a.HedgeAfter*float64(f.head.Allowed)), a.chooser.high(f.head.Allowed))
+	after = min(after, time.Duration(latestHedge*float64(f.head.Allowed)))
 	if first.trial {
-		after *= trialHedge
+		after = time.Duration(trialHedge * float64(after))
 	}
-	return time.After(time.Duration(after * float64(f.head.Allowed)))
+	return time.After(after)
 }
 
 // hedge launches a second attempt, if the budget allows it.
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -29,6 +29,11 @@
 	suspectPause = 300 * time.Millisecond
 	// trialShare is the part of the requests that may be repeated which try a suspect target, if there is one.
 	trialShare = 0.4
+	// heavyBytes is the mean size of an answer from which on it costs more to carry it between regions than to wait.
+	heavyBytes = 32 << 10
+	sizeWeight = 1.0 / 8
+	// maxKinds bounds the kinds of requests that are told apart.
+	maxKinds = 256
 	// lostLifetime is how long the targets of a node that control lost may still be used.
 	lostLifetime = 30 * time.Second
 )
@@ -50,6 +55,8 @@
 	paths    map[string]pather.Path
 	suspects map[string]time.Time
 	lost     map[string]time.Time
+	highs    map[time.Duration]time.Duration
+	sizes    map[time.Duration]float64
 	followed map[string]map[string]ejector.Entry
 	arrivals router.Arrivals
 
@@ -65,6 +72,7 @@
 		log: dependencies.Route, watcher: dependencies.Watcher, useLost: dependencies.UseLost, random: dependencies.Random,
 		inFlight: make(map[string]int), reports: make(map[string]router.Report), paths: make(map[string]pather.Path),
 		suspects: make(map[string]time.Time), lost: make(map[string]time.Time),
+		highs: make(map[time.Duration]time.Duration), sizes: make(map[time.Duration]float64),
 		followed: make(map[string]map[string]ejector.Entry),
 	}
 }
@@ -82,7 +90,9 @@
 	}
 	ejected := c.ejected(now, view, head.Service)
 	candidates := c.candidates(now, view, head, ejected)
-	request := router.Request{Repeatable: head.Repeatable, Tried: tried}
+	request := router.Request{
+		Repeatable: head.Repeatable, Tried: tried, Heavy: c.sizes[head.Allowed] > heavyBytes && head.Allowed > 0,
+	}
 	choice, err := c.router.Choose(now, c.random, request, candidates)
 	if err != nil {
 		return router.Choice{}, err
@@ -267,7 +277,7 @@
 }
 
 // observe takes what an attempt's end tells of the target's load and of the way there.
-func (c *chooser) observe(placement tracker.Placement, answer carrier.Answer, err error) {
+func (c *chooser) observe(placement tracker.Placement, head carrier.Head, answer carrier.Answer, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	target, now := placement.Target, time.Now()
@@ -284,12 +294,34 @@
 		}
 		return
 	}
+	c.learn(head.Allowed, answer)
 	if busy, err := strconv.Atoi(answer.Header.Get(carrier.HeaderBusy)); err == nil {
 		// The answer's own slot is about to be free again.
 		c.reports[target.Name] = router.Report{InFlight: max(busy-1, 0), At: now}
 	}
 }
 
+// learn takes what an answer tells of all requests of its kind, which have one objective.
+func (c *chooser) learn(objective time.Duration, answer carrier.Answer) {
+	if len(c.highs) >= maxKinds || len(c.sizes) >= maxKinds {
+		clear(c.highs)
+		clear(c.sizes)
+	}
+	if high, err := strconv.Atoi(answer.Header.Get(carrier.HeaderHigh)); err == nil {
+		c.highs[objective] = time.Duration(high) * time.Millisecond
+	}
+	if size, err := strconv.ParseFloat(answer.Header.Get("Content-Length"), 64); err == nil {
+		c.sizes[objective] += sizeWeight * (size - c.sizes[objective])
+	}
+}
+
+// high returns how long nearly all requests with the objective take at most, or 0 if that is not known.
+func (c *chooser) high(objective time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.highs[objective]
+}
+
 func (c *chooser) failPath(now time.Time, node string, cause error) {
 	before := c.paths[node]
 	c.paths[node] = before.WithFailure(now)
--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -11,8 +11,13 @@
 	"samphiremount.example/core/tombstoner"
 )
 
-// HeaderBusy is set by the gate on each answer: the number of the target's slots in use. It does not reach callers.
-const HeaderBusy = "Samphire-Busy"
+// Headers that the gate sets on an answer for the entry. They do not reach callers.
+const (
+	// HeaderBusy is the number of the target's slots in use and of requests that wait for one.
+	HeaderBusy = "Samphire-Busy"
+	// HeaderHigh is how many milliseconds nearly all requests of this kind take at most.
+	HeaderHigh = "Samphire-High"
+)
 
 // Head describes a request on its way to a target. ID identifies this attempt in the whole fleet, Request the request
 // that it is an attempt at. Origin is the service of the VM where the request began, if it is known. Incarnation is that
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -167,6 +167,9 @@
 	}
 	ended(observer.Answered{Status: response.StatusCode})
 	response.Header.Set(carrier.HeaderBusy, strconv.Itoa(g.busy(target.Name)))
+	if high := g.high(target.Name, head.Allowed); high > 0 {
+		response.Header.Set(carrier.HeaderHigh, strconv.FormatInt(high.Milliseconds(), 10))
+	}
 	return carrier.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
@@ -242,16 +245,33 @@
 	return 0
 }
 
+// high returns how long nearly all requests with the objective take at the target called name, or 0.
+func (g *Gatekeeper) high(name string, objective time.Duration) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l, ok := g.lines[name]; ok && objective > 0 {
+		return l.estimates[objective].High()
+	}
+	return 0
+}
+
 // watch records an attempt on target, and returns the function that records how it ended.
 func (g *Gatekeeper) watch(target registrar.Announcement, head carrier.Head) func(observer.Result) {
 	ended := g.watcher.Start(target.Name, target.Service)
 	if head.Allowed == 0 {
 		return ended
 	}
-	g.note(target.Name, func(now time.Time, s *suspector.Suspector) { s.Start(now, head.ID, now.Add(head.Allowed)) })
+	began := time.Now()
+	g.note(target.Name, func(now time.Time, l *line) { l.suspector.Start(now, head.ID, now.Add(l.high(head.Allowed))) })
 	return func(result observer.Result) {
 		ended(result)
-		g.note(target.Name, func(now time.Time, s *suspector.Suspector) { s.End(now, head.ID, suspicion(result)) })
+		g.note(target.Name, func(now time.Time, l *line) {
+			suspicion := suspicion(result)
+			l.suspector.End(now, head.ID, suspicion)
+			if _, served := suspicion.(suspector.Served); served {
+				l.observe(head.Allowed, now.Sub(began))
+			}
+		})
 	}
 }
 
--- a/node/pkg/gatekeeper/line.go
+++ b/node/pkg/gatekeeper/line.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"samphiremount.example/core/estimator"
 	"samphiremount.example/core/queuer"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
@@ -21,6 +22,8 @@
 	// waitPart is the part of the time to a request's objective, and after that to its deadline, for which it waits at
 	// one target. What is left is enough to be served by another.
 	waitPart = 0.4
+	// maxEstimates bounds the kinds of requests that are told apart.
+	maxEstimates = 64
 )
 
 // waitUntil returns when a request that begins to wait at now gives this target up.
@@ -33,6 +36,27 @@
 	return now.Add(max(wait, 0))
 }
 
+// late returns from when on a request that starts here would most likely miss its objective.
+func (l *line) late(head carrier.Head) time.Time {
+	if head.Allowed == 0 {
+		return time.Time{}
+	}
+	return head.Objective.Add(-l.estimates[head.Allowed].Mean())
+}
+
+// observe takes how long a request with the objective took that was served here. Requests of one kind have one objective.
+func (l *line) observe(objective, span time.Duration) {
+	if len(l.estimates) >= maxEstimates {
+		clear(l.estimates)
+	}
+	l.estimates[objective] = l.estimates[objective].With(span)
+}
+
+// high returns how long nearly all requests with the objective take at most.
+func (l *line) high(objective time.Duration) time.Duration {
+	return max(objective, l.estimates[objective].High())
+}
+
 // examine refuses a request that the target should not get now, since it would most likely hang or fail there. Routes
 // that do not say what a sound target takes are not judged.
 func (l *line) examine(now time.Time, head carrier.Head) error {
@@ -63,12 +87,12 @@
 	return l
 }
 
-// note passes evidence on a target to its suspector.
-func (g *Gatekeeper) note(name string, evidence func(now time.Time, s *suspector.Suspector)) {
+// note passes evidence on a target to its line.
+func (g *Gatekeeper) note(name string, evidence func(now time.Time, l *line)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l, ok := g.lines[name]; ok {
-		evidence(time.Now(), l.suspector)
+		evidence(time.Now(), l)
 	}
 }
 
@@ -77,6 +101,7 @@
 	slots     int
 	inFlight  int
 	suspector *suspector.Suspector
+	estimates map[time.Duration]estimator.Estimate
 	queue     *queuer.Queuer
 	waiting   map[string]chan bool
 	tickets   uint64
@@ -87,7 +112,8 @@
 
 func newLine(slots int) *line {
 	return &line{
-		slots: slots, suspector: suspector.New(), queue: queuer.New(waitersPerSlot * slots), waiting: make(map[string]chan bool),
+		slots: slots, suspector: suspector.New(), estimates: make(map[time.Duration]estimator.Estimate),
+		queue: queuer.New(waitersPerSlot * slots), waiting: make(map[string]chan bool),
 	}
 }
 
@@ -102,8 +128,8 @@
 		return ticket, granted
 	}
 	deadline := waitUntil(now, head)
-	dropped := l.queue.Push(queuer.Waiter{
-		ID: ticket, Workspace: head.Workspace, Weight: head.Weight, Deadline: deadline,
+	dropped := l.queue.Push(now, queuer.Waiter{
+		ID: ticket, Workspace: head.Workspace, Weight: head.Weight, Deadline: deadline, Rank: int(head.Rank), Late: l.late(head),
 	})
 	if dropped != "" {
 		l.tell(dropped, false)
