Try the next publisher when one fails, with a short bound on connecting

Cause: a node whose publisher was frozen tried the same one again, since a try that took as long as a subscription counted as one.

--- a/core/synchronizer/client.go
+++ b/core/synchronizer/client.go
@@ -18,6 +18,8 @@
 const (
 	minPause = 100 * time.Millisecond
 	maxPause = 2 * time.Second
+	// dialLimit bounds a new connection to a publisher. One that is there answers within a few ways between regions.
+	dialLimit = 800 * time.Millisecond
 	// substitutePeriod is how long a client stays, on average, with a publisher that is not its best.
 	substitutePeriod = 30 * time.Second
 	// staleStay is how long a client stays with a publisher that is cut off from the leader, so that it has what that one
@@ -25,7 +27,11 @@
 	staleStay = 300 * time.Millisecond
 )
 
-var errStale = errors.New("the publisher is out of contact with the leader")
+var (
+	errStale = errors.New("the publisher is out of contact with the leader")
+	// errSubstitute ends the time with a publisher that is not the best one. The best is tried next.
+	errSubstitute = errors.New("the publisher was a substitute")
+)
 
 // Sink takes what a publisher sends, if it is newer than what it holds.
 type Sink interface {
@@ -79,9 +85,9 @@
 		c.log.Warn("subscription lost", "address", address, "reason", err.Error())
 		if time.Since(started) > SilenceLimit {
 			wait = minPause
-			if !errors.Is(err, errStale) {
-				turn = -1
-			}
+		}
+		if errors.Is(err, errSubstitute) {
+			turn = -1
 		}
 		pause(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, maxPause)
@@ -97,12 +103,18 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, substitutePeriod/2+rand.N(substitutePeriod))
 	defer cancel()
-	return c.follow(bounded, address)
+	err := c.follow(bounded, address)
+	if bounded.Err() != nil {
+		return errSubstitute
+	}
+	return err
 }
 
 func (c *Client) follow(ctx context.Context, address string) error {
 	group, ctx := errgroup.WithContext(ctx)
-	conn, err := c.pool.Dial(ctx, address)
+	dialling, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	conn, err := c.pool.Dial(dialling, address)
 	if err != nil {
 		return err
 	}
