--- a/core/refuser/refusal.go
+++ b/core/refuser/refusal.go
@@ -37,11 +37,13 @@
 	}
 }
 
-// Refusal is the error that carries a Kind to the caller, with what is known of the request's outcome.
+// Refusal is the error that carries a Kind to the caller, with what is known of the request's outcome. Load is the number
+// of requests in the slots of the target and before them, where a gate refused for want of capacity.
 type Refusal struct {
 	Kind    Kind
 	Outcome Outcome
 	Detail  string
+	Load    int
 }
 
 // Error returns the kind and the detail.
--- a/core/suspector/suspector.go
+++ b/core/suspector/suspector.go
@@ -23,6 +23,11 @@
 	mostBad      = 2.5
 	// trialPause is the least time between two requests that a suspect target gets.
 	trialPause = 400 * time.Millisecond
+
+	// doubtfulStall and suspectStall are numbers of requests that a sound target would have ended since the last one
+	// ended. If requests end at random, none of them does with a probability of exp(-4.5) and exp(-8).
+	doubtfulStall = 4.5
+	suspectStall  = 8
 )
 
 var (
@@ -65,13 +70,17 @@
 // Suspector holds the evidence on one target. It is not safe for concurrent use.
 type Suspector struct {
 	level   float64
+	stall   float64
+	counted time.Time
 	running map[string]run
 	tried   time.Time
 }
 
-// run is a request in progress. It is overdue from due on, which counts as bad once.
+// run is a request in progress. It is overdue from due on, which counts as bad once. Typical is how long such requests
+// take on average, or 0.
 type run struct {
 	due     time.Time
+	typical time.Duration
 	overdue bool
 }
 
@@ -81,12 +90,13 @@
 }
 
 // Start notes that the request called id went to the target at now. A sound target answers nearly all requests before
-// due.
-func (s *Suspector) Start(now time.Time, id string, due time.Time) {
+// due, and after typical on average, if that is known.
+func (s *Suspector) Start(now time.Time, id string, due time.Time, typical time.Duration) {
 	if _, suspect := s.Judge(now).(Suspect); suspect {
 		s.tried = now
 	}
-	s.running[id] = run{due: due}
+	s.count(now)
+	s.running[id] = run{due: due, typical: typical}
 }
 
 // End notes that the request called id ended at now.
@@ -97,6 +107,9 @@
 		return
 	}
 	delete(s.running, id)
+	if _, withdrawn := result.(Withdrawn); !withdrawn {
+		s.stall = 0
+	}
 	switch result.(type) {
 	case Served:
 		s.level = max(0, s.level+goodWeight)
@@ -114,18 +127,26 @@
 func (s *Suspector) Judge(now time.Time) Verdict {
 	s.count(now)
 	switch {
-	case s.level >= suspectAfter*badWeight:
+	case s.level >= suspectAfter*badWeight || s.stall >= suspectStall:
 		return Suspect{Trial: now.Sub(s.tried) >= trialPause}
-	case s.level >= badWeight:
+	case s.level >= badWeight || s.stall >= doubtfulStall:
 		return Doubtful{}
 	default:
 		return Sound{}
 	}
 }
 
-// count counts the requests that became overdue.
+// count counts the requests that became overdue, and those that should have ended since it was called last.
 func (s *Suspector) count(now time.Time) {
+	passed := max(now.Sub(s.counted), 0)
+	s.counted = now
+	if len(s.running) == 0 {
+		s.stall = 0
+	}
 	for id, r := range s.running {
+		if r.typical > 0 {
+			s.stall += float64(passed) / float64(r.typical)
+		}
 		if !r.overdue && !now.Before(r.due) {
 			r.overdue = true
 			s.running[id] = r
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -104,7 +104,7 @@
 	a.Route.Info("request matched", "request", call.ID, "route", admission.route.Name, "service", head.Service,
 		"workspace", head.Workspace, "rank", int(head.Rank), "repeatable", head.Repeatable, "remaining", deadline.Sub(now),
 		"version", view.Configuration.Version(), "number", view.Configuration.Number())
-	head.Careful = !head.Repeatable
+	head.Careful, head.Immediate = !head.Repeatable, head.Allowed > 0
 	head.Hedged = a.HedgeAfter > 0 && head.Repeatable && head.Length == 0 && head.Allowed > 0
 	return a.forward(ctx, forwarding{head: head, body: newBody(call, admission.presented), attempts: admission.route.Attempts})
 }
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -56,6 +56,7 @@
 	suspects map[string]time.Time
 	lost     map[string]time.Time
 	highs    map[time.Duration]time.Duration
+	means    map[time.Duration]time.Duration
 	sizes    map[time.Duration]float64
 	followed map[string]map[string]ejector.Entry
 	arrivals router.Arrivals
@@ -72,7 +73,7 @@
 		log: dependencies.Route, watcher: dependencies.Watcher, useLost: dependencies.UseLost, random: dependencies.Random,
 		inFlight: make(map[string]int), reports: make(map[string]router.Report), paths: make(map[string]pather.Path),
 		suspects: make(map[string]time.Time), lost: make(map[string]time.Time),
-		highs: make(map[time.Duration]time.Duration), sizes: make(map[time.Duration]float64),
+		highs: make(map[time.Duration]time.Duration), means: make(map[time.Duration]time.Duration), sizes: make(map[time.Duration]float64),
 		followed: make(map[string]map[string]ejector.Entry),
 	}
 }
@@ -284,7 +285,7 @@
 	if err != nil {
 		switch refuser.From(err).Kind {
 		case refuser.CapacityShort:
-			c.reports[target.Name] = router.Report{InFlight: target.Slots, At: now}
+			c.reports[target.Name] = router.Report{InFlight: max(target.Slots, refuser.From(err).Load), At: now}
 		case refuser.TargetSuspect:
 			c.suspects[target.Name] = now.Add(suspectPause)
 		case refuser.NodeUnreachable:
@@ -305,16 +306,27 @@
 func (c *chooser) learn(objective time.Duration, answer carrier.Answer) {
 	if len(c.highs) >= maxKinds || len(c.sizes) >= maxKinds {
 		clear(c.highs)
+		clear(c.means)
 		clear(c.sizes)
 	}
 	if high, err := strconv.Atoi(answer.Header.Get(carrier.HeaderHigh)); err == nil {
 		c.highs[objective] = time.Duration(high) * time.Millisecond
 	}
+	if mean, err := strconv.Atoi(answer.Header.Get(carrier.HeaderMean)); err == nil {
+		c.means[objective] = time.Duration(mean) * time.Millisecond
+	}
 	if size, err := strconv.ParseFloat(answer.Header.Get("Content-Length"), 64); err == nil {
 		c.sizes[objective] += sizeWeight * (size - c.sizes[objective])
 	}
 }
 
+// mean returns how long requests with the objective take on average, or 0 if that is not known.
+func (c *chooser) mean(objective time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.means[objective]
+}
+
 // high returns how long nearly all requests with the objective take at most, or 0 if that is not known.
 func (c *chooser) high(objective time.Duration) time.Duration {
 	c.mu.Lock()
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -13,6 +13,9 @@
 	"samphiremount.example/node/pkg/viewer"
 )
 
+// immediateTries is the number of targets that are asked for a free slot before a request waits for one.
+const immediateTries = 4
+
 // forwarding is one request on its way through as many attempts as it takes. Doubt is set once an attempt may have
 // run: a later one that did not run does not take that back. Reached are the targets that may have run it, tried all that it was sent to.
 type forwarding struct {
@@ -61,6 +64,7 @@
 func (f *forwarding) next() {
 	f.attempt.Number++
 	f.head.Careful = !f.head.Repeatable || f.attempt.Reached > 0
+	f.head.Immediate = f.head.Allowed > 0 && f.attempt.Number <= immediateTries
 	f.head.ID = fmt.Sprintf("%s.%d", f.head.Request, f.attempt.Number)
 }
 
@@ -96,6 +100,10 @@
 	if ctx.Err() != nil || !f.body.replayable() {
 		return false
 	}
+	if !f.doubt && time.Now().Add(a.chooser.mean(f.head.Allowed)).After(f.head.Deadline) {
+		a.Route.Info("request given up", "request", f.head.ID, "target", f.head.Target, "reason", "too little time is left")
+		return false
+	}
 	switch decision := a.decide(ctx, event, f.attempt).(type) {
 	case retrier.Send:
 		a.Route.Info("request sent again", "request", f.head.ID, "target", f.head.Target, "reason", decision.Reason)
--- a/node/pkg/carrier/exchange.go
+++ b/node/pkg/carrier/exchange.go
@@ -122,6 +122,7 @@
 		e.reading, e.refused = tombstoner.Reading(refused.Reading), true
 		return Answer{}, &refuser.Refusal{
 			Kind: refuser.Kind(refused.Kind), Outcome: refuser.ParseOutcome(refused.Outcome), Detail: refused.Detail,
+			Load: refused.Load,
 		}
 	case frameAnswer:
 		var answer answerBody
--- a/node/pkg/carrier/frame.go
+++ b/node/pkg/carrier/frame.go
@@ -48,6 +48,7 @@
 	Outcome string `cbor:"2,keyasint"`
 	Detail  string `cbor:"3,keyasint,omitempty"`
 	Reading int64  `cbor:"4,keyasint"`
+	Load    int    `cbor:"5,keyasint,omitempty"`
 }
 
 // progressBody says that the connection and the gate are alive, and whether the request went to the target.
@@ -79,6 +80,7 @@
 	Insist      bool                `cbor:"20,keyasint,omitempty"`
 	Allowed     int64               `cbor:"21,keyasint,omitempty"`
 	Careful     bool                `cbor:"22,keyasint,omitempty"`
+	Immediate   bool                `cbor:"23,keyasint,omitempty"`
 }
 
 type answerBody struct {
--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -17,6 +17,8 @@
 	HeaderBusy = "Samphire-Busy"
 	// HeaderHigh is how many milliseconds nearly all requests of this kind take at most.
 	HeaderHigh = "Samphire-High"
+	// HeaderMean is how many milliseconds requests of this kind take on average.
+	HeaderMean = "Samphire-Mean"
 )
 
 // Head describes a request on its way to a target. ID identifies this attempt in the whole fleet, Request the request
@@ -51,6 +53,8 @@
 	Hedged bool
 	// Careful asks for a sound target only: the request may not be repeated, or was sent to another one before.
 	Careful bool
+	// Immediate asks for a slot that is free now: other targets may have one.
+	Immediate bool
 	// Insist asks for a target that its gate takes for suspect, since no other is left.
 	Insist bool
 	// StartBefore is set by Client.Carry from what it knows of the gate's clock.
@@ -104,7 +108,8 @@
 		Repeatable: h.Repeatable, Remaining: h.Deadline.Sub(now).Milliseconds(), Method: h.Method, URI: h.URI,
 		Host: h.Host, Header: h.Header, Length: h.Length, StartBefore: int64(h.StartBefore),
 		Trailer: h.Trailer, Weight: h.Weight, Request: h.Request, Origin: h.Origin, Rank: int(h.Rank),
-		Objective: h.Objective.Sub(now).Milliseconds(), Insist: h.Insist, Careful: h.Careful, Allowed: h.Allowed.Milliseconds(),
+		Objective: h.Objective.Sub(now).Milliseconds(), Insist: h.Insist, Careful: h.Careful, Immediate: h.Immediate,
+		Allowed: h.Allowed.Milliseconds(),
 	}
 }
 
@@ -114,7 +119,7 @@
 		Repeatable: b.Repeatable, Deadline: now.Add(time.Duration(b.Remaining) * time.Millisecond), Method: b.Method,
 		URI: b.URI, Host: b.Host, Header: b.Header, Length: b.Length, StartBefore: tombstoner.Reading(b.StartBefore),
 		Trailer: b.Trailer, Weight: b.Weight, Request: b.Request, Origin: b.Origin, Rank: configurer.Rank(b.Rank),
-		Objective: now.Add(time.Duration(b.Objective) * time.Millisecond), Insist: b.Insist, Careful: b.Careful,
+		Objective: now.Add(time.Duration(b.Objective) * time.Millisecond), Insist: b.Insist, Careful: b.Careful, Immediate: b.Immediate,
 		Allowed: time.Duration(b.Allowed) * time.Millisecond,
 	}
 }
--- a/node/pkg/carrier/server.go
+++ b/node/pkg/carrier/server.go
@@ -116,6 +116,7 @@
 func (s *Server) refuse(stream drpc.Stream, refusal *refuser.Refusal) error {
 	return send(stream, frameRefused, refusedBody{
 		Kind: string(refusal.Kind), Outcome: refusal.Outcome.String(), Detail: refusal.Detail, Reading: s.reading(),
+		Load: refusal.Load,
 	})
 }
 
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"samphiremount.example/core/estimator"
 	"samphiremount.example/core/observer"
 	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/refuser"
@@ -167,8 +168,9 @@
 	}
 	ended(observer.Answered{Status: response.StatusCode})
 	response.Header.Set(carrier.HeaderBusy, strconv.Itoa(g.busy(target.Name)))
-	if high := g.high(target.Name, head.Allowed); high > 0 {
-		response.Header.Set(carrier.HeaderHigh, strconv.FormatInt(high.Milliseconds(), 10))
+	if estimate := g.estimate(target.Name, head.Allowed); estimate.Known() {
+		response.Header.Set(carrier.HeaderHigh, strconv.FormatInt(estimate.High().Milliseconds(), 10))
+		response.Header.Set(carrier.HeaderMean, strconv.FormatInt(estimate.Mean().Milliseconds(), 10))
 	}
 	return carrier.Answer{
 		Status: response.StatusCode,
@@ -245,14 +247,14 @@
 	return 0
 }
 
-// high returns how long nearly all requests with the objective take at the target called name, or 0.
-func (g *Gatekeeper) high(name string, objective time.Duration) time.Duration {
+// estimate returns how long requests with the objective take at the target called name.
+func (g *Gatekeeper) estimate(name string, objective time.Duration) estimator.Estimate {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l, ok := g.lines[name]; ok && objective > 0 {
-		return l.estimates[objective].High()
+		return l.estimates[objective]
 	}
-	return 0
+	return estimator.Estimate{}
 }
 
 // watch records an attempt on target, and returns the function that records how it ended.
@@ -262,7 +264,7 @@
 		return ended
 	}
 	began := time.Now()
-	g.note(target.Name, func(now time.Time, l *line) { l.suspector.Start(now, head.ID, now.Add(l.high(head.Allowed))) })
+	g.note(target.Name, func(now time.Time, l *line) { l.start(now, head) })
 	return func(result observer.Result) {
 		ended(result)
 		g.note(target.Name, func(now time.Time, l *line) {
--- a/node/pkg/gatekeeper/line.go
+++ b/node/pkg/gatekeeper/line.go
@@ -36,6 +36,29 @@
 	return now.Add(max(wait, 0))
 }
 
+// room refuses a request that cannot be served here in time, or that goes elsewhere rather than wait.
+func (l *line) room(now time.Time, head carrier.Head) error {
+	full := l.inFlight >= l.slots || l.queue.Len() > 0 || len(l.alone) > 0
+	detail := ""
+	switch {
+	case full && head.Immediate:
+		detail = "no slot of the target is free"
+	case now.Add(l.estimates[head.Allowed].Mean()).After(head.Deadline):
+		detail = "too little time is left"
+	default:
+		return nil
+	}
+	return &refuser.Refusal{
+		Kind: refuser.CapacityShort, Outcome: refuser.NotRun{}, Detail: detail, Load: l.inFlight + l.queue.Len(),
+	}
+}
+
+// start tells the suspector of a request that goes to the target.
+func (l *line) start(now time.Time, head carrier.Head) {
+	estimate := l.estimates[head.Allowed]
+	l.suspector.Start(now, head.ID, now.Add(max(head.Allowed, estimate.High())), estimate.Mean())
+}
+
 // late returns from when on a request that starts here would most likely miss its objective.
 func (l *line) late(head carrier.Head) time.Time {
 	if head.Allowed == 0 {
@@ -52,11 +75,6 @@
 	l.estimates[objective] = l.estimates[objective].With(span)
 }
 
-// high returns how long nearly all requests with the objective take at most.
-func (l *line) high(objective time.Duration) time.Duration {
-	return max(objective, l.estimates[objective].High())
-}
-
 // examine refuses a request that the target should not get now, since it would most likely hang or fail there. Routes
 // that do not say what a sound target takes are not judged.
 func (l *line) examine(now time.Time, head carrier.Head) error {
@@ -191,7 +209,11 @@
 ) error {
 	g.mu.Lock()
 	l := g.line(target)
-	if err := l.examine(time.Now(), head); err != nil {
+	err := l.examine(time.Now(), head)
+	if err == nil {
+		err = l.room(time.Now(), head)
+	}
+	if err != nil {
 		g.mu.Unlock()
 		return err
 	}
