Decide in stages where each further try looks for a target

Cause: a request that found its first targets full crossed to the other region at once, or waited long at one of them, while slots nearby came free; bytes between regions were the greatest price. core/escalator orders the tries.

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -29,8 +29,8 @@
 type Request struct {
 	Repeatable bool
 	Tried      []string
-	// Heavy says that the answer is large: it does not go to another region for the sake of load alone.
-	Heavy bool
+	// Near keeps the request in the own region, if that has a target that is not ejected, were it one of Tried.
+	Near bool
 }
 
 // Candidate is a target that a request may go to. Load is the number of its requests in flight from this node.
@@ -88,7 +88,9 @@
 func (r Router) Choose(now time.Time, random *rand.Rand, request Request, candidates []Candidate) (Choice, error) {
 	var tiers [tierCount]tier
 	var trials, all tier
+	near := false
 	for _, candidate := range candidates {
+		near = near || request.Near && r.tierOf(candidate.Placement.Node) < farTier && candidate.serves()
 		weighed, ok := r.weigh(now, request, candidate)
 		if !ok {
 			continue
@@ -107,7 +109,7 @@
 	chosen, reason := -1, ""
 	for place := range tiers {
 		next := tiers[place]
-		if len(next.usable) == 0 || chosen >= 0 && !r.relieves(request, next, tiers[chosen]) {
+		if len(next.usable) == 0 || near && place == farTier || chosen >= 0 && !r.relieves(next, tiers[chosen]) {
 			continue
 		}
 		if chosen >= 0 {
--- a/core/router/tier.go
+++ b/core/router/tier.go
@@ -8,6 +8,9 @@
 
 const tierCount = 3
 
+// farTier is that of the other region.
+const farTier = tierCount - 1
+
 var tierNames = [tierCount]string{"own data centre", "own region", "other region"}
 
 func (r Router) tierName(place int) string {
@@ -28,6 +31,12 @@
 	}
 }
 
+// serves reports whether the target is in use, whether or not the request was sent there before.
+func (c Candidate) serves() bool {
+	_, serving := c.Standing.(Serving)
+	return serving && !c.Placement.Target.Leaving
+}
+
 // weighed is a usable candidate. Slots are those that it may use now, fewer while it starts slowly.
 // Penalty is added to its load in a comparison with others.
 type weighed struct {
@@ -65,11 +74,11 @@
 const farMargin = 0.3
 
 // relieves reports whether a request should go to the farther tier next, since near is short of capacity.
-func (r Router) relieves(request Request, next, near tier) bool {
+func (r Router) relieves(next, near tier) bool {
 	if !r.regional {
 		return next.load() < near.load()
 	}
-	return !request.Heavy && next.load()+farMargin < near.load()
+	return next.load()+farMargin < near.load()
 }
 
 // tier is the set of usable candidates at one distance.
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/escalator"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
@@ -104,9 +105,15 @@
 	a.Route.Info("request matched", "request", call.ID, "route", admission.route.Name, "service", head.Service,
 		"workspace", head.Workspace, "rank", int(head.Rank), "repeatable", head.Repeatable, "remaining", deadline.Sub(now),
 		"version", view.Configuration.Version(), "number", view.Configuration.Number())
-	head.Careful, head.Immediate = !head.Repeatable, head.Allowed > 0
+	head.Careful = !head.Repeatable
 	head.Hedged = a.HedgeAfter > 0 && head.Repeatable && head.Length == 0 && head.Allowed > 0
-	return a.forward(ctx, forwarding{head: head, body: newBody(call, admission.presented), attempts: admission.route.Attempts})
+	plan := escalator.Plain()
+	if head.Allowed > 0 {
+		plan = escalator.New(a.chooser.heavy(head.Allowed))
+	}
+	return a.forward(ctx, forwarding{
+		head: head, body: newBody(call, admission.presented), attempts: admission.route.Attempts, plan: plan,
+	})
 }
 
 // rank puts the workspace's rank before the route's.
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -79,9 +79,10 @@
 }
 
 // choose picks a target for the request and counts it as in flight there until leave is called. Tried are the targets
-// of the request's earlier attempts. Targets that are suspect or that this node does not reach are chosen only for a
+// of the request's earlier attempts. A request that stays near goes to another region only if its own has no target.
+// Targets that are suspect or that this node does not reach are chosen only for a
 // request that insists.
-func (c *chooser) choose(view *viewer.View, head carrier.Head, tried ...string) (router.Choice, error) {
+func (c *chooser) choose(view *viewer.View, head carrier.Head, near bool, tried ...string) (router.Choice, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -91,9 +92,7 @@
 	}
 	ejected := c.ejected(now, view, head.Service)
 	candidates := c.candidates(now, view, head, ejected)
-	request := router.Request{
-		Repeatable: head.Repeatable, Tried: tried, Heavy: c.sizes[head.Allowed] > heavyBytes && head.Allowed > 0,
-	}
+	request := router.Request{Repeatable: head.Repeatable, Tried: tried, Near: near}
 	choice, err := c.router.Choose(now, c.random, request, candidates)
 	if err != nil {
 		return router.Choice{}, err
@@ -327,6 +326,13 @@
 	return c.means[objective]
 }
 
+// heavy reports whether answers to requests with the objective are too large to cross regions for the sake of load.
+func (c *chooser) heavy(objective time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sizes[objective] > heavyBytes
+}
+
 // high returns how long nearly all requests with the objective take at most, or 0 if that is not known.
 func (c *chooser) high(objective time.Duration) time.Duration {
 	c.mu.Lock()
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"samphiremount.example/core/escalator"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
@@ -13,11 +14,9 @@
 	"samphiremount.example/node/pkg/viewer"
 )
 
-// immediateTries is the number of targets that are asked for a free slot before a request waits for one.
-const immediateTries = 4
-
 // forwarding is one request on its way through as many attempts as it takes. Doubt is set once an attempt may have
-// run: a later one that did not run does not take that back. Reached are the targets that may have run it, tried all that it was sent to.
+// run: a later one that did not run does not take that back. Reached are the targets that may have run it, tried those
+// that it does not go to for now.
 type forwarding struct {
 	head     carrier.Head
 	body     *body
@@ -26,6 +25,7 @@
 	tried    []string
 	reached  []string
 	doubt    bool
+	plan     escalator.Plan
 }
 
 // forward sends a request to a target, and to another one after a failure where that is safe and within the budget.
@@ -64,7 +64,6 @@
 func (f *forwarding) next() {
 	f.attempt.Number++
 	f.head.Careful = !f.head.Repeatable || f.attempt.Reached > 0
-	f.head.Immediate = f.head.Allowed > 0 && f.attempt.Number <= immediateTries
 	f.head.ID = fmt.Sprintf("%s.%d", f.head.Request, f.attempt.Number)
 }
 
@@ -78,16 +77,25 @@
 	return answer, true, err
 }
 
-// choose picks a target for the next attempt. Once no other is left it insists on those that are suspect or were not
-// reached before, but never on one that may have got the request.
+// choose picks a target for the next attempt, by the request's plan. It never goes to one that may have run it.
 func (a *Acceptor) choose(view *viewer.View, f *forwarding) (router.Choice, error) {
-	choice, err := a.chooser.choose(view, f.head, f.tried...)
-	if err == nil || f.head.Insist {
-		return choice, err
+	for {
+		try := f.plan.Try()
+		f.head.Immediate, f.head.Insist = try.Immediate, try.Insist
+		choice, err := a.chooser.choose(view, f.head, try.Near, f.tried...)
+		var anew, last bool
+		if err == nil {
+			f.plan, anew = f.plan.WithTry()
+		} else {
+			f.plan, anew, last = f.plan.WithoutTarget()
+		}
+		if anew {
+			f.tried = slices.Clone(f.reached)
+		}
+		if err == nil || last {
+			return choice, err
+		}
 	}
-	f.head.Insist = true
-	f.tried = slices.Clone(f.reached)
-	return a.chooser.choose(view, f.head, f.tried...)
 }
 
 // again reports whether the request goes out once more after an attempt that ended with answer or err.
