--- /dev/null
+++ b/core/budgeter/ledger_test.go
@@ -0,0 +1,58 @@
+package budgeter_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"samphiremount.example/core/budgeter"
+)
+
+var (
+	start     = time.Unix(1000, 0)
+	allowance = budgeter.Allowance{Ratio: 0.1, Slack: 30, Window: 10 * time.Second}
+)
+
+// event is a moment at which nodes told of requests and sends were granted.
+type event struct {
+	at      time.Time
+	asked   int
+	granted int
+}
+
+// TestGrantsStayWithinTheWindow compares each window of a random history with what the allowance says.
+func TestGrantsStayWithinTheWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ledger budgeter.Ledger
+		var history []event
+		now := start
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
+			e := event{at: now, asked: rapid.IntRange(0, 40).Draw(t, "asked")}
+			ledger = ledger.With(now, allowance, e.asked)
+			for range rapid.IntRange(0, 60).Draw(t, "draws") {
+				var ok bool
+				if ledger, ok = ledger.Draw(now, allowance); ok {
+					e.granted++
+				}
+			}
+			history = append(history, e)
+			asked, granted := 0, 0
+			for _, past := range history {
+				if now.Sub(past.at) < allowance.Window {
+					asked += past.asked
+					granted += past.granted
+				}
+			}
+			assert.Assert(t, float64(granted) <= allowance.Ratio*float64(asked)+allowance.Slack,
+				"%d granted for %d requests", granted, asked)
+		}
+	})
+}
+
+func TestNewLedgerGrantsNothing(t *testing.T) {
+	_, ok := budgeter.Ledger{}.Draw(start, allowance)
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/core/locator/locator_test.go
@@ -0,0 +1,48 @@
+package locator_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/locator"
+	"samphiremount.example/core/tracker"
+)
+
+type source []tracker.Control
+
+func (s source) Controls() []tracker.Control { return s }
+
+var known = source{
+	{Name: "far", Region: "south", Centre: "dunedin", Address: "10.0.0.3:1"},
+	{Name: "region", Region: "north", Centre: "hamilton", Address: "10.0.0.2:1"},
+	{Name: "near", Region: "north", Centre: "auckland", Address: "10.0.0.1:1"},
+}
+
+func TestSeedsComeLastOnceControlIsKnown(t *testing.T) {
+	place := locator.Place{Name: "node", Region: "north", Centre: "auckland"}
+	seeds := []string{"10.0.0.9:1", "10.0.0.2:1"}
+	assert.DeepEqual(t, locator.New(place, seeds, source(nil)).Addresses(), seeds)
+	assert.DeepEqual(t, locator.New(place, seeds, known).Addresses(),
+		[]string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.9:1"})
+}
+
+func TestOthersLacksTheOwnProcess(t *testing.T) {
+	place := locator.Place{Name: "near", Region: "north", Centre: "auckland"}
+	assert.DeepEqual(t, locator.New(place, nil, known).Others(), []string{"10.0.0.2:1", "10.0.0.3:1"})
+}
+
+func TestOwnerIsTheSameEverywhere(t *testing.T) {
+	reversed := source{known[2], known[1], known[0]}
+	owners := make(map[string]bool)
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		first, ok := locator.New(locator.Place{Name: "x"}, nil, known).Owner(name)
+		assert.Assert(t, ok)
+		second, _ := locator.New(locator.Place{Name: "y", Region: "south"}, nil, reversed).Owner(name)
+		assert.Equal(t, first, second)
+		owners[first] = true
+	}
+	assert.Assert(t, len(owners) > 1)
+	_, ok := locator.New(locator.Place{}, []string{"10.0.0.9:1"}, source(nil)).Owner("a")
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/core/pather/pather_test.go
@@ -0,0 +1,44 @@
+package pather_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/pather"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestPauseDoublesUntilTheNodeIsReached(t *testing.T) {
+	var path pather.Path
+	now := start
+	for _, pause := range []time.Duration{1, 2, 4, 8, 8} {
+		path = path.WithFailure(now)
+		assert.Assert(t, path.Avoided(now.Add(pause*time.Second-1)))
+		assert.Assert(t, !path.Avoided(now.Add(pause*time.Second)))
+		now = now.Add(pause * time.Second)
+	}
+	path = path.WithReached(now, time.Millisecond).WithFailure(now)
+	assert.Assert(t, !path.Avoided(now.Add(time.Second)))
+}
+
+func TestFailuresOfOneMomentCountOnce(t *testing.T) {
+	path := pather.Path{}.WithFailure(start)
+	for range 10 {
+		path = path.WithFailure(start.Add(time.Millisecond))
+	}
+	assert.Assert(t, !path.Avoided(start.Add(time.Second)))
+}
+
+func TestLimitFollowsTheRoundTrip(t *testing.T) {
+	unknown := pather.Path{}.Limit()
+	near, far := pather.Path{}, pather.Path{}
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * time.Second)
+		near, far = near.WithReached(now, time.Millisecond), far.WithReached(now, 41*time.Millisecond)
+	}
+	assert.Assert(t, near.Limit() < unknown)
+	assert.Assert(t, far.Limit() > 2*41*time.Millisecond && far.Limit() < time.Second, "%v", far.Limit())
+}
--- a/core/recruiter/recruiter.go
+++ b/core/recruiter/recruiter.go
@@ -10,15 +10,15 @@
 )
 
 const (
-	// replaceAfter is how long a voter must be silent before a newcomer takes its place. A process that restarts is back
-	// sooner.
+	// replaceAfter is how long a voter must be silent before a newcomer takes its place, or before it is dropped. A process
+	// that restarts is back sooner.
 	replaceAfter = 3 * time.Second
-	// dropAfter is how long a surplus voter or a learner must be silent before it is removed without a successor.
+	// dropAfter is how long a learner must be silent before it is removed.
 	dropAfter = 10 * time.Second
 	// reportLifetime is how long a newcomer's report counts.
 	reportLifetime = 3 * time.Second
-	// enoughVoters is the number of voters from which a silent one is only in the way: five tolerate two losses.
-	enoughVoters = 5
+	// leastEven is the least even number of voters that is made odd by dropping a silent one.
+	leastEven = 4
 	// MaxVoters bounds what each accepted change must be sent to.
 	MaxVoters = 7
 )
@@ -54,7 +54,8 @@
 // Decide returns the next step for members at now. Silent holds, for each member that the leader does not hear, since
 // when. A newcomer at the address of a voter is that voter's process with a lost disk, and takes its place at once.
 // Another newcomer takes the place of the voter that has been silent longest, if any has been for replaceAfter; else it
-// becomes one more voter.
+// becomes one more voter. A silent voter of an even number is dropped: without it a quorum is smaller, and the rest
+// tolerates one more loss. It may report and join again.
 func Decide(
 	now time.Time, members replicator.Membership, silent map[replicator.Identity]time.Time, newcomers []Newcomer,
 ) Step {
@@ -75,9 +76,9 @@
 	if lost, ok := longestSilent(now, learners(members), silent, dropAfter); ok {
 		return Drop{lost, "a learner is lost"}
 	}
-	if len(members.Voters) > enoughVoters {
-		if lost, ok := longestSilent(now, members.Voters, silent, dropAfter); ok {
-			return Drop{lost, "a voter beyond those needed is lost"}
+	if len(members.Voters) >= leastEven && len(members.Voters)%2 == 0 {
+		if lost, ok := longestSilent(now, members.Voters, silent, replaceAfter); ok {
+			return Drop{lost, "a voter of an even number is lost"}
 		}
 	}
 	return Wait{}
--- /dev/null
+++ b/core/recruiter/recruiter_test.go
@@ -0,0 +1,170 @@
+package recruiter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"samphiremount.example/core/recruiter"
+	"samphiremount.example/core/replicator"
+)
+
+var start = time.Unix(1000, 0)
+
+func member(identity, address string) replicator.Member {
+	return replicator.Member{Identity: replicator.Identity(identity), Name: identity, Address: address}
+}
+
+func voters(identities ...string) replicator.Membership {
+	var members replicator.Membership
+	for _, identity := range identities {
+		members.Voters = append(members.Voters, member(identity, "at-"+identity))
+	}
+	return members
+}
+
+func reports(at time.Time, members ...replicator.Member) []recruiter.Newcomer {
+	var all []recruiter.Newcomer
+	for _, m := range members {
+		all = append(all, recruiter.Newcomer{Member: m, At: at})
+	}
+	return all
+}
+
+func TestDecide(t *testing.T) {
+	silent := func(identity string, since time.Duration) map[replicator.Identity]time.Time {
+		return map[replicator.Identity]time.Time{replicator.Identity(identity): start.Add(-since)}
+	}
+	fresh := member("new", "at-new")
+	for name, test := range map[string]struct {
+		members   replicator.Membership
+		silent    map[replicator.Identity]time.Time
+		newcomers []recruiter.Newcomer
+		want      string
+	}{
+		"nothing":                   {voters("a", "b", "c"), nil, nil, "wait"},
+		"one more":                  {voters("a", "b", "c"), nil, reports(start, fresh), "add new for "},
+		"lost disk at once":         {voters("a", "b", "c"), nil, reports(start, member("a2", "at-a")), "add a2 for a"},
+		"lost voter replaced":       {voters("a", "b", "c"), silent("b", 4*time.Second), reports(start, fresh), "add new for b"},
+		"silent voter not yet lost": {voters("a", "b", "c"), silent("b", time.Second), reports(start, fresh), "add new for "},
+		"old report":                {voters("a", "b", "c"), nil, reports(start.Add(-time.Minute), fresh), "wait"},
+		"member that reports":       {voters("a", "b", "c"), nil, reports(start, member("a", "at-a")), "wait"},
+		"no successor":              {voters("a", "b", "c"), silent("b", time.Hour), nil, "wait"},
+		"full":                      {voters("a", "b", "c", "d", "e", "f", "g"), nil, reports(start, fresh), "wait"},
+		"voter of six lost":         {voters("a", "b", "c", "d", "e", "f"), silent("f", 3*time.Second), nil, "drop f"},
+		"voter of six not yet lost": {voters("a", "b", "c", "d", "e", "f"), silent("f", 2*time.Second), nil, "wait"},
+		"voter of five lost":        {voters("a", "b", "c", "d", "e"), silent("e", time.Hour), nil, "wait"},
+	} {
+		assert.Equal(t, describe(recruiter.Decide(start, test.members, test.silent, test.newcomers)), test.want, name)
+	}
+}
+
+func describe(step recruiter.Step) string {
+	switch step := step.(type) {
+	case recruiter.Add:
+		return fmt.Sprintf("add %s for %s", step.Learner.Member.Identity, step.Learner.Replaces)
+	case recruiter.Drop:
+		return "drop " + string(step.Member.Identity)
+	default:
+		return "wait"
+	}
+}
+
+// fleet is a set of processes and the membership that follows from the decisions, each of which takes effect at once.
+type fleet struct {
+	members replicator.Membership
+	alive   map[replicator.Identity]replicator.Member
+	silent  map[replicator.Identity]time.Time
+	now     time.Time
+}
+
+// settle lets time pass and takes all steps that are due.
+func (f *fleet) settle(span time.Duration) {
+	for end := f.now.Add(span); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+		var newcomers []recruiter.Newcomer
+		for identity, m := range f.alive {
+			if !f.members.Votes(identity) {
+				newcomers = append(newcomers, recruiter.Newcomer{Member: m, At: f.now})
+			}
+		}
+		for _, voter := range f.members.Voters {
+			if _, ok := f.alive[voter.Identity]; ok {
+				delete(f.silent, voter.Identity)
+			} else if _, ok := f.silent[voter.Identity]; !ok {
+				f.silent[voter.Identity] = f.now
+			}
+		}
+		switch step := recruiter.Decide(f.now, f.members, f.silent, newcomers).(type) {
+		case recruiter.Add:
+			f.remove(step.Learner.Replaces)
+			f.members.Voters = append(f.members.Voters, step.Learner.Member)
+		case recruiter.Drop:
+			f.remove(step.Member.Identity)
+		case recruiter.Wait:
+		}
+	}
+}
+
+// running returns the voters that run.
+func (f *fleet) running() []replicator.Member {
+	var running []replicator.Member
+	for _, voter := range f.members.Voters {
+		if _, ok := f.alive[voter.Identity]; ok {
+			running = append(running, voter)
+		}
+	}
+	return running
+}
+
+func (f *fleet) remove(identity replicator.Identity) {
+	var kept []replicator.Member
+	for _, voter := range f.members.Voters {
+		if voter.Identity != identity {
+			kept = append(kept, voter)
+		}
+	}
+	f.members.Voters = kept
+}
+
+// TestEachLossIsMadeGoodBeforeTheNext loses one process after another, for good, with its disk, or for a while, and
+// checks that within the time that a new process has for it all processes vote which run, and that another loss would be
+// borne.
+func TestEachLossIsMadeGoodBeforeTheNext(t *testing.T) {
+	const catchUp = 4 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{
+			alive: make(map[replicator.Identity]replicator.Member), silent: make(map[replicator.Identity]time.Time), now: start,
+		}
+		size := rapid.IntRange(3, 6).Draw(t, "size")
+		for i := range size {
+			m := member(fmt.Sprint("m", i), fmt.Sprint("at-", i))
+			f.alive[m.Identity] = m
+			f.members.Voters = append(f.members.Voters, m)
+		}
+		// A loss is over once what was lost has had the time to catch up.
+		for round := range rapid.IntRange(1, 8).Draw(t, "losses") {
+			all := f.running()
+			lost := all[rapid.IntRange(0, len(all)-1).Draw(t, "lost")]
+			delete(f.alive, lost.Identity)
+			f.settle(time.Duration(rapid.IntRange(0, 8000).Draw(t, "away")) * time.Millisecond)
+			next := lost
+			switch rapid.SampledFrom([]string{"disk", "machine", "back"}).Draw(t, "how") {
+			case "disk":
+				next.Identity = replicator.Identity(fmt.Sprint(lost.Identity, ".", round))
+			case "machine":
+				next = member(fmt.Sprint("n", round), fmt.Sprint("new-", round))
+			}
+			f.alive[next.Identity] = next
+			f.settle(catchUp)
+			for identity := range f.alive {
+				assert.Assert(t, f.members.Votes(identity), "%s does not vote after round %d", identity, round)
+			}
+			running := len(f.running())
+			assert.Equal(t, running, size)
+			assert.Assert(t, running-1 >= len(f.members.Voters)/2+1, "%d of %d voters run", running, len(f.members.Voters))
+		}
+	})
+}
--- /dev/null
+++ b/core/suspector/suspector_test.go
@@ -0,0 +1,190 @@
+package suspector_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/suspector"
+)
+
+const (
+	typical   = 200 * time.Millisecond
+	objective = 600 * time.Millisecond
+)
+
+var start = time.Unix(1000, 0)
+
+func TestVerdictFollowsOverdueRequests(t *testing.T) {
+	s := suspector.New()
+	assert.Equal(t, s.Judge(start), suspector.Sound{})
+	s.Start(start, "a", start.Add(objective), 0)
+	assert.Equal(t, s.Judge(start.Add(objective-1)), suspector.Sound{})
+	now := start.Add(objective)
+	assert.Equal(t, s.Judge(now), suspector.Doubtful{})
+	s.Start(now, "b", now.Add(objective), 0)
+	now = now.Add(objective)
+	assert.Equal(t, s.Judge(now), suspector.Suspect{Trial: true})
+	s.Start(now, "trial", now.Add(objective), 0)
+	assert.Equal(t, s.Judge(now.Add(time.Millisecond)), suspector.Suspect{Trial: false})
+	// A trial that went well is followed by another one at once, and three of them clear the target.
+	s.End(now, "trial", suspector.Served{})
+	for i := range 3 {
+		id := fmt.Sprint(i)
+		s.Start(now, id, now.Add(objective), 0)
+		s.End(now, id, suspector.Served{})
+	}
+	assert.Equal(t, s.Judge(now), suspector.Sound{})
+}
+
+func TestWithdrawnRequestSaysNothing(t *testing.T) {
+	s := suspector.New()
+	for i := range 10 {
+		s.Start(start, fmt.Sprint(i), start.Add(objective), 0)
+		s.End(start.Add(objective/2), fmt.Sprint(i), suspector.Withdrawn{})
+	}
+	assert.Equal(t, s.Judge(start.Add(time.Hour)), suspector.Sound{})
+}
+
+func TestStallShowsBeforeAnyRequestIsOverdue(t *testing.T) {
+	s := suspector.New()
+	for i := range 5 {
+		s.Start(start, fmt.Sprint(i), start.Add(objective), typical)
+	}
+	assert.Equal(t, s.Judge(start.Add(150*time.Millisecond)), suspector.Sound{})
+	assert.Equal(t, s.Judge(start.Add(200*time.Millisecond)), suspector.Doubtful{})
+	assert.Equal(t, s.Judge(start.Add(350*time.Millisecond)), suspector.Suspect{Trial: true})
+	s.End(start.Add(360*time.Millisecond), "0", suspector.Served{})
+	assert.Equal(t, s.Judge(start.Add(370*time.Millisecond)), suspector.Sound{})
+}
+
+// target is a simulated target with a suspector before it.
+type target struct {
+	suspector *suspector.Suspector
+	ends      map[string]time.Time
+	hung      func(now time.Time) bool
+}
+
+// span draws how long a request takes: lognormal, with the mean of typical.
+func span(random *rand.Rand) time.Duration {
+	const sigma = 0.6
+	return time.Duration(float64(typical) * math.Exp(sigma*random.NormFloat64()-sigma*sigma/2))
+}
+
+// replay sends requests for a minute to targets of 3 slots, of which a third hangs on nine in ten requests for 4 of each
+// 12 s. Three in ten may be repeated: they are tried on suspect targets too. It returns the part of the others that were
+// served. Requests end at their deadline at the latest.
+func replay(judge bool) float64 {
+	const targets, slots, rate, repeatable, deadline = 12, 3, 40, 0.3, 2 * time.Second
+	random := rand.New(rand.NewPCG(1, 2))
+	var all []*target
+	for i := range targets {
+		all = append(all, &target{suspector: suspector.New(), ends: make(map[string]time.Time), hung: func(now time.Time) bool {
+			return (now.Sub(start).Milliseconds()/4000+int64(i))%3 == 0
+		}})
+	}
+	served, sent := 0, 0
+	const step = 5 * time.Millisecond
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(step) {
+		for _, t := range all {
+			served += t.end(now)
+		}
+		if random.Float64() >= rate*step.Seconds() {
+			continue
+		}
+		careful := random.Float64() >= repeatable
+		if careful {
+			sent++
+		}
+		for _, i := range random.Perm(targets) {
+			if t := all[i]; len(t.ends) < slots && (!judge || t.admits(now, careful)) {
+				t.start(now, random, fmt.Sprint(now.UnixNano()), careful, deadline)
+				break
+			}
+		}
+	}
+	return float64(served) / float64(sent)
+}
+
+// admits reports whether a request that must not fail, or another one, is let in.
+func (t *target) admits(now time.Time, careful bool) bool {
+	switch verdict := t.suspector.Judge(now).(type) {
+	case suspector.Doubtful:
+		return !careful
+	case suspector.Suspect:
+		return !careful && verdict.Trial
+	case suspector.Sound:
+	}
+	return true
+}
+
+func (t *target) start(now time.Time, random *rand.Rand, id string, careful bool, deadline time.Duration) {
+	kind, end := "repeatable", now.Add(span(random))
+	if careful {
+		kind = "careful"
+	}
+	if t.hung(now) && random.Float64() < 0.9 {
+		kind, end = "hung", now.Add(deadline)
+	}
+	id = kind + id
+	t.ends[id] = end
+	t.suspector.Start(now, id, now.Add(objective), typical)
+}
+
+// end ends the requests that are due and returns how many that must not fail were served.
+func (t *target) end(now time.Time) (served int) {
+	for id, end := range t.ends {
+		if now.Before(end) {
+			continue
+		}
+		delete(t.ends, id)
+		if strings.HasPrefix(id, "hung") {
+			t.suspector.End(now, id, suspector.Failed{})
+			continue
+		}
+		if strings.HasPrefix(id, "careful") {
+			served++
+		}
+		t.suspector.End(now, id, suspector.Served{})
+	}
+	return served
+}
+
+// TestHangingTargetsCostFewRequests replays the load pattern that the suspector answers, without and with it.
+func TestHangingTargetsCostFewRequests(t *testing.T) {
+	without, with := replay(false), replay(true)
+	t.Logf("served %.3f without and %.3f with the judgement", without, with)
+	assert.Assert(t, 1-with < 0.6*(1-without))
+}
+
+// TestSoundTargetIsHardlySuspected feeds a busy target whose requests all end.
+func TestSoundTargetIsHardlySuspected(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	s := suspector.New()
+	ends := make(map[string]time.Time)
+	suspected, steps := 0, 0
+	const step = 5 * time.Millisecond
+	for now := start; now.Before(start.Add(5 * time.Minute)); now = now.Add(step) {
+		steps++
+		for id, end := range ends {
+			if !now.Before(end) {
+				s.End(now, id, suspector.Served{})
+				delete(ends, id)
+			}
+		}
+		if len(ends) < 3 && random.Float64() < 0.06 {
+			id := fmt.Sprint(steps)
+			ends[id] = now.Add(span(random))
+			s.Start(now, id, now.Add(objective), typical)
+		}
+		if _, ok := s.Judge(now).(suspector.Suspect); ok {
+			suspected++
+		}
+	}
+	assert.Assert(t, suspected*100 < steps, "suspect in %d of %d steps", suspected, steps)
+}
