--- a/core/suspector/suspector.go
+++ b/core/suspector/suspector.go
@@ -21,6 +21,8 @@
 	// them that is remembered.
 	suspectAfter = 2
 	mostBad      = 2.5
+	// withdrawnPart is how much a slow request that was given up counts: callers leave of their own accord too.
+	withdrawnPart = 0.5
 	// trialPause is the least time between two requests that a suspect target gets.
 	trialPause = 400 * time.Millisecond
 
@@ -44,7 +46,8 @@
 // Failed is a request that the target failed, declined or cut.
 type Failed struct{}
 
-// Withdrawn is a request that its caller gave up. It says nothing of the target unless it was overdue.
+// Withdrawn is a request that its caller gave up, or that another target answered first. It speaks against the target if
+// it was overdue, and half as much if it was slow.
 type Withdrawn struct{}
 
 func (Served) result()    {}
@@ -76,11 +79,18 @@
 	tried   time.Time
 }
 
-// run is a request in progress. It is overdue from due on, which counts as bad once. Typical is how long such requests
-// take on average, or 0.
+// Expectation says how long a request takes at a sound target: on average Typical, or 0 if that is not known, seldom
+// longer than until Slow, and hardly ever longer than until Due.
+type Expectation struct {
+	Typical time.Duration
+	Slow    time.Time
+	Due     time.Time
+}
+
+// run is a request in progress. That it is overdue counts as bad once.
 type run struct {
-	due     time.Time
-	typical time.Duration
+	Expectation
+
 	overdue bool
 }
 
@@ -89,14 +99,13 @@
 	return &Suspector{running: make(map[string]run)}
 }
 
-// Start notes that the request called id went to the target at now. A sound target answers nearly all requests before
-// due, and after typical on average, if that is known.
-func (s *Suspector) Start(now time.Time, id string, due time.Time, typical time.Duration) {
+// Start notes that the request called id went to the target at now.
+func (s *Suspector) Start(now time.Time, id string, expectation Expectation) {
 	if _, suspect := s.Judge(now).(Suspect); suspect {
 		s.tried = now
 	}
 	s.count(now)
-	s.running[id] = run{due: due, typical: typical}
+	s.running[id] = run{Expectation: expectation}
 }
 
 // End notes that the request called id ended at now.
@@ -117,9 +126,12 @@
 		s.tried = time.Time{}
 	case Failed:
 		if !ended.overdue {
-			s.bad()
+			s.bad(1)
 		}
 	case Withdrawn:
+		if !ended.overdue && !now.Before(ended.Slow) {
+			s.bad(withdrawnPart)
+		}
 	}
 }
 
@@ -144,17 +156,17 @@
 		s.stall = 0
 	}
 	for id, r := range s.running {
-		if r.typical > 0 {
-			s.stall += float64(passed) / float64(r.typical)
+		if r.Typical > 0 {
+			s.stall += float64(passed) / float64(r.Typical)
 		}
-		if !r.overdue && !now.Before(r.due) {
+		if !r.overdue && !now.Before(r.Due) {
 			r.overdue = true
 			s.running[id] = r
-			s.bad()
+			s.bad(1)
 		}
 	}
 }
 
-func (s *Suspector) bad() {
-	s.level = min(s.level+badWeight, mostBad*badWeight)
+func (s *Suspector) bad(part float64) {
+	s.level = min(s.level+part*badWeight, mostBad*badWeight)
 }
--- a/core/synchronizer/client.go
+++ b/core/synchronizer/client.go
@@ -22,9 +22,10 @@
 	dialLimit = 800 * time.Millisecond
 	// substitutePeriod is how long a client stays, on average, with a publisher that is not its best.
 	substitutePeriod = 30 * time.Second
-	// staleStay is how long a client stays with a publisher that is cut off from the leader, so that it has what that one
-	// knows.
-	staleStay = 300 * time.Millisecond
+	// staleStay is how long a client stays with a publisher that is cut off from the leader. It doubles with each further
+	// one that is, up to maxStaleStay: where no quorum is left, no publisher is better than another.
+	staleStay    = 300 * time.Millisecond
+	maxStaleStay = 8 * time.Second
 )
 
 var (
@@ -73,12 +74,12 @@
 // Run keeps a subscription until ctx ends. Pauses between tries grow, and are drawn at random so that many clients
 // that lost the same publisher do not return at the same moment.
 func (c *Client) Run(ctx context.Context) error {
-	wait := minPause
+	wait, stay := minPause, staleStay
 	for turn := 0; ctx.Err() == nil; turn++ {
 		addresses := c.addresses()
 		address := addresses[turn%len(addresses)]
 		started := time.Now()
-		err := c.followFor(ctx, address, address != addresses[0])
+		err := c.followFor(ctx, address, address != addresses[0], stay)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -89,6 +90,11 @@
 		if errors.Is(err, errSubstitute) {
 			turn = -1
 		}
+		if errors.Is(err, errStale) {
+			wait, stay = minPause, min(2*stay, maxStaleStay)
+		} else if time.Since(started) > SilenceLimit {
+			stay = staleStay
+		}
 		pause(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, maxPause)
 	}
@@ -97,20 +103,20 @@
 
 // followFor follows a publisher that is not the best one only for a while, so that after an outage clients return to
 // the control process of their own data centre.
-func (c *Client) followFor(ctx context.Context, address string, substitute bool) error {
+func (c *Client) followFor(ctx context.Context, address string, substitute bool, stay time.Duration) error {
 	if !substitute {
-		return c.follow(ctx, address)
+		return c.follow(ctx, address, stay)
 	}
 	bounded, cancel := context.WithTimeout(ctx, substitutePeriod/2+rand.N(substitutePeriod))
 	defer cancel()
-	err := c.follow(bounded, address)
+	err := c.follow(bounded, address, stay)
 	if bounded.Err() != nil {
 		return errSubstitute
 	}
 	return err
 }
 
-func (c *Client) follow(ctx context.Context, address string) error {
+func (c *Client) follow(ctx context.Context, address string, stay time.Duration) error {
 	group, ctx := errgroup.WithContext(ctx)
 	dialling, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
@@ -131,7 +137,7 @@
 	}
 	c.log.Info("subscribed", "address", address, "version", c.sink.Configuration().Version())
 	heard := make(chan struct{}, 1)
-	group.Go(func() error { return c.receive(stream, heard, time.Now().Add(staleStay)) })
+	group.Go(func() error { return c.receive(stream, heard, time.Now().Add(stay)) })
 	group.Go(func() error { return c.reportChanges(ctx, stream) })
 	group.Go(func() error {
 		// A connection that went silent never fails by itself, so it is closed here.
--- a/node/pkg/gatekeeper/line.go
+++ b/node/pkg/gatekeeper/line.go
@@ -56,7 +56,9 @@
 // start tells the suspector of a request that goes to the target.
 func (l *line) start(now time.Time, head carrier.Head) {
 	estimate := l.estimates[head.Allowed]
-	l.suspector.Start(now, head.ID, now.Add(max(head.Allowed, estimate.High())), estimate.Mean())
+	l.suspector.Start(now, head.ID, suspector.Expectation{
+		Typical: estimate.Mean(), Slow: now.Add(max(head.Allowed/2, estimate.High())), Due: now.Add(max(head.Allowed, estimate.High())),
+	})
 }
 
 // late returns from when on a request that starts here would most likely miss its objective.
--- a/scripts/scenarios.sh
+++ b/scripts/scenarios.sh
@@ -3,4 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 skip=$(./scripts/known_names.sh)
-cd standin && go test -count=1 -parallel 4 -timeout 15m ${skip:+-skip "$skip"} ./scenarios/...
+for module in standin platform; do
+  (cd "$module" && go test -count=1 -parallel 4 -timeout 15m ${skip:+-skip "$skip"} ./scenarios/...)
+done
