--- a/core/synchronizer/client.go
+++ b/core/synchronizer/client.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcpool"
 
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/messenger"
@@ -17,15 +18,14 @@
 
 const (
 	minPause = 100 * time.Millisecond
-	maxPause = 2 * time.Second
+	maxPause = 600 * time.Millisecond
 	// dialLimit bounds a new connection to a publisher. One that is there answers within a few ways between regions.
 	dialLimit = 800 * time.Millisecond
 	// substitutePeriod is how long a client stays, on average, with a publisher that is not its best.
 	substitutePeriod = 30 * time.Second
-	// staleStay is how long a client stays with a publisher that is cut off from the leader. It doubles with each further
-	// one that is, up to maxStaleStay: where no quorum is left, no publisher is better than another.
-	staleStay    = 300 * time.Millisecond
-	maxStaleStay = 8 * time.Second
+	// staleStay is how long a client stays with a publisher that is cut off from the leader: long enough for the publisher
+	// to know it as present, and for what that one has to arrive.
+	staleStay = 700 * time.Millisecond
 )
 
 var (
@@ -74,26 +74,25 @@
 // Run keeps a subscription until ctx ends. Pauses between tries grow, and are drawn at random so that many clients
 // that lost the same publisher do not return at the same moment.
 func (c *Client) Run(ctx context.Context) error {
-	wait, stay := minPause, staleStay
-	for turn := 0; ctx.Err() == nil; turn++ {
+	wait, first := minPause, 0
+	for ctx.Err() == nil {
 		addresses := c.addresses()
-		address := addresses[turn%len(addresses)]
+		first %= len(addresses)
 		started := time.Now()
-		err := c.followFor(ctx, address, address != addresses[0], stay)
+		conn, place, err := c.reach(ctx, addresses, first)
+		if err == nil {
+			err = c.followFor(ctx, conn, addresses[place], place != 0)
+		}
 		if ctx.Err() != nil {
 			return nil
 		}
-		c.log.Warn("subscription lost", "address", address, "reason", err.Error())
-		if time.Since(started) > SilenceLimit {
+		c.log.Warn("subscription lost", "address", addresses[place], "reason", err.Error())
+		if time.Since(started) > SilenceLimit || errors.Is(err, errStale) {
 			wait = minPause
 		}
+		first = place + 1
 		if errors.Is(err, errSubstitute) {
-			turn = -1
-		}
-		if errors.Is(err, errStale) {
-			wait, stay = minPause, min(2*stay, maxStaleStay)
-		} else if time.Since(started) > SilenceLimit {
-			stay = staleStay
+			first = 0
 		}
 		pause(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, maxPause)
@@ -103,27 +102,21 @@
 
 // followFor follows a publisher that is not the best one only for a while, so that after an outage clients return to
 // the control process of their own data centre.
-func (c *Client) followFor(ctx context.Context, address string, substitute bool, stay time.Duration) error {
+func (c *Client) followFor(ctx context.Context, conn drpcpool.Conn, address string, substitute bool) error {
 	if !substitute {
-		return c.follow(ctx, address, stay)
+		return c.follow(ctx, conn, address)
 	}
 	bounded, cancel := context.WithTimeout(ctx, substitutePeriod/2+rand.N(substitutePeriod))
 	defer cancel()
-	err := c.follow(bounded, address, stay)
+	err := c.follow(bounded, conn, address)
 	if bounded.Err() != nil {
 		return errSubstitute
 	}
 	return err
 }
 
-func (c *Client) follow(ctx context.Context, address string, stay time.Duration) error {
+func (c *Client) follow(ctx context.Context, conn drpcpool.Conn, address string) error {
 	group, ctx := errgroup.WithContext(ctx)
-	dialling, cancel := context.WithTimeout(ctx, dialLimit)
-	defer cancel()
-	conn, err := c.pool.Dial(dialling, address)
-	if err != nil {
-		return err
-	}
 	defer func() { _ = conn.Close() }()
 	stream, err := conn.NewStream(ctx, callSubscribe, messenger.Encoding{})
 	if err != nil {
@@ -137,7 +130,7 @@
 	}
 	c.log.Info("subscribed", "address", address, "version", c.sink.Configuration().Version())
 	heard := make(chan struct{}, 1)
-	group.Go(func() error { return c.receive(stream, heard, time.Now().Add(stay)) })
+	group.Go(func() error { return c.receive(stream, heard, time.Now().Add(staleStay)) })
 	group.Go(func() error { return c.reportChanges(ctx, stream) })
 	group.Go(func() error {
 		// A connection that went silent never fails by itself, so it is closed here.
