--- a/core/budgeter/client.go
+++ b/core/budgeter/client.go
@@ -23,13 +23,14 @@
 	owner func(service string) (address string, ok bool)
 	log   *slog.Logger
 
-	mu    sync.Mutex
-	asked map[string]int
+	mu      sync.Mutex
+	asked   map[string]int
+	charged map[string]float64
 }
 
 // NewClient returns a client. Owner returns the control process that keeps the ledger of a service, alike on all nodes.
 func NewClient(pool *messenger.Pool, owner func(service string) (string, bool), log *slog.Logger) *Client {
-	return &Client{pool: pool, owner: owner, log: log, asked: make(map[string]int)}
+	return &Client{pool: pool, owner: owner, log: log, asked: make(map[string]int), charged: make(map[string]float64)}
 }
 
 // Asked counts a request of service.
@@ -39,6 +40,13 @@
 	c.asked[service]++
 }
 
+// Charge counts a send of service that no budget was asked for. Part is how likely it was a further one.
+func (c *Client) Charge(service string, part float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.charged[service] += part
+}
+
 // Draw reports whether a request of service may be sent once more. Without an answer it may not.
 func (c *Client) Draw(ctx context.Context, service string) bool {
 	granted, err := c.send(ctx, service, true)
@@ -54,8 +62,9 @@
 		return false, errors.New("no control process is known")
 	}
 	c.mu.Lock()
-	message := drawMessage{Service: service, Asked: c.asked[service], Draw: draw}
+	message := drawMessage{Service: service, Asked: c.asked[service], Charged: c.charged[service], Draw: draw}
 	delete(c.asked, service)
+	delete(c.charged, service)
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, drawLimit)
 	defer cancel()
--- a/core/budgeter/ledger.go
+++ b/core/budgeter/ledger.go
@@ -35,6 +35,13 @@
 	return l
 }
 
+// WithCharged returns the ledger after count sends, as far as can be told, that were not granted by it. It owes them, up to
+// the slack.
+func (l Ledger) WithCharged(allowance Allowance, count float64) Ledger {
+	l.level = max(l.level-count, -allowance.Slack)
+	return l
+}
+
 // Draw grants one send at now, if the ledger holds one.
 func (l Ledger) Draw(now time.Time, allowance Allowance) (Ledger, bool) {
 	l = l.With(now, allowance, 0)
--- a/core/budgeter/server.go
+++ b/core/budgeter/server.go
@@ -13,11 +13,13 @@
 
 const callDraw = "draw"
 
-// drawMessage tells of requests of Service that came in since the last message, and asks for one send if Draw is set.
+// drawMessage tells of requests of Service that came in since the last message, and of sends that nobody asked for. It
+// asks for one send if Draw is set.
 type drawMessage struct {
-	Service string `cbor:"1,keyasint"`
-	Asked   int    `cbor:"2,keyasint,omitempty"`
-	Draw    bool   `cbor:"3,keyasint,omitempty"`
+	Service string  `cbor:"1,keyasint"`
+	Asked   int     `cbor:"2,keyasint,omitempty"`
+	Draw    bool    `cbor:"3,keyasint,omitempty"`
+	Charged float64 `cbor:"4,keyasint,omitempty"`
 }
 
 type drawReply struct {
@@ -55,6 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ledger := s.ledgers[message.Service].With(now, s.allowance, max(message.Asked, 0))
+	ledger = ledger.WithCharged(s.allowance, max(message.Charged, 0))
 	granted := false
 	if message.Draw {
 		ledger, granted = ledger.Draw(now, s.allowance)
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -32,6 +32,9 @@
 	Watcher Watcher
 	// Budget grants sends that the node's own budget does not cover; nil grants none.
 	Budget Budget
+	// Repeating returns how many of the requests that the targets of this VM run and that may be repeated were sent to
+	// another one before. Calls that such a request makes are repeats too.
+	Repeating func() (part float64)
 	// UseLost lets requests go to nodes that control lost, as long as this node reaches them.
 	UseLost bool
 	// HedgeAfter is the part of its objective after which a request that may be repeated is sent to a second target; 0
@@ -42,6 +45,7 @@
 // Budget is the part of the retry budget that all nodes share.
 type Budget interface {
 	Asked(service string)
+	Charge(service string, part float64)
 	Draw(ctx context.Context, service string) bool
 }
 
@@ -111,11 +115,25 @@
 	if head.Allowed > 0 {
 		plan = escalator.New(a.chooser.heavy(head.Allowed))
 	}
+	if len(call.Credentials) == 0 {
+		a.charge(head)
+	}
 	return a.forward(ctx, forwarding{
 		head: head, body: newBody(call, admission.presented), attempts: admission.route.Attempts, plan: plan,
 	})
 }
 
+// charge counts a call that a repeated request made, most likely, as a further send of its service.
+func (a *Acceptor) charge(head carrier.Head) {
+	if a.Repeating == nil || a.Budget == nil {
+		return
+	}
+	if part := a.Repeating(); part > 0 {
+		a.Route.Info("call charged as a repeat", "request", head.ID, "service", head.Service, "part", part)
+		a.Budget.Charge(head.Service, part)
+	}
+}
+
 // rank puts the workspace's rank before the route's.
 func rank(admission admission) configurer.Rank {
 	return admission.workspace.Rank*rankSpan + admission.route.Rank
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -53,6 +53,8 @@
 	tombstoner *tombstoner.Tombstoner
 
 	protocol    Protocol
+	repeatable  int
+	repeats     int
 	quarantiner *quarantiner.Quarantiner
 	spread      func(service string, crash quarantiner.Crash)
 }
@@ -144,6 +146,7 @@
 		release()
 		return carrier.Answer{}, err
 	}
+	defer g.repeat(head)()
 	g.protocol.Prepare(request.Header, head, target, time.Until(head.Deadline))
 	ended := g.watch(target, head)
 	response, err := g.connector.Exchange(ctx, target.Address, request, head.Repeatable) //nolint:bodyclose // slotBody closes it
@@ -185,6 +188,33 @@
 	}, nil
 }
 
+// Repeating returns how many of the requests that run here and may be repeated were sent to another target before, as a
+// part of them.
+func (g *Gatekeeper) Repeating() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return float64(g.repeats) / float64(max(g.repeatable, 1))
+}
+
+// repeat counts a request that may be repeated, until the function that it returns is called.
+func (g *Gatekeeper) repeat(head carrier.Head) func() {
+	repeat := 0
+	if head.Careful {
+		repeat = 1
+	}
+	if !head.Repeatable {
+		return func() {}
+	}
+	count := func(sign int) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.repeatable += sign
+		g.repeats += sign * repeat
+	}
+	count(1)
+	return func() { count(-1) }
+}
+
 // declined returns a refusal in place of an answer of a target that did not run the request, or of one that belongs to
 // another request. The connection of the latter must not be used again, so its body stays unread.
 func (g *Gatekeeper) declined(head carrier.Head, response *http.Response) *refuser.Refusal {
