--- a/control/pkg/starter/run.go
+++ b/control/pkg/starter/run.go
@@ -32,7 +32,9 @@
 	if err != nil {
 		return err
 	}
-	log := logger.New(os.Stderr, settings.LogLevel())
+	lines := logger.NewBounded(os.Stdout)
+	defer lines.Close()
+	log := logger.New(lines, settings.LogLevel())
 	folder, err := storer.NewFolder(settings.Data)
 	if err != nil {
 		return err
--- /dev/null
+++ b/core/logger/bounded_test.go
@@ -0,0 +1,72 @@
+package logger_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/logger"
+)
+
+// stuck takes nothing until it is let go.
+type stuck struct {
+	mu    sync.Mutex
+	taken bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.taken.Write(p)
+}
+
+func TestWriterThatIsStuckBlocksNobody(t *testing.T) {
+	target := &stuck{}
+	target.mu.Lock()
+	bounded := logger.NewBounded(target)
+	began := time.Now()
+	for i := range 20_000 {
+		n, err := fmt.Fprintf(bounded, "line %d\n", i)
+		assert.NilError(t, err)
+		assert.Assert(t, n > 0)
+	}
+	bounded.Close()
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+	target.mu.Unlock()
+}
+
+func TestDroppedLinesAreCounted(t *testing.T) {
+	target := &stuck{}
+	bounded := logger.NewBounded(target)
+	for i := range 20_000 {
+		_, _ = fmt.Fprintf(bounded, "line %d\n", i)
+	}
+	time.Sleep(1100 * time.Millisecond)
+	_, _ = io.WriteString(bounded, "after\n")
+	bounded.Close()
+	lines := strings.Split(strings.TrimSpace(target.taken.String()), "\n")
+	assert.Equal(t, lines[len(lines)-1], "after")
+	assert.Assert(t, len(lines) < 10_000, "%d lines", len(lines))
+	var dropped int
+	_, counted, found := strings.Cut(lines[len(lines)-2], "lines dropped\" lines=")
+	assert.Assert(t, found, lines[len(lines)-2])
+	_, err := fmt.Sscan(counted, &dropped)
+	assert.NilError(t, err)
+	assert.Equal(t, dropped+len(lines)-2, 20_000)
+}
+
+func TestErrorsAreWrittenInOneLine(t *testing.T) {
+	var out bytes.Buffer
+	log := logger.New(&out, slog.LevelInfo)
+	log.Part("part").Info("it failed", "reason", errors.Wrap(errors.New("cause"), "step"))
+	assert.Equal(t, strings.Count(out.String(), "\n"), 1)
+	assert.Assert(t, strings.Contains(out.String(), `msg="part: it failed" reason="step: cause"`), out.String())
+}
--- a/core/logger/logger.go
+++ b/core/logger/logger.go
@@ -14,7 +14,15 @@
 
 // New returns a Logger that writes lines of text of at least level to w.
 func New(w io.Writer, level slog.Level) Logger {
-	return Logger{handler: slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})}
+	return Logger{handler: slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: shorten})}
+}
+
+// shorten writes an error as its message. The library would add where it was made, over many lines.
+func shorten(_ []string, attribute slog.Attr) slog.Attr {
+	if err, ok := attribute.Value.Any().(error); ok {
+		attribute.Value = slog.StringValue(err.Error())
+	}
+	return attribute
 }
 
 // Through returns a Logger whose lines pass the handler that wrap puts around its own.
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -32,6 +32,8 @@
 	if err != nil {
 		return err
 	}
+	lines := logger.NewBounded(os.Stdout)
+	defer lines.Close()
 	node := New(Options{
 		Name: settings.Name, Region: settings.Region, Centre: settings.Centre,
 		Entry: listeners.entry.Addr().String(), Fleet: cmp.Or(settings.Advertise, listeners.fleet.Addr().String()),
@@ -39,7 +41,7 @@
 		Lenders: settings.AllLenders(), AnnouncementTime: registrar.Lifetime, Protocol: gatekeeper.OwnProtocol{},
 		Stop: ownStop, Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
 		Retries: func(int) retrier.Policy { return retrier.OwnPolicy() },
-	}, credentials, logger.New(os.Stderr, settings.LogLevel()))
+	}, credentials, logger.New(lines, settings.LogLevel()))
 	node.Log().Part("node").Info("node started", "node", settings.Name, "entry", listeners.entry.Addr(),
 		"fleet", listeners.fleet.Addr(), "metrics", listeners.metrics.Addr())
 	return node.Run(ctx, listeners.fleet, listeners.entry, node.Acceptor.Handler(), func(ctx context.Context) error {
