--- a/core/allotter/share.go
+++ b/core/allotter/share.go
@@ -14,14 +14,23 @@
 	updated time.Time
 }
 
-// Draw spends one token of the share at now, and reports whether there was one. Rate is the workspace's, divided by
-// nodes. A share that was not used for long holds one token at most, so that a return of many nodes makes no burst.
-func (s Share) Draw(now time.Time, rate configurer.PerSecond, nodes int) (Share, bool) {
-	part := float64(rate) / float64(max(nodes, 1))
+// Division says how a workspace's rate is divided among Nodes while no lender answers. Slack is how many requests all of
+// them together may admit at once.
+type Division struct {
+	Rate  configurer.PerSecond
+	Slack float64
+	Nodes int
+}
+
+// Draw spends one token of the share at now, and reports whether there was one. A share that was not used for long holds
+// one token at most, or its part of the slack, so that a return of many nodes makes no burst.
+func (s Share) Draw(now time.Time, division Division) (Share, bool) {
+	nodes := float64(max(division.Nodes, 1))
+	most := max(1, division.Slack/nodes)
 	if s.updated.IsZero() {
-		s.level = 1 / float64(max(nodes, 1))
+		s.level = division.Slack / nodes
 	} else {
-		s.level = min(1, s.level+part*now.Sub(s.updated).Seconds())
+		s.level = min(most, s.level+float64(division.Rate)/nodes*now.Sub(s.updated).Seconds())
 	}
 	s.updated = now
 	if s.level < 1 {
--- a/node/pkg/carrier/client.go
+++ b/node/pkg/carrier/client.go
@@ -1,7 +1,6 @@
 package carrier
 
 import (
-	"cmp"
 	"context"
 	"expvar"
 	"io"
@@ -13,8 +12,20 @@
 	"samphiremount.example/core/refuser"
 )
 
-// connectTrips is the number of round trips of a new connection with its greeting.
-const connectTrips = 3
+const (
+	// connectTrips is the number of round trips of a new connection with its greeting.
+	connectTrips = 3
+	// connectLimit is enough for them between regions.
+	connectLimit = 300 * time.Millisecond
+)
+
+// connectLimit returns how long a new connection may take.
+func (w Way) connectLimit() time.Duration {
+	if w.Patience == 0 {
+		return silenceLimit
+	}
+	return max(w.Patience, min(connectTrips*w.Patience, connectLimit))
+}
 
 // Client sends requests to the gates of other nodes.
 type Client struct {
@@ -44,7 +55,7 @@
 	address := way.Address
 	ctx, cancel := context.WithDeadline(ctx, head.Deadline)
 	// Until the stream is open nothing can have run, so a way that takes long is given up early.
-	connecting := time.AfterFunc(connectTrips*cmp.Or(way.Patience, silenceLimit), cancel)
+	connecting := time.AfterFunc(way.connectLimit(), cancel)
 	reading, err := c.reading(ctx, address, head.Incarnation)
 	if err != nil {
 		cancel()
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -15,7 +15,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/core/allotter"
-	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/refuser"
 )
@@ -54,9 +53,9 @@
 type Sources struct {
 	// Lenders returns the addresses of the lenders to ask for tokens of workspace, best first.
 	Lenders func(workspace string) []string
-	// Share returns the rate of workspace and the number of nodes that share it while no lender answers. Without it such
-	// requests are refused, which keeps the rate strictly.
-	Share func(workspace string) (rate configurer.PerSecond, nodes int)
+	// Share returns how the rate of workspace is divided among the nodes while no lender lends. Without it such requests
+	// are refused, which keeps the rate strictly.
+	Share func(workspace string) allotter.Division
 }
 
 // Drawer holds the leases of the workspaces that are in use on this node.
@@ -149,6 +148,11 @@
 	if d.stopped {
 		return "", nil, refuse(false, "the node is stopping")
 	}
+	if !a.short.Used && now.Before(a.short.Again) {
+		if reason, ok := d.takeShare(workspace, a); ok {
+			return reason, nil, nil
+		}
+	}
 	a.waiting++
 	if now.Before(a.short.Again) {
 		// A token of the rate, or a lender that restarts, is there before long.
@@ -163,10 +167,6 @@
 // drawShare spends a token of the node's own share, since no lender answered.
 func (d *Drawer) drawShare(workspace string) (string, error) {
 	const reason = "no lender answered in time"
-	if d.sources.Share == nil {
-		return "", refuse(false, reason)
-	}
-	rate, nodes := d.sources.Share(workspace)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a, ok := d.accounts[workspace]
@@ -176,13 +176,24 @@
 	if a.short.Used {
 		return "", refuse(true, a.short.Reason)
 	}
-	share, ok := a.share.Draw(time.Now(), rate, nodes)
-	a.share = share
+	if admitted, ok := d.takeShare(workspace, a); ok {
+		return admitted, nil
+	}
+	return "", refuse(false, reason+", and the node's share of the rate is used up")
+}
+
+// takeShare spends a token of the node's own share, if it has one. The caller holds the lock.
+func (d *Drawer) takeShare(workspace string, a *account) (reason string, ok bool) {
+	if d.sources.Share == nil {
+		return "", false
+	}
+	division := d.sources.Share(workspace)
+	a.share, ok = a.share.Draw(time.Now(), division)
 	if !ok {
-		return "", refuse(false, reason+", and the node's share of the rate is used up")
+		return "", false
 	}
 	counters.Add("admitted_alone", 1)
-	return "share of " + strconv.Itoa(nodes) + " nodes: " + reason, nil
+	return "share of " + strconv.Itoa(division.Nodes) + " nodes, since no lender lends", true
 }
 
 func later(a, b time.Time) time.Time {
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -16,7 +16,6 @@
 
 	"samphiremount.example/core/allotter"
 	"samphiremount.example/core/budgeter"
-	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/explainer"
 	"samphiremount.example/core/lender"
@@ -73,6 +72,8 @@
 	// ShareRates lets a node admit an even part of a workspace's rate while no lender answers. All nodes together may then
 	// exceed the rate a little while some of them still reach a lender.
 	ShareRates bool
+	// ShareSlack is how many requests of a workspace all nodes together may admit so at once.
+	ShareSlack float64
 }
 
 // Stop says how a node ends. It goes on for Leave after it said that it leaves, then lets the last connections send
@@ -214,9 +215,9 @@
 			slices.DeleteFunc(addresses, owns)...)
 	}}
 	if n.options.ShareRates {
-		sources.Share = func(name string) (configurer.PerSecond, int) {
+		sources.Share = func(name string) allotter.Division {
 			workspace, _ := hub.Configuration().Workspace(name)
-			return workspace.Rate, len(hub.Directory().Nodes())
+			return allotter.Division{Rate: workspace.Rate, Slack: n.options.ShareSlack, Nodes: len(hub.Directory().Nodes())}
 		}
 	}
 	return sources
