--- a/core/budgeter/ledger.go
+++ b/core/budgeter/ledger.go
@@ -26,10 +26,12 @@
 
 // With returns the ledger after nodes told at now of asked requests.
 func (l Ledger) With(now time.Time, allowance Allowance, asked int) Ledger {
-	if !l.updated.IsZero() {
-		l.level += (1 - heldPart) * allowance.Slack * now.Sub(l.updated).Seconds() / allowance.Window.Seconds()
+	if passed := now.Sub(l.updated); !l.updated.IsZero() && passed > 0 {
+		l.level += (1 - heldPart) * allowance.Slack * passed.Seconds() / allowance.Window.Seconds()
+	}
+	if now.After(l.updated) {
+		l.updated = now
 	}
-	l.updated = now
 	l.level += allowance.Ratio * float64(asked)
 	l.level = min(l.level, heldPart*allowance.Slack)
 	return l
--- a/core/budgeter/ledger_test.go
+++ b/core/budgeter/ledger_test.go
@@ -56,3 +56,19 @@
 	_, ok := budgeter.Ledger{}.Draw(start, allowance)
 	assert.Assert(t, !ok)
 }
+
+func TestChargedSendsAreGrantedLater(t *testing.T) {
+	full := budgeter.Ledger{}.With(start, allowance, 1000)
+	grants := func(ledger budgeter.Ledger) (count int) {
+		for ok := true; ok; {
+			if ledger, ok = ledger.Draw(start, allowance); ok {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, grants(full.WithCharged(allowance, 3.5)), grants(full)-4)
+	// What it owes is bounded: a flood of charges must not end repeats for good.
+	owing := full.WithCharged(allowance, 1e6).With(start.Add(2*allowance.Window), allowance, 0)
+	assert.Assert(t, grants(owing) > 0)
+}
--- a/node/pkg/drawer/drawer_test.go
+++ b/node/pkg/drawer/drawer_test.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"samphiremount.example/core/allotter"
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/node/pkg/drawer"
@@ -144,3 +145,26 @@
 		assert.NilError(t, err)
 	})
 }
+
+// TestShareIsUsedWhileNoLenderLends has lenders that wait out what they may have lent before their start.
+func TestShareIsUsedWhileNoLenderLends(t *testing.T) {
+	s := newStock(0)
+	s.answer(exchanger.Reply{Reason: "starting", Again: time.Now().Add(time.Minute)})
+	sources := drawer.Sources{
+		Lenders: func(string) []string { return []string{"near"} },
+		Share:   func(string) allotter.Division { return allotter.Division{Rate: 0.001, Slack: 4, Nodes: 2} },
+	}
+	d := drawer.New(s, sources, slog.New(slog.DiscardHandler))
+	for range 2 {
+		began := time.Now()
+		_, err := d.Draw(t.Context(), "kowhai")
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(began) < 500*time.Millisecond, "a share is admitted at once")
+	}
+	_, err := d.Draw(t.Context(), "kowhai")
+	assert.Equal(t, kindOf(err), refuser.AllowanceShort)
+	// A rate that is used up is no reason to admit more.
+	s.answer(exchanger.Reply{Used: true, Reason: "exhausted", Again: time.Now().Add(time.Minute)})
+	_, err = d.Draw(t.Context(), "caroni")
+	assert.Equal(t, kindOf(err), refuser.RateExceeded)
+}
