--- a/core/suspector/suspector.go
+++ b/core/suspector/suspector.go
@@ -70,6 +70,27 @@
 func (Doubtful) verdict() {}
 func (Suspect) verdict()  {}
 
+// Name returns the name of a verdict for logs.
+func Name(verdict Verdict) string {
+	switch verdict.(type) {
+	case Suspect:
+		return "suspect"
+	case Doubtful:
+		return "doubtful"
+	case Sound:
+	}
+	return "sound"
+}
+
+// Evidence is what a verdict rests on. Failures is the number of failed requests that speak against the target, less
+// what served ones took back. Missing is the number of requests that a sound target would have ended since it ended the
+// last one, and Running the number in progress.
+type Evidence struct {
+	Failures float64
+	Missing  float64
+	Running  int
+}
+
 // Suspector holds the evidence on one target. It is not safe for concurrent use.
 type Suspector struct {
 	level   float64
@@ -148,6 +169,11 @@
 	}
 }
 
+// Evidence returns what the latest verdict rests on.
+func (s *Suspector) Evidence() Evidence {
+	return Evidence{Failures: s.level / badWeight, Missing: s.stall, Running: len(s.running)}
+}
+
 // count counts the requests that became overdue, and those that should have ended since it was called last.
 func (s *Suspector) count(now time.Time) {
 	passed := max(now.Sub(s.counted), 0)
--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -117,7 +117,7 @@
 		other.abandon()
 		return r.answer, nil
 	}
-	f.count(r.err)
+	f.noteReached(r.err)
 	if r.err == nil {
 		_ = r.answer.Body.Close()
 	}
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -103,8 +103,8 @@
 		ID: call.ID, Request: call.ID, Origin: call.Origin, Service: a.chooser.service(admission.route),
 		Workspace: admission.workspace.Name, Weight: admission.workspace.Weight, Rank: rank(admission),
 		Repeatable: admission.route.Repeatable, Deadline: deadline, Objective: now.Add(objective(admission.route)),
-		Allowed: admission.route.Objective, Method: call.Method, URI: call.URI, Host: call.Host, Header: withoutKey(call.Header, admission.presented),
-		Length: call.Length, Trailer: trailerNames(call.Trailer),
+		Allowed: admission.route.Objective, Method: call.Method, URI: call.URI, Host: call.Host,
+		Header: withoutKey(call.Header, admission.presented), Length: call.Length, Trailer: trailerNames(call.Trailer),
 	}
 	a.Route.Info("request matched", "request", call.ID, "route", admission.route.Name, "service", head.Service,
 		"workspace", head.Workspace, "rank", int(head.Rank), "repeatable", head.Repeatable, "remaining", deadline.Sub(now),
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -73,15 +73,14 @@
 		log: dependencies.Route, watcher: dependencies.Watcher, useLost: dependencies.UseLost, random: dependencies.Random,
 		inFlight: make(map[string]int), reports: make(map[string]router.Report), paths: make(map[string]pather.Path),
 		suspects: make(map[string]time.Time), lost: make(map[string]time.Time),
-		highs: make(map[time.Duration]time.Duration), means: make(map[time.Duration]time.Duration), sizes: make(map[time.Duration]float64),
-		followed: make(map[string]map[string]ejector.Entry),
+		highs: make(map[time.Duration]time.Duration), means: make(map[time.Duration]time.Duration),
+		sizes: make(map[time.Duration]float64), followed: make(map[string]map[string]ejector.Entry),
 	}
 }
 
 // choose picks a target for the request and counts it as in flight there until leave is called. Tried are the targets
 // of the request's earlier attempts. A request that stays near goes to another region only if its own has no target.
-// Targets that are suspect or that this node does not reach are chosen only for a
-// request that insists.
+// Targets that are suspect or that this node does not reach are chosen only for a request that insists.
 func (c *chooser) choose(view *viewer.View, head carrier.Head, near bool, tried ...string) (router.Choice, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		event = retrier.Refused{Refusal: refuser.From(err)}
 	}
-	f.count(err)
+	f.noteReached(err)
 	if ctx.Err() != nil || !f.body.replayable() {
 		return false
 	}
@@ -133,8 +133,8 @@
 	return decision
 }
 
-// count notes whether the attempt that ended may have run.
-func (f *forwarding) count(err error) {
+// noteReached notes the target of an attempt that ended with err, unless it surely did not run.
+func (f *forwarding) noteReached(err error) {
 	if err != nil && refuser.From(err).Outcome == (refuser.NotRun{}) {
 		return
 	}
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -73,8 +73,8 @@
 }
 
 // account is what the node knows of one workspace. Asking is closed when the message in flight was answered; it is nil
-// if there is none. Short is the last answer without tokens. Partial says that the lender had much less than was wanted, so
-// that the others are asked too; spreading says that they are being asked, and spreadAgain when next.
+// if there is none. Short is the last answer without tokens. Partial says that the lender had much less than was wanted,
+// so that the others are asked too; spreading says that they are being asked, and spreadAgain when next.
 type account struct {
 	holding allotter.Holding
 	demand  allotter.Demand
@@ -142,7 +142,7 @@
 		d.prefetch(workspace, a, now)
 		return fmt.Sprintf("lease %d of %s, %d left", lease.ID, lease.Lender, lease.Left()), nil, nil
 	}
-	if a.short.Used && now.Before(a.short.Again) && (a.waiting >= maxWaiters || a.short.Again.Sub(now) > waitLimit || now.Sub(began) > usedLimit) {
+	if a.usedUp(now, began) {
 		return "", nil, refuse(true, a.short.Reason)
 	}
 	if d.stopped {
@@ -164,6 +164,14 @@
 	return "", a.asking, nil
 }
 
+// usedUp reports whether the rate is used up and a request that came at began is not to wait for its next token.
+func (a *account) usedUp(now, began time.Time) bool {
+	if !a.short.Used || !now.Before(a.short.Again) {
+		return false
+	}
+	return a.waiting >= maxWaiters || a.short.Again.Sub(now) > waitLimit || now.Sub(began) > usedLimit
+}
+
 // drawShare spends a token of the node's own share, since no lender answered.
 func (d *Drawer) drawShare(workspace string) (string, error) {
 	const reason = "no lender answered in time"
@@ -176,6 +184,9 @@
 	if a.short.Used {
 		return "", refuse(true, a.short.Reason)
 	}
+	if d.sources.Share == nil {
+		return "", refuse(false, reason)
+	}
 	if admitted, ok := d.takeShare(workspace, a); ok {
 		return admitted, nil
 	}
--- a/node/pkg/gatekeeper/line.go
+++ b/node/pkg/gatekeeper/line.go
@@ -112,15 +112,30 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l, ok := g.lines[name]; ok {
-		evidence(time.Now(), l)
+		now := time.Now()
+		evidence(now, l)
+		g.believe(now, name, l)
 	}
 }
 
-// line is the slots of one target and the queue before them.
+// believe logs that the verdict on a target has changed, with what it rests on. The caller holds the lock.
+func (g *Gatekeeper) believe(now time.Time, name string, l *line) {
+	verdict := suspector.Name(l.suspector.Judge(now))
+	if verdict == l.verdict {
+		return
+	}
+	evidence := l.suspector.Evidence()
+	g.log.Info("target judged", "target", name, "verdict", verdict, "before", l.verdict, "failures", evidence.Failures,
+		"missing", evidence.Missing, "running", evidence.Running)
+	l.verdict = verdict
+}
+
+// line is the slots of one target and the queue before them. Verdict is the name of the verdict that was logged last.
 type line struct {
 	slots     int
 	inFlight  int
 	suspector *suspector.Suspector
+	verdict   string
 	estimates map[time.Duration]estimator.Estimate
 	queue     *queuer.Queuer
 	waiting   map[string]chan bool
@@ -132,7 +147,7 @@
 
 func newLine(slots int) *line {
 	return &line{
-		slots: slots, suspector: suspector.New(), estimates: make(map[time.Duration]estimator.Estimate),
+		slots: slots, suspector: suspector.New(), verdict: suspector.Name(suspector.Sound{}), estimates: make(map[time.Duration]estimator.Estimate),
 		queue: queuer.New(waitersPerSlot * slots), waiting: make(map[string]chan bool),
 	}
 }
@@ -211,6 +226,7 @@
 ) error {
 	g.mu.Lock()
 	l := g.line(target)
+	g.believe(time.Now(), target.Name, l)
 	err := l.examine(time.Now(), head)
 	if err == nil {
 		err = l.room(time.Now(), head)
