Ask one peer for the configuration between rounds of control

Control lost its leader at 6.0 s, and its election, with one split vote, took until 7.56 s. Nodes left each control process as out of contact and went on to three peers, about 1.1 s each, that knew no more. They came back to control at 11.1 s, 3.5 s after it had a leader.

Ruled out: the publisher's own delay (all control processes knew the leader by 7.78 s) and the freshness rule, under which most peers were heard, as it says.

Change: while control is not heard a node draws one peer, asks it after a round of the control processes, and then goes round again. TestOneSubstituteIsAskedBetweenRoundsOfControl holds the order; with three peers it fails.

--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -79,6 +79,18 @@
 	return owner, owner != ""
 }
 
+// WithSubstitute returns addresses and after them one of substitutes, which draw picks: it returns a number below n.
+//
+// The load pattern that it answers: no control process has a leader for a while. Each substitute costs the time to see
+// that it knows no more, so after one of them the control processes are asked again.
+func WithSubstitute(addresses, substitutes []string, draw func(n int) int) []string {
+	substitutes = slices.DeleteFunc(substitutes, func(address string) bool { return slices.Contains(addresses, address) })
+	if len(substitutes) == 0 {
+		return addresses
+	}
+	return append(slices.Clone(addresses), substitutes[draw(len(substitutes))])
+}
+
 func (l *Locator) distance(control tracker.Control) int {
 	switch {
 	case control.Region == l.place.Region && control.Centre == l.place.Centre:
--- a/core/locator/locator_test.go
+++ b/core/locator/locator_test.go
@@ -46,3 +46,13 @@
 	_, ok := locator.New(locator.Place{}, []string{"10.0.0.9:1"}, source(nil)).Owner("a")
 	assert.Assert(t, !ok)
 }
+
+// TestOneSubstituteIsAskedBetweenRoundsOfControl lists peers that took 1 s each while control had a leader again.
+func TestOneSubstituteIsAskedBetweenRoundsOfControl(t *testing.T) {
+	last := func(n int) int { return n - 1 }
+	control := []string{"a:1", "b:1"}
+	assert.DeepEqual(t, locator.WithSubstitute(control, []string{"n1:1", "n2:1", "n3:1"}, last), []string{"a:1", "b:1", "n3:1"})
+	assert.DeepEqual(t, locator.WithSubstitute(control, []string{"n1:1", "a:1"}, last), []string{"a:1", "b:1", "n1:1"})
+	assert.DeepEqual(t, locator.WithSubstitute(control, []string{"b:1"}, last), control)
+	assert.DeepEqual(t, control, []string{"a:1", "b:1"})
+}
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -42,9 +42,6 @@
 	"samphiremount.example/node/pkg/watcher"
 )
 
-// maxPeers is the number of other nodes that a node may ask for the configuration while no control process is heard.
-const maxPeers = 3
-
 // Options describe one node, whatever fronts it is used through. Entry and Fleet are the addresses under which others
 // reach it. Seeds are addresses of control processes to try until control itself says where it is. Data may be empty.
 // Lenders are the nodes that lend parts of the workspaces' rates.
@@ -173,7 +170,7 @@
 	return n.options.Retries(len(n.Viewer.View().Directory.Nodes()))
 }
 
-// publishers returns the control processes, and after them, while none of them is heard, peers that may know more.
+// publishers returns the control processes, and after them, while none of them is heard, a peer that may know more.
 func (n *Node) publishers(located *locator.Locator) synchronizer.Addresses {
 	return func() []string {
 		addresses := located.Addresses()
@@ -181,14 +178,13 @@
 		if now.ControlAge(time.Now()) < synchronizer.SilenceLimit {
 			return addresses
 		}
-		most := len(addresses) + maxPeers
-		addresses = append(addresses, n.options.Peers...)
+		peers := slices.Clone(n.options.Peers)
 		for _, node := range now.Directory.Nodes() {
-			if node.Name != n.options.Name && !node.Gone && len(addresses) < most {
-				addresses = append(addresses, node.Address)
+			if node.Name != n.options.Name && !node.Gone {
+				peers = append(peers, node.Address)
 			}
 		}
-		return addresses
+		return locator.WithSubstitute(addresses, peers, rand.IntN)
 	}
 }
 
