Keep nodes with their own control addresses, and log a lender that answers again

Cause: since control spreads the addresses of its members, samphire-node went on with those in place of the ones that its settings name. Scenario node_cut_off failed, since the node reached control beside the relays that were cut. Scenario rate failed on a message that had been renamed (`admit: lender failed`).

Change: OnlySeeds keeps a node with its settings, as samphire-node had it; the users' platform follows what control spreads. Peers are those that the settings name, or else all nodes. The message has its old name, and a lender that answers again has a line.

--- a/core/locator/locator.go
+++ b/core/locator/locator.go
@@ -84,7 +84,7 @@
 // The load pattern that it answers: no control process has a leader for a while. Each substitute costs the time to see
 // that it knows no more, so after one of them the control processes are asked again.
 func WithSubstitute(addresses, substitutes []string, draw func(n int) int) []string {
-	substitutes = slices.DeleteFunc(substitutes, func(address string) bool { return slices.Contains(addresses, address) })
+	substitutes = slices.DeleteFunc(slices.Clone(substitutes), func(address string) bool { return slices.Contains(addresses, address) })
 	if len(substitutes) == 0 {
 		return addresses
 	}
--- a/node/pkg/drawer/settle.go
+++ b/node/pkg/drawer/settle.go
@@ -95,13 +95,17 @@
 	reply, err := d.borrower.Borrow(ctx, address, message)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	_, known := d.silent[address]
 	if err == nil {
+		if known {
+			d.log.Info("lender answers again", "address", address)
+		}
 		delete(d.silent, address)
 		return reply, nil
 	}
 	d.reports = append(message.Reports, d.reports...)[:min(reportsLimit, len(message.Reports)+len(d.reports))]
-	if _, known := d.silent[address]; !known {
-		d.log.Warn("lender silent", "address", address, "reason", err.Error())
+	if !known {
+		d.log.Warn("lender failed", "address", address, "reason", err.Error())
 	}
 	d.silent[address] = time.Now().Add(silentPause)
 	return reply, err
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -43,7 +43,8 @@
 )
 
 // Options describe one node, whatever fronts it is used through. Entry and Fleet are the addresses under which others
-// reach it. Seeds are addresses of control processes to try until control itself says where it is. Data may be empty.
+// reach it. Seeds are addresses of control processes to try until control itself says where it is,
+// or with OnlySeeds always. Data may be empty.
 // Lenders are the nodes that lend parts of the workspaces' rates.
 type Options struct {
 	Name      string
@@ -52,6 +53,7 @@
 	Entry     string
 	Fleet     string
 	Seeds     []string
+	OnlySeeds bool
 	Peers     []string
 	Data      string
 	Decisions int
@@ -126,10 +128,19 @@
 	return n
 }
 
+// noSource says nothing of where control processes are.
+type noSource struct{}
+
+func (noSource) Controls() []tracker.Control { return nil }
+
 // assembleControl makes the parts that keep the node in touch with control.
 func (n *Node) assembleControl(hub *synchronizer.Hub, incarnation uint64) {
 	place := locator.Place{Name: n.options.Name, Region: n.options.Region, Centre: n.options.Centre}
-	located := locator.New(place, n.options.Seeds, hub)
+	source := locator.Source(hub)
+	if n.options.OnlySeeds {
+		source = noSource{}
+	}
+	located := locator.New(place, n.options.Seeds, source)
 	age := func() time.Duration { return n.Viewer.View().ControlAge(time.Now()) }
 	synchronizer.NewServer(hub, age, n.log.Part("publish")).Register(n.mux)
 	random := rand.New(rand.NewPCG(incarnation, rand.Uint64()))
@@ -178,14 +189,22 @@
 		if now.ControlAge(time.Now()) < synchronizer.SilenceLimit {
 			return addresses
 		}
-		peers := slices.Clone(n.options.Peers)
-		for _, node := range now.Directory.Nodes() {
-			if node.Name != n.options.Name && !node.Gone {
-				peers = append(peers, node.Address)
-			}
+		return locator.WithSubstitute(addresses, n.peers(now.Directory), rand.IntN)
+	}
+}
+
+// peers returns the addresses of the peers that the settings name, or else of all nodes that are there.
+func (n *Node) peers(directory tracker.Directory) []string {
+	if len(n.options.Peers) > 0 {
+		return n.options.Peers
+	}
+	var peers []string
+	for _, node := range directory.Nodes() {
+		if node.Name != n.options.Name && !node.Gone {
+			peers = append(peers, node.Address)
 		}
-		return locator.WithSubstitute(addresses, peers, rand.IntN)
 	}
+	return peers
 }
 
 // sources returns where the node gets tokens: from the lenders that own a part of the workspace's rate, and then from
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -37,7 +37,7 @@
 	node := New(Options{
 		Name: settings.Name, Region: settings.Region, Centre: settings.Centre,
 		Entry: listeners.entry.Addr().String(), Fleet: cmp.Or(settings.Advertise, listeners.fleet.Addr().String()),
-		Seeds: settings.Controls, Peers: settings.Peers, Data: settings.Data, Decisions: settings.Decisions,
+		Seeds: settings.Controls, OnlySeeds: true, Peers: settings.Peers, Data: settings.Data, Decisions: settings.Decisions,
 		Lenders: settings.AllLenders(), AnnouncementTime: registrar.Lifetime, Protocol: gatekeeper.OwnProtocol{},
 		Stop: ownStop, Router: router.New(router.Place{Region: settings.Region, Centre: settings.Centre}),
 		Retries: func(int) retrier.Policy { return retrier.OwnPolicy() },
