--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -43,9 +43,8 @@
 )
 
 // Options describe one node, whatever fronts it is used through. Entry and Fleet are the addresses under which others
-// reach it. Seeds are addresses of control processes to try until control itself says where it is,
-// or with OnlySeeds always. Data may be empty.
-// Lenders are the nodes that lend parts of the workspaces' rates.
+// reach it. Seeds are addresses of control processes to try until control itself says where it is, or with OnlySeeds
+// always. Data may be empty. Lenders are the nodes that lend parts of the workspaces' rates.
 type Options struct {
 	Name      string
 	Region    string
