--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -80,3 +80,11 @@
 	_, ok = r.Announcement("a")
 	assert.Assert(t, ok)
 }
+
+// TestTargetThatLeftBeforeItWasKnownStaysLeft lets a node start, hear that a target leaves, and then get a heartbeat
+// from before that.
+func TestTargetThatLeftBeforeItWasKnownStaysLeft(t *testing.T) {
+	r, _ := registrar.New(time.Minute).WithLeft(start, "a")
+	_, changed := r.With(start.Add(time.Second), announced("a", 5, 3))
+	assert.Assert(t, !changed)
+}
