Count the nodes of the directory without listing them, and share what both starters work out

Cause: the policy for retries asks for the number of nodes. It was counted by listing all nodes, sorted, for each request and for each decision on a retry, under the retrier's lock. The product's own policy does not even look at the number.

Change: Directory.Len. A node's share of a rate, its readiness and its wait for the first view use it too; the last two were the same condition written twice. The union of lists of lenders stood in both starters, and the names of control processes too: starter.Union and tracker.ControlNames serve all.

No change in what is decided. The whole check passes.

--- a/control/pkg/starter/control.go
+++ b/control/pkg/starter/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -23,7 +22,9 @@
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/replicator"
+	core "samphiremount.example/core/starter"
 	"samphiremount.example/core/synchronizer"
+	"samphiremount.example/core/tracker"
 )
 
 // Options describe one control process, whatever fronts it is used through. Lenders are the names of nodes that lend
@@ -64,8 +65,8 @@
 	}
 	own := options.Member
 	located := locator.New(locator.Place{Name: own.Name, Region: own.Region, Centre: own.Centre}, nil, hub)
-	lenders := func() []string { return union(controlNames(hub), options.Lenders) }
-	lenderPeers := func() []string { return union(located.Others(), options.LenderAddresses) }
+	lenders := func() []string { return core.Union(tracker.ControlNames(hub.Controls()), options.Lenders) }
+	lenderPeers := func() []string { return core.Union(located.Others(), options.LenderAddresses) }
 	c := &Control{
 		Proposer: replicated, Hub: hub, Publisher: synchronizer.NewServer(hub, replicated.Age, log.Part("publish")),
 		credentials: credentials, mux: messenger.Mux{}, pool: pool, log: log,
@@ -84,25 +85,6 @@
 	return c, nil
 }
 
-func controlNames(hub *synchronizer.Hub) []string {
-	controls := hub.Controls()
-	names := make([]string, 0, len(controls))
-	for _, control := range controls {
-		names = append(names, control.Name)
-	}
-	return names
-}
-
-// union returns the texts of a and those of b that a lacks.
-func union(a, b []string) []string {
-	for _, text := range b {
-		if !slices.Contains(a, text) {
-			a = append(a, text)
-		}
-	}
-	return a
-}
-
 // Administrator returns the operators' front of the product, for holders of token.
 func (c *Control) Administrator(token []byte) *administrator.Administrator {
 	return administrator.New(token, c.Proposer, c.Hub, c.Publisher, explainer.New(c.pool), c.log.Part("operate"))
--- a/core/starter/peers.go
+++ b/core/starter/peers.go
@@ -50,3 +50,13 @@
 	}
 	return others
 }
+
+// Union returns the texts of a and those of b that a lacks. It may append to a.
+func Union(a, b []string) []string {
+	for _, text := range b {
+		if !slices.Contains(a, text) {
+			a = append(a, text)
+		}
+	}
+	return a
+}
--- a/core/tracker/control.go
+++ b/core/tracker/control.go
@@ -8,3 +8,12 @@
 	Centre  string `cbor:"3,keyasint,omitempty" json:"centre"`
 	Address string `cbor:"4,keyasint" json:"address"`
 }
+
+// ControlNames returns the names of controls, in their order.
+func ControlNames(controls []Control) []string {
+	names := make([]string, 0, len(controls))
+	for _, control := range controls {
+		names = append(names, control.Name)
+	}
+	return names
+}
--- a/core/tracker/directory.go
+++ b/core/tracker/directory.go
@@ -56,6 +56,9 @@
 	return nodes
 }
 
+// Len returns the number of nodes that are known, those that are gone included.
+func (d Directory) Len() int { return len(d.nodes) }
+
 // Node returns the record of the node called name.
 func (d Directory) Node(name string) (Node, bool) {
 	node, ok := d.nodes[name]
--- a/node/pkg/starter/callers.go
+++ b/node/pkg/starter/callers.go
@@ -70,8 +70,7 @@
 	ticker := time.NewTicker(viewPoll)
 	defer ticker.Stop()
 	for {
-		view := n.Viewer.View()
-		if view.Configuration.Version() > 0 && len(view.Directory.Nodes()) > 0 {
+		if n.informed() {
 			return
 		}
 		select {
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -177,7 +177,7 @@
 }
 
 func (n *Node) retries() retrier.Policy {
-	return n.options.Retries(len(n.Viewer.View().Directory.Nodes()))
+	return n.options.Retries(n.Viewer.View().Directory.Len())
 }
 
 // publishers returns the control processes, and after them, while none of them is heard, a peer that may know more.
@@ -231,7 +231,7 @@
 	if n.options.ShareRates {
 		sources.Share = func(name string) allotter.Division {
 			workspace, _ := hub.Configuration().Workspace(name)
-			return allotter.Division{Rate: workspace.Rate, Slack: n.options.ShareSlack, Nodes: len(hub.Directory().Nodes())}
+			return allotter.Division{Rate: workspace.Rate, Slack: n.options.ShareSlack, Nodes: hub.Directory().Len()}
 		}
 	}
 	return sources
@@ -241,13 +241,7 @@
 // all that is left in an outage of control.
 func (n *Node) lenderAddresses(located *locator.Locator) func() []string {
 	return func() []string {
-		addresses := located.Addresses()
-		for _, address := range n.options.Lenders.Others("") {
-			if !slices.Contains(addresses, address) {
-				addresses = append(addresses, address)
-			}
-		}
-		return addresses
+		return core.Union(located.Addresses(), n.options.Lenders.Others(""))
 	}
 }
 
@@ -260,13 +254,7 @@
 	rates := lender.New(time.Now(), lender.Dependencies{
 		Name: n.options.Name, Configuration: hub, Borrower: exchanger.NewClient(n.pool), Log: n.log.Part("lend"),
 		Lenders: func() []string {
-			names := lenders.Names()
-			for _, control := range hub.Controls() {
-				if !slices.Contains(names, control.Name) {
-					names = append(names, control.Name)
-				}
-			}
-			return names
+			return core.Union(lenders.Names(), tracker.ControlNames(hub.Controls()))
 		},
 		Peers: func() []string {
 			own := lenders[n.options.Name]
@@ -293,8 +281,13 @@
 // Ready reports whether a request that came now could be served: the node has a configuration and a directory, and is
 // not stopping.
 func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.informed()
+}
+
+// informed reports whether the node has a configuration and a directory.
+func (n *Node) informed() bool {
 	view := n.Viewer.View()
-	return !n.leaving.Load() && view.Configuration.Version() > 0 && len(view.Directory.Nodes()) > 0
+	return view.Configuration.Version() > 0 && view.Directory.Len() > 0
 }
 
 // Log returns the logger of the node's lines, which also keeps those about requests for samphire explain.
