Judge a target once for each request that asks for a slot

The verdict was worked out twice for each request, once to log a change and once to decide, and a request that starts counted what is overdue twice at one moment.

--- a/core/suspector/suspector.go
+++ b/core/suspector/suspector.go
@@ -125,7 +125,6 @@
 	if _, suspect := s.Judge(now).(Suspect); suspect {
 		s.tried = now
 	}
-	s.count(now)
 	s.running[id] = run{Expectation: expectation}
 }
 
--- a/node/pkg/gatekeeper/line.go
+++ b/node/pkg/gatekeeper/line.go
@@ -77,13 +77,13 @@
 	l.estimates[objective] = l.estimates[objective].With(span)
 }
 
-// examine refuses a request that the target should not get now, since it would most likely hang or fail there. Routes
-// that do not say what a sound target takes are not judged.
-func (l *line) examine(now time.Time, head carrier.Head) error {
+// checkVerdict refuses a request that the target should not get now by verdict, since it would most likely hang or fail
+// there. Routes that do not say what a sound target takes are not judged.
+func checkVerdict(verdict suspector.Verdict, head carrier.Head) error {
 	if head.Insist || head.Allowed == 0 {
 		return nil
 	}
-	switch verdict := l.suspector.Judge(now).(type) {
+	switch verdict := verdict.(type) {
 	case suspector.Doubtful:
 		if head.Careful {
 			return refuser.Refuse(refuser.TargetSuspect, "doubtful")
@@ -114,20 +114,22 @@
 	if l, ok := g.lines[name]; ok {
 		now := time.Now()
 		evidence(now, l)
-		g.believe(now, name, l)
+		g.judgeTarget(now, name, l)
 	}
 }
 
-// believe logs that the verdict on a target has changed, with what it rests on. The caller holds the lock.
-func (g *Gatekeeper) believe(now time.Time, name string, l *line) {
-	verdict := suspector.Name(l.suspector.Judge(now))
-	if verdict == l.verdict {
-		return
+// judgeTarget returns the verdict on a target, and logs it with what it rests on if it has changed. The caller holds the lock.
+func (g *Gatekeeper) judgeTarget(now time.Time, target string, l *line) suspector.Verdict {
+	verdict := l.suspector.Judge(now)
+	name := suspector.Name(verdict)
+	if name == l.verdict {
+		return verdict
 	}
 	evidence := l.suspector.Evidence()
-	g.log.Info("target judged", "target", name, "verdict", verdict, "before", l.verdict, "failures", evidence.Failures,
+	g.log.Info("target judged", "target", target, "verdict", name, "before", l.verdict, "failures", evidence.Failures,
 		"missing", evidence.Missing, "running", evidence.Running)
-	l.verdict = verdict
+	l.verdict = name
+	return verdict
 }
 
 // line is the slots of one target and the queue before them. Verdict is the name of the verdict that was logged last.
@@ -227,16 +229,16 @@
 ) error {
 	g.mu.Lock()
 	l := g.line(target)
-	g.believe(time.Now(), target.Name, l)
-	err := l.examine(time.Now(), head)
+	now := time.Now()
+	err := checkVerdict(g.judgeTarget(now, target.Name, l), head)
 	if err == nil {
-		err = l.room(time.Now(), head)
+		err = l.room(now, head)
 	}
 	if err != nil {
 		g.mu.Unlock()
 		return err
 	}
-	ticket, granted := l.join(time.Now(), head, alone)
+	ticket, granted := l.join(now, head, alone)
 	g.mu.Unlock()
 	select {
 	case ok := <-granted:
