Run periodic work and open listeners by one piece of code each

Seven parts had the same loop over a ticker: examiner, budgeter, synchronizer, connector, enroller, prober and watcher. repeater.Every has it now. Parts that do something between their first pass and the ticker, or at the end with an error, keep their own loops.

--- a/control/pkg/examiner/examiner.go
+++ b/control/pkg/examiner/examiner.go
@@ -24,6 +24,7 @@
 	"samphiremount.example/core/leaser"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/observer"
+	"samphiremount.example/core/repeater"
 )
 
 const (
@@ -119,18 +120,12 @@
 
 // Run runs rounds until ctx ends.
 func (e *Examiner) Run(ctx context.Context) error {
-	ticker := time.NewTicker(roundPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			e.follow()
-			e.ask(ctx)
-			e.judge()
-		}
-	}
+	repeater.Every(ctx, roundPeriod, func(time.Time) {
+		e.follow()
+		e.ask(ctx)
+		e.judge()
+	})
+	return nil
 }
 
 // ask asks all peers at once for their vote and evidence, if this process is the holder or may become it.
--- a/core/budgeter/client.go
+++ b/core/budgeter/client.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/repeater"
 )
 
 const (
@@ -75,28 +78,18 @@
 
 // Run tells of requests until ctx ends. What does not arrive is lost, which makes the budget smaller.
 func (c *Client) Run(ctx context.Context) error {
-	ticker := time.NewTicker(tellPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	repeater.Every(ctx, tellPeriod, func(time.Time) {
 		for _, service := range c.untold() {
 			if _, err := c.send(ctx, service, false); err != nil {
 				c.log.Debug("requests not told", "service", service, "reason", err.Error())
 			}
 		}
-	}
+	})
+	return nil
 }
 
 func (c *Client) untold() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var services []string
-	for service := range c.asked {
-		services = append(services, service)
-	}
-	return services
+	return slices.Collect(maps.Keys(c.asked))
 }
--- a/core/synchronizer/server.go
+++ b/core/synchronizer/server.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/repeater"
 	"samphiremount.example/core/tracker"
 )
 
@@ -56,16 +57,8 @@
 // Run marks nodes that stopped reporting as gone, until ctx ends. Only control processes run it: a node that publishes
 // to its peers does not judge them.
 func (s *Server) Run(ctx context.Context) error {
-	ticker := time.NewTicker(HeartbeatPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			s.expire(now)
-		}
-	}
+	repeater.Every(ctx, HeartbeatPeriod, s.expire)
+	return nil
 }
 
 func (s *Server) expire(now time.Time) {
--- a/node/pkg/connector/connector.go
+++ b/node/pkg/connector/connector.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/core/repeater"
 )
 
 const (
@@ -111,17 +113,9 @@
 
 // Run closes connections that were idle for long until ctx ends.
 func (c *Connector) Run(ctx context.Context) error {
-	ticker := time.NewTicker(idleTimeout / 4)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			c.sweep(time.Now().Add(idleTimeout))
-			return nil
-		case now := <-ticker.C:
-			c.sweep(now.Add(-idleTimeout))
-		}
-	}
+	repeater.Every(ctx, idleTimeout/4, func(now time.Time) { c.sweep(now.Add(-idleTimeout)) })
+	c.sweep(time.Now().Add(idleTimeout))
+	return nil
 }
 
 func (c *Connector) sweep(before time.Time) {
--- a/node/pkg/enroller/enroller.go
+++ b/node/pkg/enroller/enroller.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 
 	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/repeater"
 	"samphiremount.example/core/tracker"
 )
 
@@ -101,16 +102,8 @@
 
 // Run removes targets whose deadline has passed until ctx ends.
 func (e *Enroller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			e.sweep()
-		}
-	}
+	repeater.Every(ctx, sweepPeriod, func(time.Time) { e.sweep() })
+	return nil
 }
 
 func (e *Enroller) sweep() {
--- a/node/pkg/prober/prober.go
+++ b/node/pkg/prober/prober.go
@@ -13,6 +13,7 @@
 
 	"samphiremount.example/core/assessor"
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/repeater"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/viewer"
 )
@@ -61,15 +62,8 @@
 // Run probes a sample of peers each second while no control process is heard, until ctx ends. It logs each change of
 // the verdict.
 func (p *Prober) Run(ctx context.Context) error {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
 	reason := ""
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	repeater.Every(ctx, period, func(time.Time) {
 		if p.viewer.View().ControlAge(time.Now()) > assessor.ProbeAfter {
 			p.round(ctx)
 		}
@@ -79,7 +73,8 @@
 			_, serves := verdict.(assessor.Serve)
 			p.log.Info("freshness assessed", "serves", serves, "reason", reason)
 		}
-	}
+	})
+	return nil
 }
 
 func (p *Prober) round(ctx context.Context) {
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -57,18 +57,12 @@
 }
 
 func listen(settings Settings) (listeners, error) {
-	var opened listeners
-	var wrong []error
-	open := func(listener *net.Listener, flag, address string) {
-		var err error
-		*listener, err = core.Listen(flag, address)
-		if err != nil {
-			wrong = append(wrong, err)
-		}
+	var opener core.Opener
+	opened := listeners{
+		entry:   opener.Listen("--entry", settings.Entry),
+		fleet:   opener.Listen("--fleet", settings.Fleet),
+		local:   opener.Listen("--local", settings.Local),
+		metrics: opener.Listen("--metrics", settings.Metrics),
 	}
-	open(&opened.entry, "--entry", settings.Entry)
-	open(&opened.fleet, "--fleet", settings.Fleet)
-	open(&opened.local, "--local", settings.Local)
-	open(&opened.metrics, "--metrics", settings.Metrics)
-	return opened, core.Join(wrong)
+	return opened, opener.Err()
 }
--- a/node/pkg/watcher/watcher.go
+++ b/node/pkg/watcher/watcher.go
@@ -12,6 +12,7 @@
 	"samphiremount.example/core/informer"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/observer"
+	"samphiremount.example/core/repeater"
 	"samphiremount.example/core/tracker"
 )
 
@@ -77,24 +78,19 @@
 
 // Run reports each second until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(reportPeriod)
-	defer ticker.Stop()
-	for current := 0; ; {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	current := 0
+	repeater.Every(ctx, reportPeriod, func(time.Time) {
 		controls := w.controls()
 		if len(controls) == 0 {
-			continue
+			return
 		}
 		address := controls[current%len(controls)]
 		if err := w.report(ctx, address); err != nil && ctx.Err() == nil {
 			w.log.Warn("evidence not delivered", "address", address, "reason", err.Error())
 			current++
 		}
-	}
+	})
+	return nil
 }
 
 func (w *Watcher) report(ctx context.Context, address string) error {
