Remember the departure of a target that was not known yet

Cause: a node that has just started hears that its target leaves before it has heard of the target.

Ruled out: refusing every first heartbeat for some time after the start, which keeps new targets out for no reason.

Change: the departure is remembered for a minute with the time at which it came; a start of the target before that stays departed, a later one is taken. A log line says so.

Before: TestTargetThatLeftBeforeItWasKnownStaysLeft red.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -54,10 +54,21 @@
 	entries  map[string]entry
 }
 
+// entry is what the set holds of one target until deadline. Left says that the target departed, unheard that it did so
+// before any announcement of it came: its start is then known only to lie before that of announcement.
 type entry struct {
 	announcement Announcement
 	deadline     time.Time
 	left         bool
+	unheard      bool
+}
+
+// outdates reports whether announcement, of the same target, is older than what e holds.
+func (e entry) outdates(announcement Announcement) bool {
+	if e.unheard {
+		return announcement.Born < e.announcement.Born
+	}
+	return announcement.older(e.announcement) || e.left && announcement.Born == e.announcement.Born
 }
 
 // New returns an empty set in which an announcement counts for lifetime.
@@ -85,7 +96,7 @@
 // outdates reports whether the set holds something newer than announcement.
 func (r Registrar) outdates(announcement Announcement) bool {
 	old, ok := r.entries[announcement.Name]
-	if ok && (announcement.older(old.announcement) || old.left && announcement.Born == old.announcement.Born) {
+	if ok && old.outdates(announcement) {
 		return true
 	}
 	for name, other := range r.entries {
@@ -96,15 +107,22 @@
 	return false
 }
 
-// WithLeft returns the set after the target called name said at now that it is gone, and whether that changed it.
+// WithLeft returns the set after the target called name said at now that it is gone, and whether that took a target out
+// of it. The departure of a target that the set does not hold counts for each start of it before now.
 func (r Registrar) WithLeft(now time.Time, name string) (Registrar, bool) {
 	old, ok := r.entries[name]
-	if !ok || old.left {
+	if old.left {
 		return r, false
 	}
-	entries := maps.Clone(r.entries)
-	entries[name] = entry{announcement: old.announcement, deadline: now.Add(leftLifetime), left: true}
-	return Registrar{r.lifetime, entries}, true
+	departed := entry{announcement: old.announcement, deadline: now.Add(leftLifetime), left: true}
+	if !ok {
+		departed.announcement = Announcement{Name: name, Born: now.UnixMilli()}
+		departed.unheard = true
+	}
+	entries := make(map[string]entry, len(r.entries)+1)
+	maps.Copy(entries, r.entries)
+	entries[name] = departed
+	return Registrar{r.lifetime, entries}, ok
 }
 
 // Without returns the set without the targets whose deadline has passed at now, and the names of those.
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -87,4 +87,14 @@
 	r, _ := registrar.New(time.Minute).WithLeft(start, "a")
 	_, changed := r.With(start.Add(time.Second), announced("a", 5, 3))
 	assert.Assert(t, !changed)
+
+	// The departure outlives the sweep of announcements that expired, and does not hold back a later start.
+	r, expired := r.Without(start.Add(2 * registrar.Lifetime))
+	assert.Equal(t, len(expired), 0)
+	_, changed = r.With(start.Add(2*registrar.Lifetime), announced("a", 5, 4))
+	assert.Assert(t, !changed)
+	r, changed = r.With(start.Add(2*registrar.Lifetime), announced("a", start.UnixMilli()+1, 1))
+	assert.Assert(t, changed)
+	_, ok := r.Announcement("a")
+	assert.Assert(t, ok)
 }
--- a/node/pkg/enroller/enroller.go
+++ b/node/pkg/enroller/enroller.go
@@ -71,10 +71,12 @@
 	defer e.mu.Unlock()
 	next, changed := e.registrar.WithLeft(time.Now(), name)
 	e.registrar = next
-	if changed {
-		e.log.Info("target left", "target", name, "reason", "it said so")
-		e.changed(e.targets())
+	if !changed {
+		e.log.Info("departure remembered", "target", name, "reason", "the target was not known, or left before")
+		return
 	}
+	e.log.Info("target left", "target", name, "reason", "it said so")
+	e.changed(e.targets())
 }
 
 func check(announcement registrar.Announcement) error {
