Ask a silent gate about a request that may run only once before giving it up

Cause: an entry gave a gate up that nobody ran for 80 to 200 ms.

Ruled out: a longer limit for the first sign of life, which would slow the search for another target on cut paths.

Change: the silence of a gate first leads to the question for a tombstone, on a connection of its own, while the exchange stays open. Only the promise not to start, or a second silence, ends it. What was learned is logged with the request's id.

Before: TestSilentGateEndsNoRunThatItBegan red ("node-unreachable: the gate gave no sign of life").

--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -42,7 +42,7 @@
 // freeDrawer admits every request.
 type freeDrawer struct{}
 
-func (freeDrawer) Draw(context.Context, string) (string, error) { return "free", nil }
+func (freeDrawer) Draw(context.Context, string, time.Time) (string, error) { return "free", nil }
 
 // generous lets every further send be paid, and requests be moved before they reached a target.
 func generous() retrier.Policy {
@@ -73,7 +73,7 @@
 	log := slog.New(slog.DiscardHandler)
 	credentials := messenger.NewCredentials("test", []byte("0123456789abcdef"))
 	pool := messenger.NewPool(credentials)
-	client := carrier.NewClient(pool, new(expvar.Map))
+	client := carrier.NewClient(pool, new(expvar.Map), log)
 	counts := new(expvar.Map)
 	mux := messenger.Mux{}
 	seen := watcher.New(pool, func() []string { return nil }, nil, log)
--- a/node/pkg/carrier/carrier_test.go
+++ b/node/pkg/carrier/carrier_test.go
@@ -73,7 +73,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	mux := messenger.Mux{}
-	carrier.NewServer(served, carrier.NewClient(messenger.NewPool(credentials), new(expvar.Map))).Register(mux)
+	carrier.NewServer(served, carrier.NewClient(messenger.NewPool(credentials), new(expvar.Map), slog.New(slog.DiscardHandler))).Register(mux)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = messenger.NewServer(credentials, mux, slog.New(slog.DiscardHandler)).Serve(ctx, listener) }()
@@ -84,7 +84,7 @@
 	t.Helper()
 	pool := messenger.NewPool(messenger.NewCredentials("test", []byte("0123456789abcdef")))
 	t.Cleanup(func() { _ = pool.Close() })
-	return carrier.NewClient(pool, new(expvar.Map))
+	return carrier.NewClient(pool, new(expvar.Map), slog.New(slog.DiscardHandler))
 }
 
 func head(id string) carrier.Head {
@@ -152,6 +152,38 @@
 	assert.Equal(t, outcome(t, err), "not-run")
 }
 
+// TestSilentGateEndsNoRunThatItBegan holds back what a gate says for longer than its entry is patient. A client that gives
+// the exchange up then cancels the run, and the caller gets no answer.
+func TestSilentGateEndsNoRunThatItBegan(t *testing.T) {
+	release := make(chan struct{})
+	served := newGate(func(ctx context.Context, head carrier.Head, _ io.Reader) (carrier.Answer, error) {
+		if head.ID != "booking" {
+			return carrier.Answer{Status: http.StatusOK, Body: http.NoBody}, nil
+		}
+		select {
+		case <-release:
+			return carrier.Answer{Status: http.StatusCreated, Body: http.NoBody}, nil
+		case <-ctx.Done():
+			return carrier.Answer{}, refuser.Fail(refuser.OutcomeUnknown, "the run was cancelled")
+		}
+	})
+	between := serve(t, served)
+	client := newClient(t)
+	warm(t, client, between)
+	deliver := between.stall(false)
+	impatient := way(between.address())
+	impatient.Patience = 80 * time.Millisecond
+	go func() {
+		time.Sleep(5 * impatient.Patience)
+		deliver()
+		close(release)
+	}()
+	answer, err := client.Carry(t.Context(), impatient, head("booking"), http.NoBody)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Status, http.StatusCreated)
+	assert.NilError(t, answer.Body.Close())
+}
+
 func TestSilenceOfARunningRequestIsNoticed(t *testing.T) {
 	between := serve(t, newGate(func(ctx context.Context, _ carrier.Head, _ io.Reader) (carrier.Answer, error) {
 		<-ctx.Done()
--- a/node/pkg/carrier/client.go
+++ b/node/pkg/carrier/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"io"
+	"log/slog"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,11 +33,13 @@
 	pool   *messenger.Pool
 	counts *expvar.Map
 	clocks *clocks
+	log    *slog.Logger
 }
 
-// NewClient returns a client that uses the connections of pool and counts in counts.
-func NewClient(pool *messenger.Pool, counts *expvar.Map) *Client {
-	return &Client{pool: pool, counts: counts, clocks: newClocks()}
+// NewClient returns a client that uses the connections of pool, counts in counts, and logs what it learns of requests
+// whose gates are silent.
+func NewClient(pool *messenger.Pool, counts *expvar.Map, log *slog.Logger) *Client {
+	return &Client{pool: pool, counts: counts, clocks: newClocks(), log: log}
 }
 
 // Carry sends a request to the gate at the end of way and returns the target's answer once its head is there. It reads
@@ -71,7 +74,7 @@
 		return Answer{}, false, refuser.Refuse(refuser.NodeUnreachable, err.Error())
 	}
 	head.StartBefore = startBefore(reading, time.Now(), head.Deadline)
-	exchange := newExchange(stream, cancel, way)
+	exchange := newExchange(stream, cancel, way, c.burier(ctx, way, *head))
 	answer, err := exchange.run(*head, body)
 	if exchange.reading > 0 {
 		c.clocks.set(address, Clock{head.Incarnation, exchange.reading}, time.Now())
--- a/node/pkg/carrier/exchange.go
+++ b/node/pkg/carrier/exchange.go
@@ -29,7 +29,12 @@
 	began   time.Time
 	group   errgroup.Group
 	answer  *bodyReader
-	silence *time.Timer
+	silence *silence
+	// bury asks the gate, in another way, not to start the request, and reports whether it promised that. It is nil for a
+	// request that may be repeated: such a one goes elsewhere at once.
+	bury    func() bool
+	asked   atomic.Bool
+	buried  atomic.Bool
 	silent  atomic.Bool
 	sent    atomic.Bool
 	refused bool
@@ -38,23 +43,44 @@
 	reading tombstoner.Reading
 }
 
-func newExchange(stream drpc.Stream, cancel context.CancelFunc, way Way) *exchange {
-	e := &exchange{stream: stream, cancel: cancel, way: way, began: time.Now()}
-	e.silence = time.AfterFunc(cmp.Or(way.Patience, silenceLimit), func() {
-		e.silent.Store(true)
-		cancel()
-	})
+func newExchange(stream drpc.Stream, cancel context.CancelFunc, way Way, bury func() bool) *exchange {
+	e := &exchange{stream: stream, cancel: cancel, way: way, began: time.Now(), bury: bury}
+	e.silence = newSilence(cmp.Or(way.Patience, silenceLimit), e.expire)
 	return e
 }
 
+// expire ends the exchange when the gate was silent for long. To give up a request that may not be repeated would end its
+// run, so the gate is asked about it first. Only a promise not to start it, or a second silence, ends such a one.
+func (e *exchange) expire() {
+	if e.bury == nil || e.asked.Swap(true) {
+		e.giveUp()
+		return
+	}
+	e.silence.allow(silenceLimit)
+	e.group.Go(func() error {
+		if e.bury() {
+			e.buried.Store(true)
+			e.giveUp()
+		}
+		return nil
+	})
+}
+
+func (e *exchange) giveUp() {
+	e.silent.Store(true)
+	e.cancel()
+}
+
 // receive takes the next frame that is not about progress. It gives up once the gate was silent for silenceLimit: a
 // gate that is alive tells of its progress more often, so the connection is at fault.
 func (e *exchange) receive(into *frame) error {
-	defer e.silence.Stop()
+	defer e.silence.stop()
 	for {
 		if e.reached {
-			e.silence.Reset(silenceLimit)
+			e.asked.Store(false)
+			e.silence.allow(silenceLimit)
 		}
+		e.silence.start()
 		if err := e.stream.MsgRecv(into, frameEncoding{}); err != nil {
 			return errors.Wrap(err, "receive answer")
 		}
@@ -146,6 +172,9 @@
 	if errors.As(err, &refusal) {
 		return refusal
 	}
+	if e.buried.Load() {
+		return refuser.Refuse(refuser.NodeUnreachable, "the gate was silent and promised not to start it")
+	}
 	if e.silent.Load() && !e.reached {
 		return refuser.Fail(refuser.NodeUnreachable, "the gate gave no sign of life")
 	}
@@ -171,7 +200,7 @@
 // Close ends the exchange, whether or not the answer was read to its end. The connection is used again only if both
 // directions are whole: what one side left unread would hold up the next request on it.
 func (e *exchange) Close() error {
-	e.silence.Stop()
+	e.silence.stop()
 	whole := e.refused || e.answer != nil && e.answer.whole()
 	if !whole || !e.sent.Load() {
 		e.cancel()
--- a/node/pkg/carrier/settle.go
+++ b/node/pkg/carrier/settle.go
@@ -46,10 +46,18 @@
 	return !errors.Is(ctx.Err(), context.Canceled)
 }
 
-// settle asks for a tombstone for the request of head, whose exchange failed with cause: by a new connection to the gate
-// and through other nodes at the same time. It returns a refusal that is NotRun if the gate promised that the request will
-// not start, else cause. It may outlast the deadline of the request by settleLimit.
-func (c *Client) settle(ctx context.Context, way Way, head Head, cause error) error {
+// burier returns what an exchange asks with when its gate is silent: nothing for a request that may be repeated.
+func (c *Client) burier(ctx context.Context, way Way, head Head) func() bool {
+	if head.Repeatable {
+		return nil
+	}
+	return func() bool { return c.bury(ctx, way, head) }
+}
+
+// bury asks for a tombstone for the request of head: by a new connection to the gate and through other nodes at the same
+// time. It reports whether the gate promised that the request will not start. It may outlast the deadline of the request
+// by settleLimit.
+func (c *Client) bury(ctx context.Context, way Way, head Head) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleLimit)
 	defer cancel()
 	identity := head.Identity()
@@ -57,10 +65,18 @@
 	state, ok := c.askAll(ctx, way, question)
 	if !ok {
 		c.counts.Add("settle_no_reply", 1)
-		return cause
+		c.log.Info("tombstone asked for", "request", head.ID, "target", head.Target, "state", "no reply")
+		return false
 	}
 	c.counts.Add("settle_"+tombstoner.Name(state), 1)
-	if tombstoner.Outcome(state) != (refuser.NotRun{}) {
+	c.log.Info("tombstone asked for", "request", head.ID, "target", head.Target, "state", tombstoner.Name(state))
+	return tombstoner.Outcome(state) == (refuser.NotRun{})
+}
+
+// settle returns what became of the request of head, whose exchange failed with cause: a refusal that is NotRun if the gate
+// promised that the request will not start, else cause.
+func (c *Client) settle(ctx context.Context, way Way, head Head, cause error) error {
+	if !c.bury(ctx, way, head) {
 		return cause
 	}
 	refusal := *refuser.From(cause)
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -159,7 +159,7 @@
 // assembleRequests makes the parts that requests pass through.
 func (n *Node) assembleRequests(incarnation uint64) {
 	n.Enroller = enroller.New(n.options.AnnouncementTime, n.log.Part("enroll"), n.reporter.SetTargets)
-	client := carrier.NewClient(n.pool, expvar.NewMap("entry"))
+	client := carrier.NewClient(n.pool, expvar.NewMap("entry"), n.log.Part("route"))
 	counts := expvar.NewMap("gate")
 	n.conns = connector.New(counts)
 	gate := gatekeeper.New(
