Wait for a lender that restarts as long as the request has time, and refuse at once where that is too late

Requests whose lender had said that it lends too late for them waited out their limit all the same.

Change: such a request waits for up to half of its time, and is refused at once if no lender lends by then.

TestDrawOutlastsTheRestartOfAllLenders and TestDrawIsRefusedAtOnceWhenNoTokenCanComeInTime fail on the earlier limit.

--- a/node/pkg/acceptor/admit.go
+++ b/node/pkg/acceptor/admit.go
@@ -2,22 +2,23 @@
 
 import (
 	"context"
+	"time"
 
 	"samphiremount.example/core/refuser"
 )
 
 // Drawer spends tokens of workspaces' rates.
 type Drawer interface {
-	// Draw spends one token of workspace and returns why it could, or a refusal.
-	Draw(ctx context.Context, workspace string) (reason string, err error)
+	// Draw spends one token of workspace for a request that ends at end, and returns why it could, or a refusal.
+	Draw(ctx context.Context, workspace string, end time.Time) (reason string, err error)
 }
 
-func (a *Acceptor) admit(ctx context.Context, admission admission, id string) error {
+func (a *Acceptor) admit(ctx context.Context, admission admission, id string, end time.Time) error {
 	if admission.route.Open || admission.workspace.Rate == 0 {
 		return nil
 	}
 	workspace := admission.workspace.Name
-	reason, err := a.Drawer.Draw(ctx, workspace)
+	reason, err := a.Drawer.Draw(ctx, workspace, end)
 	if err != nil {
 		refusal := refuser.From(err)
 		a.Admit.Info("request not admitted", "request", id, "workspace", workspace, "kind", refusal.Kind,
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -91,14 +91,14 @@
 	if err != nil {
 		return carrier.Answer{}, err
 	}
-	if err := a.admit(ctx, admission, call.ID); err != nil {
-		return carrier.Answer{}, err
-	}
 	now := time.Now()
 	deadline := now.Add(admission.route.Limit)
 	if !call.Deadline.IsZero() && call.Deadline.Before(deadline) {
 		deadline = call.Deadline
 	}
+	if err := a.admit(ctx, admission, call.ID, deadline); err != nil {
+		return carrier.Answer{}, err
+	}
 	head := carrier.Head{
 		ID: call.ID, Request: call.ID, Origin: call.Origin, Service: a.chooser.service(admission.route),
 		Workspace: admission.workspace.Name, Weight: admission.workspace.Weight, Rank: rank(admission),
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -20,8 +20,11 @@
 )
 
 const (
-	// drawLimit bounds how long a request waits for a token.
+	// drawLimit bounds how long a request waits for a token that the node's own share may replace.
 	drawLimit = 600 * time.Millisecond
+	// strictPart is the part of its time for which a request waits where nothing replaces a lender's token: a lender that
+	// restarts lends nothing for allotter.LenderTime.
+	strictPart = 0.5
 	// tryLimit bounds one question to a lender: a new connection to another region takes four ways there and back.
 	tryLimit   = 300 * time.Millisecond
 	shortPause = 50 * time.Millisecond
@@ -96,15 +99,17 @@
 	}
 }
 
-// Draw spends one token of workspace, and returns why it could. Without a token it asks a lender and waits for at most
-// drawLimit. It refuses with RateExceeded if all lenders answered that the workspace's rate is used up, and with
+// Draw spends one token of workspace for a request that ends at end, and returns why it could. Without a token it asks a
+// lender and waits for at most drawLimit, or for strictPart of the request's time if that is more and nodes have no shares
+// of their own. It refuses with RateExceeded if all lenders answered that the workspace's rate is used up, and with
 // AllowanceShort if that is not known.
-func (d *Drawer) Draw(ctx context.Context, workspace string) (string, error) {
-	deadline := time.NewTimer(drawLimit)
-	defer deadline.Stop()
+func (d *Drawer) Draw(ctx context.Context, workspace string, end time.Time) (string, error) {
 	began := time.Now()
+	last := began.Add(d.limit(end.Sub(began)))
+	deadline := time.NewTimer(time.Until(last))
+	defer deadline.Stop()
 	for first := true; ; first = false {
-		reason, answered, err := d.try(workspace, began, first)
+		reason, answered, err := d.try(workspace, began, last, first)
 		if answered == nil {
 			return reason, err
 		}
@@ -121,8 +126,18 @@
 	}
 }
 
-// try spends a token, or refuses, or returns what to wait for.
-func (d *Drawer) try(workspace string, began time.Time, first bool) (reason string, answered <-chan struct{}, err error) {
+// limit returns how long a request waits for a token that has left to its end.
+func (d *Drawer) limit(left time.Duration) time.Duration {
+	if d.sources.Share != nil {
+		return drawLimit
+	}
+	return max(drawLimit, time.Duration(strictPart*float64(left)))
+}
+
+// try spends a token for a request that came at began, or refuses, or returns what to wait for, until last at most.
+func (d *Drawer) try(
+	workspace string, began, last time.Time, first bool,
+) (reason string, answered <-chan struct{}, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -153,6 +168,9 @@
 			return reason, nil, nil
 		}
 	}
+	if a.short.Again.After(last) {
+		return "", nil, refuse(false, "no lender lends in time: "+a.short.Reason)
+	}
 	a.waiting++
 	if now.Before(a.short.Again) {
 		// A token of the rate, or a lender that restarts, is there before long.
--- a/node/pkg/drawer/drawer_test.go
+++ b/node/pkg/drawer/drawer_test.go
@@ -65,6 +65,9 @@
 	return drawer.New(s, drawer.Sources{Lenders: func(string) []string { return []string{"near", "far"} }}, slog.New(slog.DiscardHandler))
 }
 
+// soon is the end of a request that has little time.
+func soon() time.Time { return time.Now().Add(time.Second) }
+
 func kindOf(err error) refuser.Kind {
 	if err == nil {
 		return ""
@@ -81,7 +84,7 @@
 	for range 8 {
 		callers.Go(func() error {
 			for range 200 {
-				if _, err := d.Draw(t.Context(), "kowhai"); err != nil {
+				if _, err := d.Draw(t.Context(), "kowhai", soon()); err != nil {
 					return err
 				}
 			}
@@ -105,28 +108,28 @@
 func TestRefusalSaysWhatIsKnown(t *testing.T) {
 	s := newStock(1)
 	d := newDrawer(s)
-	_, err := d.Draw(t.Context(), "kowhai")
+	_, err := d.Draw(t.Context(), "kowhai", soon())
 	assert.NilError(t, err)
 	later := time.Now().Add(time.Minute)
 	s.answer(exchanger.Reply{Used: true, Reason: "exhausted", Again: later})
-	_, err = d.Draw(t.Context(), "kowhai")
+	_, err = d.Draw(t.Context(), "kowhai", soon())
 	assert.Equal(t, kindOf(err), refuser.RateExceeded)
 	s.answer(exchanger.Reply{Reason: "starting", Again: later})
-	_, err = d.Draw(t.Context(), "caroni")
+	_, err = d.Draw(t.Context(), "caroni", soon())
 	assert.Equal(t, kindOf(err), refuser.AllowanceShort)
 	// Before it may help to ask again, the node refuses by itself.
 	s.answer(exchanger.Reply{})
-	_, err = d.Draw(t.Context(), "kowhai")
+	_, err = d.Draw(t.Context(), "kowhai", soon())
 	assert.Equal(t, kindOf(err), refuser.RateExceeded)
 }
 
 func TestOtherLenderIsAskedWhenOneFails(t *testing.T) {
 	s := newStock(1)
 	s.address = "far"
-	_, err := newDrawer(s).Draw(t.Context(), "kowhai")
+	_, err := newDrawer(s).Draw(t.Context(), "kowhai", soon())
 	assert.NilError(t, err)
 	s.address = "none"
-	_, err = newDrawer(s).Draw(t.Context(), "caroni")
+	_, err = newDrawer(s).Draw(t.Context(), "caroni", soon())
 	assert.Equal(t, kindOf(err), refuser.AllowanceShort)
 }
 
@@ -141,11 +144,40 @@
 			defer lender.mu.Unlock()
 			lender.tokens = 1
 		})
-		_, err := d.Draw(t.Context(), "kowhai")
+		_, err := d.Draw(t.Context(), "kowhai", soon())
+		assert.NilError(t, err)
+	})
+}
+
+// TestDrawOutlastsTheRestartOfAllLenders has lenders that are silent for longer than a request waits where nodes have
+// shares. The node has none, and the request has the time.
+func TestDrawOutlastsTheRestartOfAllLenders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lender := newStock(0)
+		lender.answer(exchanger.Reply{Reason: "starting", Again: time.Now().Add(allotter.LenderTime)})
+		d := newDrawer(lender)
+		time.AfterFunc(allotter.LenderTime, func() {
+			lender.mu.Lock()
+			defer lender.mu.Unlock()
+			lender.tokens = 2
+		})
+		_, err := d.Draw(t.Context(), "kowhai", time.Now().Add(5*time.Second))
 		assert.NilError(t, err)
 	})
 }
 
+// TestDrawIsRefusedAtOnceWhenNoTokenCanComeInTime has lenders that say when they lend again, which is too late.
+func TestDrawIsRefusedAtOnceWhenNoTokenCanComeInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lender := newStock(0)
+		lender.answer(exchanger.Reply{Reason: "starting", Again: time.Now().Add(allotter.LenderTime)})
+		began := time.Now()
+		_, err := newDrawer(lender).Draw(t.Context(), "kowhai", soon())
+		assert.Equal(t, kindOf(err), refuser.AllowanceShort)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
 // TestShareIsUsedWhileNoLenderLends has lenders that wait out what they may have lent before their start.
 func TestShareIsUsedWhileNoLenderLends(t *testing.T) {
 	s := newStock(0)
@@ -157,14 +189,14 @@
 	d := drawer.New(s, sources, slog.New(slog.DiscardHandler))
 	for range 2 {
 		began := time.Now()
-		_, err := d.Draw(t.Context(), "kowhai")
+		_, err := d.Draw(t.Context(), "kowhai", soon())
 		assert.NilError(t, err)
 		assert.Assert(t, time.Since(began) < 500*time.Millisecond, "a share is admitted at once")
 	}
-	_, err := d.Draw(t.Context(), "kowhai")
+	_, err := d.Draw(t.Context(), "kowhai", soon())
 	assert.Equal(t, kindOf(err), refuser.AllowanceShort)
 	// A rate that is used up is no reason to admit more.
 	s.answer(exchanger.Reply{Used: true, Reason: "exhausted", Again: time.Now().Add(time.Minute)})
-	_, err = d.Draw(t.Context(), "caroni")
+	_, err = d.Draw(t.Context(), "caroni", soon())
 	assert.Equal(t, kindOf(err), refuser.RateExceeded)
 }
