Let requests wait in their order for the node's share of a rate

Cause: while no lender lends, a request that found the node's share empty waited for 600 ms, whether or not a token could come, and then took what was there or was refused.

Change: a token is booked ahead. A request learns at once when its turn comes, or that none comes in time.

TestBookedTokensKeepToTheRate checks every window of the booked tokens; TestRequestWaitsForItsTurnInTheNodesShare fails on the earlier code, where the request that cannot be served is held.

--- a/core/allotter/share.go
+++ b/core/allotter/share.go
@@ -22,20 +22,26 @@
 	Nodes int
 }
 
-// Draw spends one token of the share at now, and reports whether there was one. A share that was not used for long holds
-// one token at most, or its part of the slack, so that a return of many nodes makes no burst.
-func (s Share) Draw(now time.Time, division Division) (Share, bool) {
+// Book spends one token of the share for a request that may wait until last, and returns from when on the request may go.
+// Tokens that are booked ahead go to the requests in their order. It reports false if there is no token in time. A share that
+// was not used for long holds one token at most, or its part of the slack, so that a return of many nodes makes no burst.
+func (s Share) Book(now, last time.Time, division Division) (next Share, at time.Time, ok bool) {
 	nodes := float64(max(division.Nodes, 1))
 	most := max(1, division.Slack/nodes)
+	refill := float64(division.Rate) / nodes
 	if s.updated.IsZero() {
 		s.level = division.Slack / nodes
 	} else {
-		s.level = min(most, s.level+float64(division.Rate)/nodes*now.Sub(s.updated).Seconds())
+		s.level = min(most, s.level+refill*now.Sub(s.updated).Seconds())
 	}
 	s.updated = now
-	if s.level < 1 {
-		return s, false
+	missing := max(0, 1-s.level)
+	if missing > refill*last.Sub(now).Seconds() {
+		return s, time.Time{}, false
 	}
 	s.level--
-	return s, true
+	if missing == 0 {
+		return s, now, true
+	}
+	return s, now.Add(time.Duration(missing / refill * float64(time.Second))), true
 }
--- a/core/allotter/share_test.go
+++ b/core/allotter/share_test.go
@@ -21,10 +21,39 @@
 		now = now.Add(time.Millisecond)
 		i := random.IntN(nodes)
 		var ok bool
-		if shares[i], ok = shares[i].Draw(now, allotter.Division{Rate: rate, Slack: slack, Nodes: nodes}); ok {
+		if shares[i], _, ok = shares[i].Book(now, now, allotter.Division{Rate: rate, Slack: slack, Nodes: nodes}); ok {
 			admitted++
 		}
 	}
 	assert.Assert(t, admitted <= rate*60+slack, "%d admitted", admitted)
 	assert.Assert(t, admitted > 0.9*rate*60, "%d admitted", admitted)
 }
+
+// TestBookedTokensKeepToTheRate lets requests wait for tokens to come, and counts when they go.
+func TestBookedTokensKeepToTheRate(t *testing.T) {
+	const wait = 600 * time.Millisecond
+	division := allotter.Division{Rate: 20, Slack: 10, Nodes: 10}
+	start := time.Unix(1000, 0)
+	var share allotter.Share
+	var gone []time.Time
+	refused := 0
+	for i := range 400 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		var at time.Time
+		var ok bool
+		if share, at, ok = share.Book(now, now.Add(wait), division); !ok {
+			refused++
+			continue
+		}
+		assert.Assert(t, !at.Before(now) && !at.After(now.Add(wait)), "%v", at.Sub(now))
+		assert.Assert(t, len(gone) == 0 || !at.Before(gone[len(gone)-1]), "requests go in their order")
+		gone = append(gone, at)
+	}
+	for i := range gone {
+		for j := i; j < len(gone); j++ {
+			most := division.Slack/float64(division.Nodes) + 1 + float64(division.Rate)/float64(division.Nodes)*gone[j].Sub(gone[i]).Seconds()
+			assert.Assert(t, float64(j-i+1) <= most+1e-6, "%d between %v and %v", j-i+1, gone[i], gone[j])
+		}
+	}
+	assert.Assert(t, refused > 300 && len(gone) >= 40, "%d refused, %d gone", refused, len(gone))
+}
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -109,23 +109,54 @@
 	deadline := time.NewTimer(time.Until(last))
 	defer deadline.Stop()
 	for first := true; ; first = false {
-		reason, answered, err := d.try(workspace, began, last, first)
-		if answered == nil {
-			return reason, err
+		step, err := d.try(workspace, began, last, first)
+		if err != nil {
+			return "", err
 		}
-		select {
-		case <-answered:
-			d.leave(workspace)
-		case <-deadline.C:
-			d.leave(workspace)
-			return d.drawShare(workspace)
-		case <-ctx.Done():
-			d.leave(workspace)
-			return "", refuse(false, "the caller left")
+		switch step := step.(type) {
+		case admitted:
+			return step.reason, nil
+		case booked:
+			select {
+			case <-after(time.Until(step.at)):
+				return step.reason, nil
+			case <-ctx.Done():
+				return "", refuse(false, "the caller left")
+			}
+		case waiting:
+			select {
+			case <-step.answered:
+				d.leave(workspace)
+			case <-deadline.C:
+				d.leave(workspace)
+				return d.drawShare(workspace)
+			case <-ctx.Done():
+				d.leave(workspace)
+				return "", refuse(false, "the caller left")
+			}
 		}
 	}
 }
 
+// step is what a request does next: it is admitted, has a token booked, or waits to look again.
+type step interface{ step() }
+
+// admitted says that the request has a token, and why.
+type admitted struct{ reason string }
+
+// booked says that a token is the request's from at on.
+type booked struct {
+	reason string
+	at     time.Time
+}
+
+// waiting says that the request looks again once answered is closed.
+type waiting struct{ answered <-chan struct{} }
+
+func (admitted) step() {}
+func (booked) step()   {}
+func (waiting) step()  {}
+
 // limit returns how long a request waits for a token that has left to its end.
 func (d *Drawer) limit(left time.Duration) time.Duration {
 	if d.sources.Share != nil {
@@ -134,10 +165,8 @@
 	return max(drawLimit, time.Duration(strictPart*float64(left)))
 }
 
-// try spends a token for a request that came at began, or refuses, or returns what to wait for, until last at most.
-func (d *Drawer) try(
-	workspace string, began, last time.Time, first bool,
-) (reason string, answered <-chan struct{}, err error) {
+// try spends or books a token for a request that came at began, or refuses, or returns what to wait for, until last at most.
+func (d *Drawer) try(workspace string, began, last time.Time, first bool) (step, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -155,31 +184,31 @@
 	if ok {
 		counters.Add("admitted", 1)
 		d.prefetch(workspace, a, now)
-		return fmt.Sprintf("lease %d of %s, %d left", lease.ID, lease.Lender, lease.Left()), nil, nil
+		return admitted{fmt.Sprintf("lease %d of %s, %d left", lease.ID, lease.Lender, lease.Left())}, nil
 	}
 	if a.usedUp(now, began) {
-		return "", nil, refuse(true, a.short.Reason)
+		return nil, refuse(true, a.short.Reason)
 	}
 	if d.stopped {
-		return "", nil, refuse(false, "the node is stopping")
+		return nil, refuse(false, "the node is stopping")
 	}
 	if !a.short.Used && now.Before(a.short.Again) {
-		if reason, ok := d.takeShare(workspace, a); ok {
-			return reason, nil, nil
+		if reason, at, ok := d.bookShare(workspace, a, last); ok {
+			return booked{reason, at}, nil
+		}
+		if a.short.Again.After(last) {
+			return nil, refuse(false, "no lender lends in time: "+a.short.Reason)
 		}
-	}
-	if a.short.Again.After(last) {
-		return "", nil, refuse(false, "no lender lends in time: "+a.short.Reason)
 	}
 	a.waiting++
 	if now.Before(a.short.Again) {
 		// A token of the rate, or a lender that restarts, is there before long.
-		return "", after(a.short.Again.Sub(now)), nil
+		return waiting{after(a.short.Again.Sub(now))}, nil
 	}
 	if a.asking == nil {
 		d.ask(workspace, a, max(a.demand.Wanted(now), a.waiting))
 	}
-	return "", a.asking, nil
+	return waiting{a.asking}, nil
 }
 
 // usedUp reports whether the rate is used up and a request that came at began is not to wait for its next token.
@@ -205,24 +234,25 @@
 	if d.sources.Share == nil {
 		return "", refuse(false, reason)
 	}
-	if admitted, ok := d.takeShare(workspace, a); ok {
-		return admitted, nil
+	if reason, _, ok := d.bookShare(workspace, a, time.Now()); ok {
+		return reason, nil
 	}
 	return "", refuse(false, reason+", and the node's share of the rate is used up")
 }
 
-// takeShare spends a token of the node's own share, if it has one. The caller holds the lock.
-func (d *Drawer) takeShare(workspace string, a *account) (reason string, ok bool) {
+// bookShare spends a token of the node's own share that there is by last, and returns from when on. The caller holds the
+// lock.
+func (d *Drawer) bookShare(workspace string, a *account, last time.Time) (reason string, at time.Time, ok bool) {
 	if d.sources.Share == nil {
-		return "", false
+		return "", time.Time{}, false
 	}
 	division := d.sources.Share(workspace)
-	a.share, ok = a.share.Draw(time.Now(), division)
+	a.share, at, ok = a.share.Book(time.Now(), last, division)
 	if !ok {
-		return "", false
+		return "", time.Time{}, false
 	}
 	counters.Add("admitted_alone", 1)
-	return "share of " + strconv.Itoa(division.Nodes) + " nodes, since no lender lends", true
+	return "share of " + strconv.Itoa(division.Nodes) + " nodes, since no lender lends", at, true
 }
 
 func later(a, b time.Time) time.Time {
--- a/node/pkg/drawer/drawer_test.go
+++ b/node/pkg/drawer/drawer_test.go
@@ -200,3 +200,29 @@
 	_, err = d.Draw(t.Context(), "caroni", soon())
 	assert.Equal(t, kindOf(err), refuser.RateExceeded)
 }
+
+// TestRequestWaitsForItsTurnInTheNodesShare has lenders that are away for long, and a share that refills every 400 ms.
+func TestRequestWaitsForItsTurnInTheNodesShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStock(0)
+		s.answer(exchanger.Reply{Reason: "starting", Again: time.Now().Add(time.Minute)})
+		d := drawer.New(s, drawer.Sources{
+			Lenders: func(string) []string { return []string{"near"} },
+			Share:   func(string) allotter.Division { return allotter.Division{Rate: 5, Slack: 2, Nodes: 2} },
+		}, slog.New(slog.DiscardHandler))
+		_, err := d.Draw(t.Context(), "kowhai", soon())
+		assert.NilError(t, err)
+		var callers errgroup.Group
+		began := time.Now()
+		callers.Go(func() error {
+			_, err := d.Draw(t.Context(), "kowhai", soon())
+			return err
+		})
+		synctest.Wait()
+		_, err = d.Draw(t.Context(), "kowhai", soon())
+		assert.Equal(t, kindOf(err), refuser.AllowanceShort)
+		assert.Equal(t, time.Since(began), time.Duration(0), "no token comes in time, so the request is refused at once")
+		assert.NilError(t, callers.Wait())
+		assert.Equal(t, time.Since(began), 400*time.Millisecond)
+	})
+}
