Keep a slot only where inner calls need a tenth of one, on targets of five slots or more

Cause: any request without a key made a target keep a slot, also at services that get no inner calls, and one of three slots is a third of a small target.

Failed try: telling inner calls by the address that they come from. Clients share it with the server of their machine.

--- a/core/reserver/reserver.go
+++ b/core/reserver/reserver.go
@@ -5,30 +5,43 @@
 // calls to it are refused, and the requests that made them fail after they held a slot of another service for nothing.
 package reserver
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// memory is how long an inner call is remembered. A target without any keeps no slot.
+	// memory is the time constant with which earlier calls are forgotten.
 	memory = 5 * time.Second
-	// leastSlots is the number of slots from which on one is kept.
-	leastSlots = 3
+	// leastLoad is the number of slots that inner calls must need on average for one to be kept.
+	leastLoad = 0.1
+	// leastSlots is the number of slots from which on one is kept: of fewer it would be too large a part.
+	leastSlots = 5
 )
 
-// Reserver is what is known of the inner calls to one target. It is immutable; the zero value knows of none.
+// Reserver is how many of a target's slots inner calls need on average. It is immutable; the zero value knows of none.
 type Reserver struct {
-	last time.Time
+	load    float64
+	updated time.Time
 }
 
-// WithCall returns the Reserver after an inner call came at now.
-func (r Reserver) WithCall(now time.Time) Reserver {
-	r.last = now
-	return r
+// WithCall returns the Reserver after an inner call came at now that takes about span. Calls that find no slot count too.
+func (r Reserver) WithCall(now time.Time, span time.Duration) Reserver {
+	return Reserver{load: r.at(now) + span.Seconds()/memory.Seconds(), updated: now}
 }
 
 // Open returns how many of the target's slots other requests may use at now.
 func (r Reserver) Open(now time.Time, slots int) int {
-	if slots < leastSlots || r.last.IsZero() || now.Sub(r.last) > memory {
+	if slots < leastSlots || r.at(now) < leastLoad {
 		return slots
 	}
 	return slots - 1
 }
+
+// at returns the load at now.
+func (r Reserver) at(now time.Time) float64 {
+	if r.updated.IsZero() {
+		return 0
+	}
+	return r.load * math.Exp(-now.Sub(r.updated).Seconds()/memory.Seconds())
+}
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -105,9 +105,11 @@
 		Repeatable: admission.route.Repeatable, Deadline: deadline, Objective: now.Add(objective(admission.route)),
 		Allowed: admission.route.Objective, Method: call.Method, URI: call.URI, Host: call.Host,
 		Header: withoutKey(call.Header, admission.presented), Length: call.Length, Trailer: trailerNames(call.Trailer),
+		// Targets' calls carry no key. Other requests without one cannot be told from them.
+		Inner: len(call.Credentials) == 0 && call.Origin != "",
 	}
 	a.Route.Info("request matched", "request", call.ID, "route", admission.route.Name, "service", head.Service,
-		"workspace", head.Workspace, "rank", int(head.Rank), "repeatable", head.Repeatable, "remaining", deadline.Sub(now),
+		"workspace", head.Workspace, "rank", int(head.Rank), "inner", head.Inner, "repeatable", head.Repeatable, "remaining", deadline.Sub(now),
 		"version", view.Configuration.Version(), "number", view.Configuration.Number())
 	head.Careful = !head.Repeatable
 	head.Hedged = a.HedgeAfter > 0 && head.Repeatable && head.Length == 0 && head.Allowed > 0
@@ -115,8 +117,6 @@
 	if head.Allowed > 0 {
 		plan = escalator.New(a.chooser.heavy(head.Allowed))
 	}
-	// Targets' calls carry no key. Other requests without one are taken for such calls too.
-	head.Inner = len(call.Credentials) == 0 && call.Origin != ""
 	if head.Inner {
 		a.charge(head)
 	}
--- a/node/pkg/gatekeeper/line.go
+++ b/node/pkg/gatekeeper/line.go
@@ -69,12 +69,16 @@
 // start tells the suspector of a request that goes to the target.
 func (l *line) start(now time.Time, head carrier.Head) {
 	estimate := l.estimates[head.Allowed]
-	typical := cmp.Or(estimate.Mean(), time.Duration(typicalPart*float64(head.Allowed)))
 	l.suspector.Start(now, head.ID, suspector.Expectation{
-		Typical: typical, Slow: now.Add(max(head.Allowed/2, estimate.High())), Due: now.Add(max(head.Allowed, estimate.High())),
+		Typical: l.typical(head), Slow: now.Add(max(head.Allowed/2, estimate.High())), Due: now.Add(max(head.Allowed, estimate.High())),
 	})
 }
 
+// typical returns how long the request is expected to take.
+func (l *line) typical(head carrier.Head) time.Duration {
+	return cmp.Or(l.estimates[head.Allowed].Mean(), time.Duration(typicalPart*float64(head.Allowed)))
+}
+
 // late returns from when on a request that starts here would most likely miss its objective.
 func (l *line) late(head carrier.Head) time.Time {
 	if head.Allowed == 0 {
@@ -247,7 +251,7 @@
 	l := g.line(target)
 	now := time.Now()
 	if head.Inner {
-		l.reserver = l.reserver.WithCall(now)
+		l.reserver = l.reserver.WithCall(now, l.typical(head))
 	}
 	err := checkVerdict(g.judgeTarget(now, target.Name, l), head)
 	if err == nil {
