Hold leases, contacts and terms on a clock that goes on while the VM is suspended

Cause: Go's monotonic clock stands still while a VM is suspended. A node that woke spent tokens of leases that the lender had long counted as ended, and a control process passed on its contact with the leader as if it were fresh.

Change: timekeeper.Now adds the difference of CLOCK_BOOTTIME and CLOCK_MONOTONIC. Rates, freshness, ejection terms and the replicated log use it.

--- a/control/pkg/examiner/examiner.go
+++ b/control/pkg/examiner/examiner.go
@@ -25,6 +25,7 @@
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/observer"
 	"samphiremount.example/core/repeater"
+	"samphiremount.example/core/timekeeper"
 )
 
 const (
@@ -78,7 +79,7 @@
 // begin starts anew among peers. The vote that was given before counts for its whole lifetime, as after a restart, so
 // that majorities of two sets of peers never hold the lease at the same time.
 func (e *Examiner) begin(peers []string) {
-	now := time.Now()
+	now := timekeeper.Now()
 	e.peers = peers
 	e.arbiter = arbiter.New(now, e.name, peers, e.method, uint64(now.UnixNano()))
 	e.arbiter.Retreat(now, now.Add(leaser.VoteLifetime+rand.N(leaser.VoteLifetime/2)))
@@ -105,7 +106,7 @@
 			return errors.Wrap(err, "receive request for the lease")
 		}
 		e.mu.Lock()
-		reply := e.arbiter.Handle(time.Now(), request)
+		reply := e.arbiter.Handle(timekeeper.Now(), request)
 		e.mu.Unlock()
 		return errors.Wrap(stream.MsgSend(&reply, messenger.Encoding{}), "send reply")
 	}
@@ -115,7 +116,7 @@
 func (e *Examiner) Observe(digests []observer.Digest) ([]ejector.Entry, time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.arbiter.Observe(time.Now(), digests)
+	return e.arbiter.Observe(timekeeper.Now(), digests)
 }
 
 // Run runs rounds until ctx ends.
@@ -131,7 +132,7 @@
 // ask asks all peers at once for their vote and evidence, if this process is the holder or may become it.
 func (e *Examiner) ask(ctx context.Context) {
 	e.mu.Lock()
-	candidate := e.arbiter.Candidate(time.Now())
+	candidate := e.arbiter.Candidate(timekeeper.Now())
 	peers := e.peers
 	e.mu.Unlock()
 	if !candidate {
@@ -151,14 +152,14 @@
 	_ = group.Wait()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if now := time.Now(); !e.arbiter.Holds(now) {
+	if now := timekeeper.Now(); !e.arbiter.Holds(now) {
 		e.arbiter.Retreat(now, now.Add(rand.N(retreatLimit)))
 	}
 }
 
 func (e *Examiner) askPeer(ctx context.Context, peer string) error {
 	e.mu.Lock()
-	asked := time.Now()
+	asked := timekeeper.Now()
 	request := e.arbiter.Request(asked, peer)
 	e.mu.Unlock()
 	var reply arbiter.Reply
@@ -183,7 +184,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
+	now := timekeeper.Now()
 	for _, decision := range e.arbiter.Judge(now, floor) {
 		e.report(now, decision)
 	}
--- a/control/pkg/proposer/run.go
+++ b/control/pkg/proposer/run.go
@@ -10,6 +10,7 @@
 
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/replicator"
+	"samphiremount.example/core/timekeeper"
 	"samphiremount.example/core/tracker"
 )
 
@@ -51,7 +52,7 @@
 func (p *Replicated) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	l := &loop{
-		Replicated: p, replicator: replicator.New(p.own.Identity, p.stored, time.Now()),
+		Replicated: p, replicator: replicator.New(p.own.Identity, p.stored, timekeeper.Now()),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), group: group,
 		waiting: make(map[uint64]chan answer), appended: make(map[uint64]appendedRequest),
 		applied:   p.stored.Snapshot.Position.Index,
@@ -78,7 +79,7 @@
 			return nil
 		case <-ticker.C:
 			inputs = append(inputs, replicator.Tick{})
-			inputs = append(inputs, l.recruit(time.Now())...)
+			inputs = append(inputs, l.recruit(timekeeper.Now())...)
 		case message := <-l.transport.Inbox():
 			inputs = append(inputs, replicator.Received{Message: message})
 		case asked := <-l.requests:
@@ -122,7 +123,7 @@
 		for _, input := range inputs {
 			var output replicator.Output
 			// The clock is read for each input: a process that was frozen must not use an old time.
-			l.replicator, output = l.replicator.Step(time.Now(), l.random, input)
+			l.replicator, output = l.replicator.Step(timekeeper.Now(), l.random, input)
 			l.send(output.Messages)
 			outputs = append(outputs, output)
 		}
--- a/control/pkg/proposer/status.go
+++ b/control/pkg/proposer/status.go
@@ -8,6 +8,7 @@
 
 	"samphiremount.example/core/recruiter"
 	"samphiremount.example/core/replicator"
+	"samphiremount.example/core/timekeeper"
 )
 
 // Status is what a process knows of the cluster. Leader is a name, and empty while no leader is known. Newcomers are
@@ -41,7 +42,7 @@
 
 func newStatusKeeper() *statusKeeper {
 	return &statusKeeper{
-		contact: time.Now(), newcomers: make(map[string]recruiter.Newcomer), known: make(map[replicator.Identity]replicator.Member),
+		contact: timekeeper.Now(), newcomers: make(map[string]recruiter.Newcomer), known: make(map[replicator.Identity]replicator.Member),
 	}
 }
 
@@ -79,7 +80,7 @@
 			k.status.Leader, k.status.Address = member.Name, member.Address
 		}
 	}
-	if contact := r.Contact(time.Now()); contact.After(k.contact) {
+	if contact := r.Contact(timekeeper.Now()); contact.After(k.contact) {
 		k.contact = contact
 	}
 }
@@ -88,13 +89,13 @@
 func (k *statusKeeper) age() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return time.Since(k.contact)
+	return timekeeper.Since(k.contact)
 }
 
 func (k *statusKeeper) add(newcomer replicator.Member) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.newcomers[newcomer.Name] = recruiter.Newcomer{Member: newcomer, At: time.Now()}
+	k.newcomers[newcomer.Name] = recruiter.Newcomer{Member: newcomer, At: timekeeper.Now()}
 }
 
 // acquaintances returns the members and all other processes that this one has heard of.
--- a/core/exchanger/exchanger.go
+++ b/core/exchanger/exchanger.go
@@ -10,6 +10,7 @@
 
 	"samphiremount.example/core/allotter"
 	"samphiremount.example/core/messenger"
+	"samphiremount.example/core/timekeeper"
 )
 
 const callBorrow = "borrow"
@@ -80,7 +81,7 @@
 	if err := c.pool.Get(ctx, address).Invoke(ctx, callBorrow, messenger.Encoding{}, &out, &in); err != nil {
 		return Reply{}, errors.Wrap(err, "borrow")
 	}
-	return in.reply(time.Now()), nil
+	return in.reply(timekeeper.Now()), nil
 }
 
 // Register adds the call to mux; lender answers it.
@@ -95,7 +96,7 @@
 			return err
 		}
 		reply := lender.Borrow(stream.Context(), message)
-		out := reply.wire(time.Now())
+		out := reply.wire(timekeeper.Now())
 		return errors.Wrap(stream.MsgSend(&out, messenger.Encoding{}), "send reply")
 	}
 }
--- a/core/lender/lender.go
+++ b/core/lender/lender.go
@@ -13,6 +13,7 @@
 	"samphiremount.example/core/allotter"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/timekeeper"
 )
 
 const (
@@ -116,7 +117,7 @@
 	}
 	workspace, ok := l.Configuration.Configuration().Workspace(message.Workspace)
 	if !ok {
-		return exchanger.Reply{Reason: reasonUnknown, Again: time.Now().Add(maxPause)}
+		return exchanger.Reply{Reason: reasonUnknown, Again: timekeeper.Now().Add(maxPause)}
 	}
 	if message.Spread {
 		return l.spread(ctx, workspace, message.Wanted)
@@ -133,7 +134,7 @@
 	part := allotter.Divide(workspace, l.Lenders(), l.Name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := timekeeper.Now()
 	account := l.account(workspace.Name, now, part)
 	l.loans++
 	ledger, answer := account.ledger.Lend(now, part, wanted, l.loans)
@@ -174,7 +175,7 @@
 	configuration := l.Configuration.Configuration()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := timekeeper.Now()
 	for _, report := range message.Reports {
 		if report.Lender != l.life {
 			if home, ok := l.peers[l.homes[report.Lender]]; ok && !message.Relayed && len(home.reports) < reportsLimit {
@@ -200,7 +201,7 @@
 	flush, sweep := time.NewTicker(flushPeriod), time.NewTicker(sweepPeriod)
 	defer flush.Stop()
 	defer sweep.Stop()
-	ready := time.NewTimer(time.Until(l.ready))
+	ready := time.NewTimer(timekeeper.Until(l.ready))
 	defer ready.Stop()
 	for {
 		select {
@@ -221,7 +222,7 @@
 	configuration := l.Configuration.Configuration()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := timekeeper.Now()
 	for name, account := range l.accounts {
 		workspace, _ := configuration.Workspace(name)
 		if account.ledger.Idle(now, allotter.Divide(workspace, l.Lenders(), l.Name)) {
--- a/core/lender/relay.go
+++ b/core/lender/relay.go
@@ -12,6 +12,7 @@
 	"samphiremount.example/core/allotter"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/timekeeper"
 )
 
 // relay asks the peers in turn on behalf of a node, until one lends. The lease is then between that peer and the node:
@@ -50,7 +51,7 @@
 		})
 	}
 	_ = group.Wait()
-	combined := exchanger.Reply{Lender: l.life, Again: time.Now().Add(maxPause)}
+	combined := exchanger.Reply{Lender: l.life, Again: timekeeper.Now().Add(maxPause)}
 	for _, reply := range replies {
 		combined.Loans = append(combined.Loans, reply.Loans...)
 		if len(reply.Loans) == 0 && reply.Again.Before(combined.Again) {
@@ -80,7 +81,7 @@
 // ask asks one peer, unless what it last said or its silence still holds.
 func (l *Lender) ask(ctx context.Context, address, workspace string, wanted int) exchanger.Reply {
 	short, silent := l.peerState(address, workspace)
-	now := time.Now()
+	now := timekeeper.Now()
 	if now.Before(silent) {
 		return exchanger.Reply{Reason: "lender " + address + " is silent", Again: now.Add(maxPause)}
 	}
@@ -95,12 +96,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
-		l.peer(address).silent = time.Now().Add(peerPause)
+		l.peer(address).silent = timekeeper.Now().Add(peerPause)
 		l.Log.Warn("lender silent", "address", address, "workspace", workspace, "reason", err)
 		return exchanger.Reply{Reason: "lender " + address + " is silent", Again: now.Add(maxPause)}
 	}
 	l.peer(address).name, _, _ = strings.Cut(reply.Lender, "/")
-	l.peer(address).delay = (l.peer(address).delay*7 + time.Since(now)) / 8
+	l.peer(address).delay = (l.peer(address).delay*7 + timekeeper.Since(now)) / 8
 	if reply.Tokens() > 0 {
 		l.homes[reply.Lender] = address
 		l.Log.Info("loan relayed", "workspace", workspace, "lender", reply.Lender, "tokens", reply.Tokens(),
--- /dev/null
+++ b/core/timekeeper/export_test.go
@@ -0,0 +1,4 @@
+package timekeeper
+
+// Shift is shift for tests.
+var Shift = shift
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -17,6 +17,7 @@
 	"samphiremount.example/core/allotter"
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/timekeeper"
 )
 
 const (
@@ -104,9 +105,9 @@
 // of their own. It refuses with RateExceeded if all lenders answered that the workspace's rate is used up, and with
 // AllowanceShort if that is not known.
 func (d *Drawer) Draw(ctx context.Context, workspace string, end time.Time) (string, error) {
-	began := time.Now()
-	last := began.Add(d.limit(end.Sub(began)))
-	deadline := time.NewTimer(time.Until(last))
+	began := timekeeper.Now()
+	last := began.Add(d.limit(time.Until(end)))
+	deadline := time.NewTimer(timekeeper.Until(last))
 	defer deadline.Stop()
 	for first := true; ; first = false {
 		step, err := d.try(workspace, began, last, first)
@@ -118,7 +119,7 @@
 			return step.reason, nil
 		case booked:
 			select {
-			case <-after(time.Until(step.at)):
+			case <-after(timekeeper.Until(step.at)):
 				return step.reason, nil
 			case <-ctx.Done():
 				return "", refuse(false, "the caller left")
@@ -169,7 +170,7 @@
 func (d *Drawer) try(workspace string, began, last time.Time, first bool) (step, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := timekeeper.Now()
 	a, ok := d.accounts[workspace]
 	if !ok {
 		a = &account{}
@@ -234,7 +235,7 @@
 	if d.sources.Share == nil {
 		return "", refuse(false, reason)
 	}
-	if reason, _, ok := d.bookShare(workspace, a, time.Now()); ok {
+	if reason, _, ok := d.bookShare(workspace, a, timekeeper.Now()); ok {
 		return reason, nil
 	}
 	return "", refuse(false, reason+", and the node's share of the rate is used up")
@@ -247,7 +248,7 @@
 		return "", time.Time{}, false
 	}
 	division := d.sources.Share(workspace)
-	a.share, at, ok = a.share.Book(time.Now(), last, division)
+	a.share, at, ok = a.share.Book(timekeeper.Now(), last, division)
 	if !ok {
 		return "", time.Time{}, false
 	}
@@ -312,7 +313,7 @@
 		if len(reply.Loans) == 0 {
 			a.short = reply
 			// A time that has passed on the way must not make the waiting requests ask without a pause.
-			a.short.Again = later(reply.Again, time.Now().Add(leastPause))
+			a.short.Again = later(reply.Again, timekeeper.Now().Add(leastPause))
 		}
 		close(a.asking)
 		a.asking = nil
@@ -347,9 +348,9 @@
 func (d *Drawer) borrow(message exchanger.Message) (time.Time, exchanger.Reply) {
 	ctx, cancel := context.WithTimeout(context.Background(), drawLimit)
 	defer cancel()
-	last := exchanger.Reply{Reason: "no lender answered", Again: time.Now().Add(shortPause)}
+	last := exchanger.Reply{Reason: "no lender answered", Again: timekeeper.Now().Add(shortPause)}
 	for _, address := range d.order(message.Workspace) {
-		asked := time.Now()
+		asked := timekeeper.Now()
 		reply, err := d.send(ctx, address, message)
 		if err != nil {
 			continue
@@ -367,7 +368,7 @@
 	addresses := slices.Clone(d.sources.Lenders(workspace))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := timekeeper.Now()
 	slices.SortStableFunc(addresses, func(a, b string) int {
 		return cmp.Compare(btoi(now.Before(d.silent[a])), btoi(now.Before(d.silent[b])))
 	})
--- a/node/pkg/drawer/settle.go
+++ b/node/pkg/drawer/settle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"samphiremount.example/core/exchanger"
+	"samphiremount.example/core/timekeeper"
 )
 
 // Run reports spent tokens, returns what is not needed and drops idle accounts until ctx ends. Then it returns all
@@ -42,7 +43,7 @@
 func (d *Drawer) settle(left time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := timekeeper.Now()
 	for name, a := range d.accounts {
 		if a.holding.Empty() {
 			continue
@@ -60,7 +61,7 @@
 func (d *Drawer) drop() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := timekeeper.Now()
 	for name, a := range d.accounts {
 		if a.holding.Empty() && a.asking == nil && !a.spreading && a.waiting == 0 && now.Sub(a.used) > idleTime {
 			delete(d.accounts, name)
@@ -107,6 +108,6 @@
 	if !known {
 		d.log.Warn("lender failed", "address", address, "reason", err.Error())
 	}
-	d.silent[address] = time.Now().Add(silentPause)
+	d.silent[address] = timekeeper.Now().Add(silentPause)
 	return reply, err
 }
--- a/node/pkg/prober/prober.go
+++ b/node/pkg/prober/prober.go
@@ -14,6 +14,7 @@
 	"samphiremount.example/core/assessor"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/repeater"
+	"samphiremount.example/core/timekeeper"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/viewer"
 )
@@ -64,10 +65,10 @@
 func (p *Prober) Run(ctx context.Context) error {
 	reason := ""
 	repeater.Every(ctx, period, func(time.Time) {
-		if p.viewer.View().ControlAge(time.Now()) > assessor.ProbeAfter {
+		if p.viewer.View().ControlAge(timekeeper.Now()) > assessor.ProbeAfter {
 			p.round(ctx)
 		}
-		verdict := p.viewer.View().Assess(time.Now())
+		verdict := p.viewer.View().Assess(timekeeper.Now())
 		if verdict.Reason() != reason {
 			reason = verdict.Reason()
 			_, serves := verdict.(assessor.Serve)
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -27,6 +27,7 @@
 	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
 	"samphiremount.example/core/synchronizer"
+	"samphiremount.example/core/timekeeper"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/carrier"
@@ -140,7 +141,7 @@
 		source = noSource{}
 	}
 	located := locator.New(place, n.options.Seeds, source)
-	age := func() time.Duration { return n.Viewer.View().ControlAge(time.Now()) }
+	age := func() time.Duration { return n.Viewer.View().ControlAge(timekeeper.Now()) }
 	synchronizer.NewServer(hub, age, n.log.Part("publish")).Register(n.mux)
 	random := rand.New(rand.NewPCG(incarnation, rand.Uint64()))
 	n.prober = prober.New(n.options.Name, n.options.Region, n.pool, n.Viewer, random, n.log.Part("probe"))
@@ -185,7 +186,7 @@
 	return func() []string {
 		addresses := located.Addresses()
 		now := n.Viewer.View()
-		if now.ControlAge(time.Now()) < synchronizer.SilenceLimit {
+		if now.ControlAge(timekeeper.Now()) < synchronizer.SilenceLimit {
 			return addresses
 		}
 		return locator.WithSubstitute(addresses, n.peers(now.Directory), rand.IntN)
--- a/node/pkg/viewer/viewer.go
+++ b/node/pkg/viewer/viewer.go
@@ -11,6 +11,7 @@
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/matcher"
 	"samphiremount.example/core/synchronizer"
+	"samphiremount.example/core/timekeeper"
 	"samphiremount.example/core/tracker"
 )
 
@@ -118,7 +119,7 @@
 
 // Heard implements synchronizer.Sink.
 func (v *Viewer) Heard(age time.Duration) {
-	v.assess(func(a assessor.Assessor) assessor.Assessor { return a.WithContact(time.Now().Add(-age)) })
+	v.assess(func(a assessor.Assessor) assessor.Assessor { return a.WithContact(timekeeper.Now().Add(-age)) })
 }
 
 // Probed tells of a round of probes: asked peers, of which heard answered.
