Try the other region by its odds, and spread the returns of refused callers

An entry hardly hears of the targets there, so they count as idle for it; each try costs 40 ms and some 3.7 KB on a dear link. Refused callers were all asked for the same pause.

Change: prospector.Prospect learns from how tries ended and lets one in half a second through against the odds. returner.Again asks refused callers to return after four times the usual time of such requests, spread by half, or when a lender said that it lends.

--- a/core/refuser/refusal.go
+++ b/core/refuser/refusal.go
@@ -1,6 +1,10 @@
 package refuser
 
-import "github.com/cockroachdb/errors"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Outcome says whether a request ran on a target. It is Ran, NotRun or Unknown.
 type Outcome interface {
@@ -38,12 +42,14 @@
 }
 
 // Refusal is the error that carries a Kind to the caller, with what is known of the request's outcome. Load is the number
-// of requests in the slots of the target and before them, where a gate refused for want of capacity.
+// of requests in the slots of the target and before them, where a gate refused for want of capacity. Again is from when on
+// the request may be sent again with better prospects, or zero if that is not known.
 type Refusal struct {
 	Kind    Kind
 	Outcome Outcome
 	Detail  string
 	Load    int
+	Again   time.Time
 }
 
 // Error returns the kind and the detail.
--- /dev/null
+++ b/core/returner/returner.go
@@ -0,0 +1,52 @@
+// Package returner decides when the caller of a refused request should come back.
+//
+// The load pattern that it answers: for some seconds more requests come than can be served. Callers that are all told the
+// same pause return together, and are refused together again.
+package returner
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"samphiremount.example/core/refuser"
+)
+
+const (
+	// leastPause and mostPause bound what callers are asked for, usualPause is the mean where nothing better is known.
+	leastPause = 100 * time.Millisecond
+	mostPause  = 2 * time.Second
+	usualPause = 200 * time.Millisecond
+	// statePause is the mean where a process waits for others: a lease of control or a version of the configuration.
+	statePause = time.Second
+	// ends is the number of requests of each slot that end, on average, before a caller returns: fewer leave the queues that
+	// refused it as they are.
+	ends = 4
+	// spread is the part of the mean by which pauses differ from it at most.
+	spread = 0.5
+)
+
+// Again returns from when on a caller should send a refused request again. Typical is how long such requests take on
+// average, or 0 if that is not known. A time that the refusal names itself is kept.
+func Again(now time.Time, random *rand.Rand, refusal *refuser.Refusal, typical time.Duration) time.Time {
+	if !refusal.Again.IsZero() {
+		return later(refusal.Again, now.Add(leastPause))
+	}
+	mean := usualPause
+	switch refusal.Kind {
+	case refuser.ConfigurationStale, refuser.AllowanceShort, refuser.LeaderUnknown:
+		mean = statePause
+	default:
+		if typical > 0 {
+			mean = ends * typical
+		}
+	}
+	pause := time.Duration((1 + spread*(2*random.Float64()-1)) * float64(mean))
+	return now.Add(min(max(pause, leastPause), mostPause))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -72,24 +72,26 @@
 // Serve authenticates, admits, routes and forwards call, and returns the target's answer, whose Body must be closed. The
 // error is a refusal.
 func (a *Acceptor) Serve(ctx context.Context, call Call) (carrier.Answer, error) {
-	answer, err := a.answer(ctx, call)
+	answer, objective, err := a.answer(ctx, call)
 	if err != nil {
-		refusal := refuser.From(err)
+		refusal := *refuser.From(err)
+		refusal.Again = a.chooser.again(&refusal, objective)
 		a.Route.Info("request refused", "request", call.ID, "kind", refusal.Kind, "outcome", refusal.Outcome,
-			"detail", refusal.Detail)
-		return carrier.Answer{}, refusal
+			"detail", refusal.Detail, "again", time.Until(refusal.Again))
+		return carrier.Answer{}, &refusal
 	}
 	return answer, nil
 }
 
-func (a *Acceptor) answer(ctx context.Context, call Call) (carrier.Answer, error) {
+// answer also returns the objective of the request's route, as far as that is known.
+func (a *Acceptor) answer(ctx context.Context, call Call) (carrier.Answer, time.Duration, error) {
 	if err := checkCall(call); err != nil {
-		return carrier.Answer{}, err
+		return carrier.Answer{}, 0, err
 	}
 	view := a.Viewer.View()
 	admission, err := authenticate(view, call)
 	if err != nil {
-		return carrier.Answer{}, err
+		return carrier.Answer{}, 0, err
 	}
 	now := time.Now()
 	deadline := now.Add(admission.route.Limit)
@@ -97,7 +99,7 @@
 		deadline = call.Deadline
 	}
 	if err := a.admit(ctx, admission, call.ID, deadline); err != nil {
-		return carrier.Answer{}, err
+		return carrier.Answer{}, 0, err
 	}
 	head := carrier.Head{
 		ID: call.ID, Request: call.ID, Origin: call.Origin, Service: a.chooser.service(admission.route),
@@ -120,9 +122,10 @@
 	if head.Inner {
 		a.charge(head)
 	}
-	return a.forward(ctx, forwarding{
+	answer, err := a.forward(ctx, forwarding{
 		head: head, body: newBody(call, admission.presented), attempts: admission.route.Attempts, plan: plan,
 	})
+	return answer, head.Allowed, err
 }
 
 // charge counts a call that a repeated request made, most likely, as a further send of its service.
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -11,7 +11,9 @@
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/ejector"
 	"samphiremount.example/core/pather"
+	"samphiremount.example/core/prospector"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/returner"
 	"samphiremount.example/core/router"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/carrier"
@@ -60,6 +62,8 @@
 	sizes    map[time.Duration]float64
 	followed map[string]map[string]ejector.Entry
 	arrivals router.Arrivals
+	// prospects says for each service whether it has room in other regions.
+	prospects map[string]prospector.Prospect
 
 	// The rest is derived from view and made anew when that changes.
 	view    *viewer.View
@@ -75,6 +79,7 @@
 		suspects: make(map[string]time.Time), lost: make(map[string]time.Time),
 		highs: make(map[time.Duration]time.Duration), means: make(map[time.Duration]time.Duration),
 		sizes: make(map[time.Duration]float64), followed: make(map[string]map[string]ejector.Entry),
+		prospects: make(map[string]prospector.Prospect),
 	}
 }
 
@@ -91,18 +96,45 @@
 	}
 	ejected := c.ejected(now, view, head.Service)
 	candidates := c.candidates(now, view, head, ejected)
+	prospect := c.prospects[head.Service]
+	near = near || !prospect.Worthwhile(now)
 	request := router.Request{Repeatable: head.Repeatable, Tried: tried, Near: near}
 	choice, err := c.router.Choose(now, c.random, request, candidates)
 	if err != nil {
 		return router.Choice{}, err
 	}
+	if c.far(choice.Placement) {
+		c.prospects[head.Service] = prospect.WithTry(now)
+	}
 	c.inFlight[choice.Placement.Target.Name]++
 	c.log.Info("target chosen", "request", head.ID, "workspace", head.Workspace, "service", head.Service,
 		"target", choice.Placement.Target.Name, "node", choice.Placement.Node.Name, "candidates", len(candidates),
-		"insists", head.Insist, "reason", choice.Reason)
+		"insists", head.Insist, "odds", prospect.Odds(), "reason", choice.Reason)
 	return choice, nil
 }
 
+// far reports whether a placement is in another region.
+func (c *chooser) far(placement tracker.Placement) bool {
+	return placement.Node.Region != c.place.Region
+}
+
+// prospect takes what a try in another region tells of the room there.
+func (c *chooser) prospect(placement tracker.Placement, err error) {
+	if !c.far(placement) {
+		return
+	}
+	found := true
+	if err != nil {
+		switch refuser.From(err).Kind {
+		case refuser.CapacityShort, refuser.TargetSuspect, refuser.TargetDeclined:
+			found = false
+		default:
+		}
+	}
+	service := placement.Target.Service
+	c.prospects[service] = c.prospects[service].WithEnd(found)
+}
+
 // trial picks a suspect target for some of the requests that may be repeated, so that it is seen when the target has
 // recovered. Such a request is hedged early.
 func (c *chooser) trial(now time.Time, view *viewer.View, head carrier.Head, tried []string) (router.Choice, bool) {
@@ -288,6 +320,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	target, now := placement.Target, time.Now()
+	c.prospect(placement, err)
 	if err != nil {
 		switch refuser.From(err).Kind {
 		case refuser.CapacityShort:
@@ -333,6 +366,13 @@
 	return c.means[objective]
 }
 
+// again returns from when on the caller of a refused request should send it again.
+func (c *chooser) again(refusal *refuser.Refusal, objective time.Duration) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return returner.Again(time.Now(), c.random, refusal, c.means[objective])
+}
+
 // heavy reports whether answers to requests with the objective are too large to cross regions for the sake of load.
 func (c *chooser) heavy(objective time.Duration) bool {
 	c.mu.Lock()
--- a/node/pkg/acceptor/reply.go
+++ b/node/pkg/acceptor/reply.go
@@ -3,9 +3,11 @@
 import (
 	"io"
 	"maps"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
@@ -34,7 +36,7 @@
 	header.Set(headerRequest, id)
 	header.Set(headerOutcome, refusal.Outcome.String())
 	if answer.Again {
-		header.Set("Retry-After", "1")
+		header.Set("Retry-After", strconv.Itoa(max(1, int(math.Ceil(time.Until(refusal.Again).Seconds())))))
 	}
 	_ = c.JSON(answer.Status, refusalReply{string(refusal.Kind), answer.Message, refusal.Outcome.String(), id})
 }
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -198,7 +198,9 @@
 			return booked{reason, at}, nil
 		}
 		if a.short.Again.After(last) {
-			return nil, refuse(false, "no lender lends in time: "+a.short.Reason)
+			refusal := refuser.From(refuse(false, "no lender lends in time: "+a.short.Reason))
+			refusal.Again = time.Now().Add(timekeeper.Until(a.short.Again))
+			return nil, refusal
 		}
 	}
 	a.waiting++
--- a/node/pkg/drawer/drawer_test.go
+++ b/node/pkg/drawer/drawer_test.go
@@ -175,6 +175,7 @@
 		_, err := newDrawer(lender).Draw(t.Context(), "kowhai", soon())
 		assert.Equal(t, kindOf(err), refuser.AllowanceShort)
 		assert.Equal(t, time.Since(began), time.Duration(0))
+		assert.Equal(t, refuser.From(err).Again.Sub(began), allotter.LenderTime)
 	})
 }
 
