--- a/node/pkg/carrier/head.go
+++ b/node/pkg/carrier/head.go
@@ -121,7 +121,7 @@
 		Repeatable: b.Repeatable, Deadline: now.Add(time.Duration(b.Remaining) * time.Millisecond), Method: b.Method,
 		URI: b.URI, Host: b.Host, Header: b.Header, Length: b.Length, StartBefore: tombstoner.Reading(b.StartBefore),
 		Trailer: b.Trailer, Weight: b.Weight, Request: b.Request, Origin: b.Origin, Rank: configurer.Rank(b.Rank),
-		Objective: now.Add(time.Duration(b.Objective) * time.Millisecond), Insist: b.Insist, Careful: b.Careful, Immediate: b.Immediate, Inner: b.Inner,
-		Allowed: time.Duration(b.Allowed) * time.Millisecond,
+		Objective: now.Add(time.Duration(b.Objective) * time.Millisecond), Insist: b.Insist, Careful: b.Careful,
+		Immediate: b.Immediate, Inner: b.Inner, Allowed: time.Duration(b.Allowed) * time.Millisecond,
 	}
 }
