--- a/standin/allowances/compared_test.go
+++ b/standin/allowances/compared_test.go
@@ -47,7 +47,7 @@
 }
 
 // Draw implements drawing.
-func (d *division) Draw(_ context.Context, workspace string) (string, error) {
+func (d *division) Draw(_ context.Context, workspace string, _ time.Time) (string, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -87,7 +87,7 @@
 const counterLimit = 300 * time.Millisecond
 
 // Draw implements drawing.
-func (c counted) Draw(ctx context.Context, workspace string) (string, error) {
+func (c counted) Draw(ctx context.Context, workspace string, _ time.Time) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, counterLimit)
 	defer cancel()
 	c.messages.Add(1)
