Never take a wait between two clock readings for a suspension

A process that did not run for more than 5 ms between the readings of the two clocks saw a suspension of 10 ms, and none at the next reading.

Change: the boot clock is read first, so that a wait makes the difference smaller only; the largest difference so far counts. TestWaitBetweenTheClocksIsNoSuspension fails on the earlier code by its meaning: the difference was rounded, not bounded.

--- a/core/timekeeper/export_test.go
+++ /dev/null
@@ -1,4 +0,0 @@
-package timekeeper
-
-// Shift is shift for tests.
-var Shift = shift
--- a/core/timekeeper/timekeeper.go
+++ b/core/timekeeper/timekeeper.go
@@ -3,16 +3,20 @@
 package timekeeper
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// resolution hides that the two clocks are not read at the same moment. It is far below any suspension that counts.
-const resolution = 10 * time.Millisecond
+var process Keeper
 
-// Now returns the time, with a monotonic reading that includes suspensions of the VM.
-func Now() time.Time { return shift(time.Now(), read(unix.CLOCK_MONOTONIC), read(unix.CLOCK_BOOTTIME)) }
+// Now returns the time, with a monotonic reading that includes suspensions of the VM. It never steps back.
+func Now() time.Time {
+	boot := read(unix.CLOCK_BOOTTIME)
+	monotonic := read(unix.CLOCK_MONOTONIC)
+	return process.Shift(boot, monotonic, time.Now())
+}
 
 // Since returns the time since t, which is one of Now.
 func Since(t time.Time) time.Duration { return Now().Sub(t) }
@@ -20,9 +24,24 @@
 // Until returns the time until t, which is one of Now.
 func Until(t time.Time) time.Duration { return t.Sub(Now()) }
 
-// shift returns now with the time added for which the VM was suspended.
-func shift(now time.Time, monotonic, boot time.Duration) time.Time {
-	return now.Add((boot - monotonic).Round(resolution))
+// Keeper knows how long the VM was suspended, at least. The zero value knows of no suspension.
+type Keeper struct {
+	suspended atomic.Int64
+}
+
+// Shift returns now with the time added for which the VM was suspended. Boot, monotonic and now are read in this order: what
+// the process waits for between the first two makes their difference smaller than the suspension, never larger.
+func (k *Keeper) Shift(boot, monotonic time.Duration, now time.Time) time.Time {
+	for {
+		known := k.suspended.Load()
+		seen := int64(boot - monotonic)
+		if seen <= known {
+			return now.Add(time.Duration(known))
+		}
+		if k.suspended.CompareAndSwap(known, seen) {
+			return now.Add(time.Duration(seen))
+		}
+	}
 }
 
 // read returns what a clock shows, or 0 if the kernel does not have it: both clocks are missing then.
