Let nodes that reach no lender borrow through a peer

Ruled out: parts that follow earlier demand (they may add up to more than the rate).

Change: while a lender is silent, two peers are asked after the first other lender; a peer passes the message on once, reports included. A silent lender is asked again after 1, 2, 4 and then every 8 s. Lenders start on the clock that their leases are held on, which the change of clocks had missed.

TestNodeThatReachesNoLenderBorrowsThroughAPeer fails without peers ("allowance-short").

--- a/control/pkg/starter/control.go
+++ b/control/pkg/starter/control.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"net"
-	"time"
+
+	"samphiremount.example/core/timekeeper"
 
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
@@ -70,7 +71,7 @@
 	c := &Control{
 		Proposer: replicated, Hub: hub, Publisher: synchronizer.NewServer(hub, replicated.Age, log.Part("publish")),
 		credentials: credentials, mux: messenger.Mux{}, pool: pool, log: log,
-		rates: lender.New(time.Now(), lender.Dependencies{
+		rates: lender.New(timekeeper.Now(), lender.Dependencies{
 			Name: own.Name, Lenders: lenders, Peers: lenderPeers, Configuration: hub,
 			Borrower: exchanger.NewClient(pool), Log: log.Part("lend"),
 		}),
--- a/core/exchanger/exchanger.go
+++ b/core/exchanger/exchanger.go
@@ -16,12 +16,14 @@
 const callBorrow = "borrow"
 
 // Message goes to a lender. It asks for Wanted tokens of Workspace, if that is not empty, and settles leases. A spread
-// one asks for what the other lenders have. A relayed one comes from another lender, and is not relayed again.
+// one asks for what the other lenders have. A relayed one comes from another lender, and is not relayed again. A passed one
+// came through a node that lends nothing, and is not passed again.
 type Message struct {
 	Workspace string
 	Wanted    int
 	Relayed   bool
 	Spread    bool
+	Passed    bool
 	Reports   []Report
 }
 
@@ -64,6 +66,11 @@
 	Borrow(ctx context.Context, message Message) Reply
 }
 
+// Passer passes messages on to lenders. An error says that no lender got the message.
+type Passer interface {
+	Pass(ctx context.Context, message Message) (Reply, error)
+}
+
 // Client sends messages to lenders.
 type Client struct {
 	pool *messenger.Pool
@@ -86,6 +93,15 @@
 
 // Register adds the call to mux; lender answers it.
 func Register(mux messenger.Mux, lender Lender) {
+	register(mux, func(ctx context.Context, message Message) (Reply, error) { return lender.Borrow(ctx, message), nil })
+}
+
+// RegisterPasser adds the call to mux of a process that lends nothing; passer passes it on.
+func RegisterPasser(mux messenger.Mux, passer Passer) {
+	register(mux, passer.Pass)
+}
+
+func register(mux messenger.Mux, answer func(ctx context.Context, message Message) (Reply, error)) {
 	mux[callBorrow] = func(stream drpc.Stream) error {
 		var in messageWire
 		if err := stream.MsgRecv(&in, messenger.Encoding{}); err != nil {
@@ -95,7 +111,10 @@
 		if err != nil {
 			return err
 		}
-		reply := lender.Borrow(stream.Context(), message)
+		reply, err := answer(stream.Context(), message)
+		if err != nil {
+			return err
+		}
 		out := reply.wire(timekeeper.Now())
 		return errors.Wrap(stream.MsgSend(&out, messenger.Encoding{}), "send reply")
 	}
--- a/core/exchanger/wire.go
+++ b/core/exchanger/wire.go
@@ -28,6 +28,7 @@
 	Reports   []reportWire `cbor:"4,keyasint,omitempty"`
 	Spread    bool         `cbor:"5,keyasint,omitempty"`
 	Lenders   []string     `cbor:"6,keyasint,omitempty"`
+	Passed    bool         `cbor:"7,keyasint,omitempty"`
 }
 
 // loanWire names its lender if that is not the one that replies.
@@ -46,7 +47,7 @@
 }
 
 func (m Message) wire() messageWire {
-	out := messageWire{Workspace: m.Workspace, Wanted: m.Wanted, Relayed: m.Relayed, Spread: m.Spread}
+	out := messageWire{Workspace: m.Workspace, Wanted: m.Wanted, Relayed: m.Relayed, Spread: m.Spread, Passed: m.Passed}
 	for _, r := range m.Reports {
 		place := slices.Index(out.Lenders, r.Lender)
 		if place < 0 {
@@ -63,7 +64,7 @@
 	if len(m.Reports) > maxReports || m.Wanted < 0 {
 		return Message{}, errors.Newf("%d reports and %d tokens wanted are not allowed", len(m.Reports), m.Wanted)
 	}
-	message := Message{Workspace: m.Workspace, Wanted: m.Wanted, Relayed: m.Relayed, Spread: m.Spread}
+	message := Message{Workspace: m.Workspace, Wanted: m.Wanted, Relayed: m.Relayed, Spread: m.Spread, Passed: m.Passed}
 	for _, r := range m.Reports {
 		if r.Lender < 0 || r.Lender >= len(m.Lenders) || r.Spent < 0 {
 			return Message{}, errors.Newf("a report of lender %d with %d tokens spent is not allowed", r.Lender, r.Spent)
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -2,12 +2,10 @@
 package drawer
 
 import (
-	"cmp"
 	"context"
 	"expvar"
 	"fmt"
 	"log/slog"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -30,11 +28,13 @@
 	tryLimit   = 300 * time.Millisecond
 	shortPause = 50 * time.Millisecond
 	leastPause = 5 * time.Millisecond
-	// silentPause is how long a lender that did not answer is asked only after the others.
-	silentPause = time.Second
-	flushPeriod = 50 * time.Millisecond
-	sweepPeriod = 250 * time.Millisecond
-	idleTime    = 3 * time.Second
+	// silentPause is how long a lender that did not answer is asked only after the others. It doubles with each further
+	// time, up to maxSilentPause.
+	silentPause    = time.Second
+	maxSilentPause = 8 * time.Second
+	flushPeriod    = 50 * time.Millisecond
+	sweepPeriod    = 250 * time.Millisecond
+	idleTime       = 3 * time.Second
 	// returnTime is how much of a lease is left when its unspent tokens go back.
 	returnTime   = allotter.LeaseTime / 4
 	reportsLimit = 4096
@@ -60,6 +60,8 @@
 	// Share returns how the rate of workspace is divided among the nodes while no lender lends. Without it such requests
 	// are refused, which keeps the rate strictly.
 	Share func(workspace string) allotter.Division
+	// Peers returns the addresses of some nodes that may reach a lender when this one does not. Without it none is asked.
+	Peers func() []string
 }
 
 // Drawer holds the leases of the workspaces that are in use on this node.
@@ -72,7 +74,7 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	reports  []exchanger.Report
-	silent   map[string]time.Time
+	silent   map[string]silence
 	stopped  bool
 }
 
@@ -96,7 +98,7 @@
 // New returns a Drawer without leases.
 func New(borrower Borrower, sources Sources, log *slog.Logger) *Drawer {
 	return &Drawer{
-		borrower: borrower, sources: sources, log: log, accounts: make(map[string]*account), silent: make(map[string]time.Time),
+		borrower: borrower, sources: sources, log: log, accounts: make(map[string]*account), silent: make(map[string]silence),
 	}
 }
 
@@ -209,7 +211,7 @@
 		return waiting{after(a.short.Again.Sub(now))}, nil
 	}
 	if a.asking == nil {
-		d.ask(workspace, a, max(a.demand.Wanted(now), a.waiting))
+		d.fetch(workspace, a, max(a.demand.Wanted(now), a.waiting))
 	}
 	return waiting{a.asking}, nil
 }
@@ -297,14 +299,14 @@
 		return
 	}
 	if a.asking == nil {
-		d.ask(workspace, a, wanted)
+		d.fetch(workspace, a, wanted)
 	}
 	if a.partial && 4*a.holding.Left(now) < wanted && !a.spreading && !now.Before(a.spreadAgain) {
 		d.spread(workspace, a, wanted)
 	}
 }
 
-func (d *Drawer) ask(workspace string, a *account, wanted int) {
+func (d *Drawer) fetch(workspace string, a *account, wanted int) {
 	a.asking = make(chan struct{})
 	d.group.Go(func() error {
 		asked, reply := d.borrow(exchanger.Message{Workspace: workspace, Wanted: wanted})
@@ -364,22 +366,3 @@
 	}
 	return time.Time{}, last
 }
-
-// order returns the lenders to ask, those that were silent lately last.
-func (d *Drawer) order(workspace string) []string {
-	addresses := slices.Clone(d.sources.Lenders(workspace))
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := timekeeper.Now()
-	slices.SortStableFunc(addresses, func(a, b string) int {
-		return cmp.Compare(btoi(now.Before(d.silent[a])), btoi(now.Before(d.silent[b])))
-	})
-	return addresses
-}
-
-func btoi(value bool) int {
-	if value {
-		return 1
-	}
-	return 0
-}
--- a/node/pkg/drawer/drawer_test.go
+++ b/node/pkg/drawer/drawer_test.go
@@ -227,3 +227,56 @@
 		assert.Equal(t, time.Since(began), 400*time.Millisecond)
 	})
 }
+
+// cut is a borrower that reaches no lender, but another node.
+type cut struct {
+	peer   exchanger.Passer
+	denied int
+}
+
+func (c *cut) Borrow(ctx context.Context, address string, message exchanger.Message) (exchanger.Reply, error) {
+	if address == "peer" {
+		return c.peer.Pass(ctx, message)
+	}
+	c.denied++
+	return exchanger.Reply{}, errors.New("cut")
+}
+
+// TestNodeThatReachesNoLenderBorrowsThroughAPeer has a share that admits nothing, so that only lent tokens count.
+func TestNodeThatReachesNoLenderBorrowsThroughAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lender := newStock(100)
+		wires := &cut{peer: newDrawer(lender)}
+		sources := drawer.Sources{
+			Lenders: func(string) []string { return []string{"near", "far"} },
+			Share:   func(string) allotter.Division { return allotter.Division{Rate: 0.001, Nodes: 2} },
+			Peers:   func() []string { return []string{"peer"} },
+		}
+		d := drawer.New(wires, sources, slog.New(slog.DiscardHandler))
+		ctx, stop := context.WithCancel(t.Context())
+		var running errgroup.Group
+		running.Go(func() error { return d.Run(ctx) })
+		for range 50 {
+			_, err := d.Draw(t.Context(), "kowhai", soon())
+			assert.NilError(t, err)
+			time.Sleep(20 * time.Millisecond)
+		}
+		assert.Assert(t, wires.denied < 10, "%d questions to lenders that are cut off", wires.denied)
+		stop()
+		assert.NilError(t, running.Wait())
+		spent := 0
+		for _, count := range lender.spent {
+			spent += count
+		}
+		assert.Equal(t, spent, 50, "what was spent is told through the peer too")
+	})
+}
+
+func TestMessageIsPassedOnce(t *testing.T) {
+	lender := newStock(1)
+	_, err := newDrawer(lender).Pass(t.Context(), exchanger.Message{Workspace: "kowhai", Wanted: 1, Passed: true})
+	assert.ErrorContains(t, err, "passed before")
+	lender.address = "none"
+	_, err = newDrawer(lender).Pass(t.Context(), exchanger.Message{Workspace: "kowhai", Wanted: 1})
+	assert.ErrorContains(t, err, "no lender")
+}
--- a/node/pkg/drawer/settle.go
+++ b/node/pkg/drawer/settle.go
@@ -90,24 +90,12 @@
 	d.mu.Lock()
 	message.Reports, d.reports = d.reports, nil
 	d.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, tryLimit)
-	defer cancel()
-	counters.Add("messages", 1)
-	reply, err := d.borrower.Borrow(ctx, address, message)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_, known := d.silent[address]
+	reply, err := d.ask(ctx, address, message)
 	if err == nil {
-		if known {
-			d.log.Info("lender answers again", "address", address)
-		}
-		delete(d.silent, address)
 		return reply, nil
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.reports = append(message.Reports, d.reports...)[:min(reportsLimit, len(message.Reports)+len(d.reports))]
-	if !known {
-		d.log.Warn("lender failed", "address", address, "reason", err.Error())
-	}
-	d.silent[address] = timekeeper.Now().Add(silentPause)
 	return reply, err
 }
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -155,6 +155,9 @@
 	n.lender = n.newLender(hub, located)
 	n.budget = budgeter.NewClient(n.pool, located.Owner, n.log.Part("budget"))
 	n.drawer = drawer.New(exchanger.NewClient(n.pool), n.sources(hub, located), n.log.Part("admit"))
+	if n.lender == nil {
+		exchanger.RegisterPasser(n.mux, n.drawer)
+	}
 }
 
 // assembleRequests makes the parts that requests pass through.
@@ -207,6 +210,9 @@
 	return peers
 }
 
+// passers is the number of peers that are asked for tokens in turn while lenders are silent.
+const passers = 2
+
 // sources returns where the node gets tokens: from the lenders that own a part of the workspace's rate, and then from
 // the others, which ask those.
 func (n *Node) sources(hub *synchronizer.Hub, located *locator.Locator) drawer.Sources {
@@ -229,6 +235,11 @@
 		return append(slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return !owns(a) }),
 			slices.DeleteFunc(addresses, owns)...)
 	}}
+	sources.Peers = func() []string {
+		peers := slices.Clone(n.peers(hub.Directory()))
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		return peers[:min(passers, len(peers))]
+	}
 	if n.options.ShareRates {
 		sources.Share = func(name string) allotter.Division {
 			workspace, _ := hub.Configuration().Workspace(name)
@@ -252,7 +263,7 @@
 	if _, ok := lenders[n.options.Name]; !ok {
 		return nil
 	}
-	rates := lender.New(time.Now(), lender.Dependencies{
+	rates := lender.New(timekeeper.Now(), lender.Dependencies{
 		Name: n.options.Name, Configuration: hub, Borrower: exchanger.NewClient(n.pool), Log: n.log.Part("lend"),
 		Lenders: func() []string {
 			return core.Union(lenders.Names(), tracker.ControlNames(hub.Controls()))
