Share the burst among nodes that have just started while no lender lends

Cause: when all processes have been killed, lenders wait 2 s before they lend, since they forgot what they lent.

Ruled out: lending sooner (unspent leases of before would add up to more than the burst).

Change: the share of a process that never borrowed holds its part of the burst. One that borrowed before gets none: it may be cut off from lenders that lend the burst to the rest. An account is kept until its share is full again.

--- a/core/allotter/share.go
+++ b/core/allotter/share.go
@@ -14,27 +14,27 @@
 	updated time.Time
 }
 
-// Division says how a workspace's rate is divided among Nodes while no lender answers. Slack is how many requests all of
-// them together may admit at once.
+// Division says how a workspace's rate and burst are divided among Nodes while no lender answers. Slack is how many requests
+// all of them together may admit beyond those.
 type Division struct {
 	Rate  configurer.PerSecond
+	Burst int
 	Slack float64
 	Nodes int
 }
 
+// part returns what one node may admit at once and in a second. It may always come to hold one token.
+func (d Division) part() (most, refill float64) {
+	nodes := float64(max(d.Nodes, 1))
+	return max(1, (float64(d.Burst)+d.Slack)/nodes), float64(d.Rate) / nodes
+}
+
 // Book spends one token of the share for a request that may wait until last, and returns from when on the request may go.
-// Tokens that are booked ahead go to the requests in their order. It reports false if there is no token in time. A share that
-// was not used for long holds one token at most, or its part of the slack, so that a return of many nodes makes no burst.
+// Tokens that are booked ahead go to the requests in their order. It reports false if there is no token in time. A share
+// that was not used yet holds its part of the burst and of the slack.
 func (s Share) Book(now, last time.Time, division Division) (next Share, at time.Time, ok bool) {
-	nodes := float64(max(division.Nodes, 1))
-	most := max(1, division.Slack/nodes)
-	refill := float64(division.Rate) / nodes
-	if s.updated.IsZero() {
-		s.level = division.Slack / nodes
-	} else {
-		s.level = min(most, s.level+refill*now.Sub(s.updated).Seconds())
-	}
-	s.updated = now
+	_, refill := division.part()
+	s.level, s.updated = s.at(now, division), now
 	missing := max(0, 1-s.level)
 	if missing > refill*last.Sub(now).Seconds() {
 		return s, time.Time{}, false
@@ -45,3 +45,18 @@
 	}
 	return s, now.Add(time.Duration(missing / refill * float64(time.Second))), true
 }
+
+// Full reports whether the share holds at now what one does that was not used yet.
+func (s Share) Full(now time.Time, division Division) bool {
+	most, _ := division.part()
+	return s.at(now, division) >= most
+}
+
+// at returns the tokens that the share holds at now.
+func (s Share) at(now time.Time, division Division) float64 {
+	most, refill := division.part()
+	if s.updated.IsZero() {
+		return (float64(division.Burst) + division.Slack) / float64(max(division.Nodes, 1))
+	}
+	return min(most, s.level+refill*now.Sub(s.updated).Seconds())
+}
--- a/node/pkg/drawer/drawer.go
+++ b/node/pkg/drawer/drawer.go
@@ -76,6 +76,8 @@
 	reports  []exchanger.Report
 	silent   map[string]silence
 	stopped  bool
+	// borrowed says that a lender lent to this process.
+	borrowed bool
 }
 
 // account is what the node knows of one workspace. Asking is closed when the message in flight was answered; it is nil
@@ -251,7 +253,7 @@
 	if d.sources.Share == nil {
 		return "", time.Time{}, false
 	}
-	division := d.sources.Share(workspace)
+	division := d.division(workspace)
 	a.share, at, ok = a.share.Book(timekeeper.Now(), last, division)
 	if !ok {
 		return "", time.Time{}, false
@@ -260,6 +262,17 @@
 	return "share of " + strconv.Itoa(division.Nodes) + " nodes, since no lender lends", at, true
 }
 
+// division returns how the rate of workspace is divided while no lender lends. The burst is part of that only for a process
+// that never borrowed: all of them start at once after a loss of power, and nobody has used the burst. Others may be
+// cut off from lenders that lend the burst to the rest. The caller holds the lock.
+func (d *Drawer) division(workspace string) allotter.Division {
+	division := d.sources.Share(workspace)
+	if d.borrowed {
+		division.Burst = 0
+	}
+	return division
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -312,7 +325,7 @@
 		asked, reply := d.borrow(exchanger.Message{Workspace: workspace, Wanted: wanted})
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		a.take(asked, reply)
+		d.take(a, asked, reply)
 		a.partial = 4*reply.Tokens() < wanted
 		if len(reply.Loans) == 0 {
 			a.short = reply
@@ -332,7 +345,7 @@
 		asked, reply := d.borrow(exchanger.Message{Workspace: workspace, Wanted: wanted, Spread: true})
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		a.take(asked, reply)
+		d.take(a, asked, reply)
 		a.spreading = false
 		if len(reply.Loans) == 0 {
 			a.spreadAgain = reply.Again
@@ -341,7 +354,9 @@
 	})
 }
 
-func (a *account) take(asked time.Time, reply exchanger.Reply) {
+// take adds what was lent to a. The caller holds the lock.
+func (d *Drawer) take(a *account, asked time.Time, reply exchanger.Reply) {
+	d.borrowed = d.borrowed || len(reply.Loans) > 0
 	for _, loan := range reply.Loans {
 		a.holding = a.holding.With(allotter.NewLease(asked, loan.Lender, loan.ID, loan.Tokens))
 	}
--- a/node/pkg/drawer/drawer_test.go
+++ b/node/pkg/drawer/drawer_test.go
@@ -280,3 +280,28 @@
 	_, err = newDrawer(lender).Pass(t.Context(), exchanger.Message{Workspace: "kowhai", Wanted: 1})
 	assert.ErrorContains(t, err, "no lender")
 }
+
+// TestBurstIsSharedAfterAStartOnly counts what a node admits at once without lenders, after its start and after it borrowed.
+func TestBurstIsSharedAfterAStartOnly(t *testing.T) {
+	const burst = 6
+	admitted := func(tokens int) (count int) {
+		s := newStock(tokens)
+		d := drawer.New(s, drawer.Sources{
+			Lenders: func(string) []string { return []string{"near"} },
+			Share:   func(string) allotter.Division { return allotter.Division{Rate: 0.001, Burst: 2 * burst, Nodes: 2} },
+		}, slog.New(slog.DiscardHandler))
+		for range tokens {
+			_, err := d.Draw(t.Context(), "caroni", soon())
+			assert.NilError(t, err)
+		}
+		s.answer(exchanger.Reply{Reason: "starting", Again: time.Now().Add(time.Minute)})
+		for {
+			if _, err := d.Draw(t.Context(), "kowhai", soon()); err != nil {
+				return count
+			}
+			count++
+		}
+	}
+	assert.Equal(t, admitted(0), burst)
+	assert.Equal(t, admitted(1), 0)
+}
--- a/node/pkg/drawer/settle.go
+++ b/node/pkg/drawer/settle.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"samphiremount.example/core/allotter"
 	"samphiremount.example/core/exchanger"
 	"samphiremount.example/core/timekeeper"
 )
@@ -63,12 +64,19 @@
 	defer d.mu.Unlock()
 	now := timekeeper.Now()
 	for name, a := range d.accounts {
-		if a.holding.Empty() && a.asking == nil && !a.spreading && a.waiting == 0 && now.Sub(a.used) > idleTime {
+		idle := a.holding.Empty() && a.asking == nil && !a.spreading && a.waiting == 0 && now.Sub(a.used) > idleTime
+		if idle && d.shareFull(now, name, a) {
 			delete(d.accounts, name)
 		}
 	}
 }
 
+// shareFull reports whether nothing is lost of the node's share when the account is forgotten. The
+// caller holds the lock.
+func (d *Drawer) shareFull(now time.Time, workspace string, a *account) bool {
+	return d.sources.Share == nil || a.share == (allotter.Share{}) || a.share.Full(now, d.division(workspace))
+}
+
 func (d *Drawer) flush(ctx context.Context) {
 	d.mu.Lock()
 	waiting := len(d.reports)
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -243,7 +243,9 @@
 	if n.options.ShareRates {
 		sources.Share = func(name string) allotter.Division {
 			workspace, _ := hub.Configuration().Workspace(name)
-			return allotter.Division{Rate: workspace.Rate, Slack: n.options.ShareSlack, Nodes: hub.Directory().Len()}
+			return allotter.Division{
+				Rate: workspace.Rate, Burst: workspace.Burst, Slack: n.options.ShareSlack, Nodes: hub.Directory().Len(),
+			}
 		}
 	}
 	return sources
