--- a/control/pkg/starter/control.go
+++ b/control/pkg/starter/control.go
@@ -4,8 +4,6 @@
 	"context"
 	"net"
 
-	"samphiremount.example/core/timekeeper"
-
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
@@ -25,6 +23,7 @@
 	"samphiremount.example/core/replicator"
 	core "samphiremount.example/core/starter"
 	"samphiremount.example/core/synchronizer"
+	"samphiremount.example/core/timekeeper"
 	"samphiremount.example/core/tracker"
 )
 
--- a/core/returner/returner.go
+++ b/core/returner/returner.go
@@ -28,8 +28,12 @@
 // Again returns from when on a caller should send a refused request again. Typical is how long such requests take on
 // average, or 0 if that is not known. A time that the refusal names itself is kept.
 func Again(now time.Time, random *rand.Rand, refusal *refuser.Refusal, typical time.Duration) time.Time {
+	least := now.Add(leastPause)
+	if refusal.Again.After(least) {
+		return refusal.Again
+	}
 	if !refusal.Again.IsZero() {
-		return later(refusal.Again, now.Add(leastPause))
+		return least
 	}
 	mean := usualPause
 	switch refusal.Kind {
@@ -43,10 +47,3 @@
 	pause := time.Duration((1 + spread*(2*random.Float64()-1)) * float64(mean))
 	return now.Add(min(max(pause, leastPause), mostPause))
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
