Answer CONNECT with 501 and the request's id

Cause: the target of a CONNECT is an authority. Its path is empty, and the route for empty paths did not match it, so callers got 500 without an id.

Change: CONNECT is taken before the server's routes. TestBadInputGetsAClearError failed first with "500 Internal Server Error".

--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -26,7 +26,15 @@
 func (a *Acceptor) Handler() http.Handler {
 	server := echo.New()
 	server.Any("/*", a.serve)
-	server.CONNECT("", a.serve)
+	// The target of a CONNECT is no path, so no route of the server matches it.
+	server.Pre(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			if c.Request().Method == http.MethodConnect {
+				return a.serve(c)
+			}
+			return next(c)
+		}
+	})
 	server.HTTPErrorHandler = func(err error, c echo.Context) { refuse(c, "", err) }
 	return server
 }
--- a/node/pkg/acceptor/acceptor_test.go
+++ b/node/pkg/acceptor/acceptor_test.go
@@ -135,6 +135,8 @@
 	assert.Equal(t, raw(t, f, start+"Long: "+strings.Repeat("x", 2<<20)+"\r\n\r\n"),
 		"HTTP/1.1 431 Request Header Fields Too Large")
 	assert.Equal(t, raw(t, f, start+"Content-Length: 1\r\nContent-Length: 2\r\n\r\n"), "HTTP/1.1 400 Bad Request")
+	connect := "CONNECT a:443 HTTP/1.1\r\nHost: a:443\r\nAuthorization: Bearer " + f.key + "\r\n\r\n"
+	assert.Equal(t, raw(t, f, connect), "HTTP/1.1 501 Not Implemented")
 	assert.Equal(t, runs.Load(), int64(0))
 }
 
