Let the test of stalls fail without its mechanism

TestTargetThatHangsFromItsStartIsDoubtedBeforeAnyObjective passed with the usual time taken as 0: its own probes ended at a deadline, which counted as failures of the target, so that it was doubted after 10 ms. A probe is given up now, which counts for nothing, and the doubt must come later than the first probes. Without the mechanism it fails: the requests are overdue after 3 s. Stricter than before.

--- a/node/pkg/gatekeeper/gatekeeper_test.go
+++ b/node/pkg/gatekeeper/gatekeeper_test.go
@@ -156,14 +156,18 @@
 			return nil
 		})
 	}
+	// A request that its caller gives up at once says nothing of the target.
 	refused := func() bool {
-		ctx, cancel := context.WithTimeout(ctx, 10*time.Millisecond)
+		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
+		defer time.AfterFunc(10*time.Millisecond, cancel).Stop()
 		return refuser.From(run(ctx, gate, judged("next"+time.Now().String()))).Kind == refuser.TargetSuspect
 	}
 	for !refused() {
 		assert.Assert(t, time.Since(began) < objective, "the requests are overdue by now")
 	}
+	doubted := time.Since(began)
+	assert.Assert(t, doubted > objective/100 && doubted < objective, "%v", doubted)
 	cancel()
 	assert.NilError(t, group.Wait())
 }
