List peers only while a lender is silent, and read silence in one way

Found by reading the change again; behaviour stays. The order of lenders listed, copied and shuffled all nodes for each question to a lender, and for each report every 50 ms, also while all lenders answered. Pass read the silence of a lender by a copy of the same condition, under a lock for each lender. The trial of suspect targets compared regions beside chooser.far.

make test: exit 0.

--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -119,7 +119,7 @@
 	var suspects []tracker.Placement
 	for _, placement := range view.Directory.Placements(head.Service) {
 		suspect := now.Before(c.suspects[placement.Target.Name]) && !placement.Target.Leaving
-		if suspect && placement.Node.Region == c.place.Region && !c.paths[placement.Node.Name].Avoided(now) {
+		if suspect && !c.far(placement) && !c.paths[placement.Node.Name].Avoided(now) {
 			suspects = append(suspects, placement)
 		}
 	}
--- a/node/pkg/drawer/order.go
+++ b/node/pkg/drawer/order.go
@@ -31,22 +31,23 @@
 // even parts of the rate that they have by themselves do not match what their callers ask for.
 func (d *Drawer) order(workspace string) []string {
 	addresses := slices.Clone(d.sources.Lenders(workspace))
-	var peers []string
-	if d.sources.Peers != nil {
-		peers = d.sources.Peers()
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := timekeeper.Now()
-	avoided := func(address string) bool { return now.Before(d.silent[address].until) }
+	avoided := d.avoided(timekeeper.Now())
 	slices.SortStableFunc(addresses, func(a, b string) int {
 		return cmp.Compare(btoi(avoided(a)), btoi(avoided(b)))
 	})
-	if len(addresses) == 0 || !avoided(addresses[len(addresses)-1]) {
+	if d.sources.Peers == nil || len(addresses) == 0 || !avoided(addresses[len(addresses)-1]) {
 		return addresses
 	}
 	first := 1 - btoi(avoided(addresses[0]))
-	return slices.Insert(addresses, first, slices.DeleteFunc(peers, avoided)...)
+	return slices.Insert(addresses, first, slices.DeleteFunc(d.sources.Peers(), avoided)...)
+}
+
+// avoided returns the question whether an address was silent so lately that others come first at now. The caller holds the
+// lock, also while it asks.
+func (d *Drawer) avoided(now time.Time) func(address string) bool {
+	return func(address string) bool { return now.Before(d.silent[address].until) }
 }
 
 func btoi(value bool) int {
@@ -62,10 +63,7 @@
 		return exchanger.Reply{}, errors.New("the message was passed before")
 	}
 	message.Passed = true
-	for _, address := range d.sources.Lenders(message.Workspace) {
-		if d.avoids(address) {
-			continue
-		}
+	for _, address := range d.answering(message.Workspace) {
 		if reply, err := d.ask(ctx, address, message); err == nil {
 			counters.Add("passed", 1)
 			return reply, nil
@@ -74,10 +72,12 @@
 	return exchanger.Reply{}, errors.New("this node reaches no lender either")
 }
 
-func (d *Drawer) avoids(address string) bool {
+// answering returns the lenders of workspace that were not silent lately.
+func (d *Drawer) answering(workspace string) []string {
+	addresses := slices.Clone(d.sources.Lenders(workspace))
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return timekeeper.Now().Before(d.silent[address].until)
+	return slices.DeleteFunc(addresses, d.avoided(timekeeper.Now()))
 }
 
 // ask sends message to address, and notes whether that answers.
--- a/node/pkg/drawer/settle.go
+++ b/node/pkg/drawer/settle.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// shareFull reports whether nothing is lost of the node's share when the account is forgotten. The
-// caller holds the lock.
+// shareFull reports whether nothing is lost of the node's share when the account is forgotten. The caller holds
+// the lock.
 func (d *Drawer) shareFull(now time.Time, workspace string, a *account) bool {
 	return d.sources.Share == nil || a.share == (allotter.Share{}) || a.share.Full(now, d.division(workspace))
 }
