--- a/standin/pkg/commander/commander.go
+++ b/standin/pkg/commander/commander.go
@@ -65,6 +65,7 @@
 	add("load", "Send the requests of a plan and check their outcomes", &load{ctx: ctx, out: out})
 	add("sheet", "Print a sheet of the size that the fleet is designed for", &sheet{out: out})
 	add("slopes", "Measure how the costs of a small fleet grow", &slopes{ctx: ctx, out: out})
+	add("simulate", "Simulate a fleet whose targets fail for some seconds at a time", &simulate{out: out})
 	add("addresses", "Print free loopback addresses", &addresses{out: out})
 	return errors.Wrap(err, "add commands")
 }
