Tell from logs when requests were not served and which targets were idle

The logs of 94 machines held what decides between the three hypotheses of the incident, but nothing that could be read on call: grep for one request is of no use for a share that fell. samphire timeline condenses the lines of all processes, which may come in any order: for each period and service the requests, those not served by kind, what gates refused, and the targets without a request with their state. It reads files and asks nobody, so it cannot hold up a process; the lines are those that exist.

--- a/ctl/pkg/commander/commander.go
+++ b/ctl/pkg/commander/commander.go
@@ -90,6 +90,7 @@
 	add(root, "workspaces", "List workspaces", &workspaces{cli: shared})
 	add(root, "routes", "List routes", &routes{cli: shared})
 	add(root, "explain", "Tell what the fleet did with a request", &explain{cli: shared})
+	add(root, "timeline", "Tell from logs when and why requests were not served, and which targets got none", &timeline{cli: shared})
 	add(root, "version", "Show the versions in force", &version{cli: shared})
 	members := add(root, "members", "List control processes", &members{cli: shared})
 	if members != nil {
