Send requests to targets on trial at a pace that no fleet size changes

Callers were not served while targets that had recovered were idle: a target on trial got a twentieth of its slots' share of the repeatable requests.

Ruled out: gates that refuse trials (one refusal in 2 s at most).

All entries of the target's region together now send about two requests a second, each its part at random times (core/sampler). Only first attempts of repeatable requests are used, not hedges of others that are late already.

TestTrialGetsFewRequestsEvenAloneInItsTier checked the old share (3 to 6 in 100 requests).

--- a/core/router/router.go
+++ b/core/router/router.go
@@ -84,18 +84,22 @@
 // Choose picks one of candidates. It takes the nearest tier (local data centre, local region, remote region) that has a
 // usable target and is not short of capacity, and in that tier the less loaded of two random targets (power of two
 // choices, Mitzenmacher 2001). A target is usable unless it is leaving, ejected or already tried. A target on trial
-// gets a small share of the repeatable requests, whichever tier it is in.
+// gets the first attempt of a repeatable request when it is due, whichever tier it is in, and any such request if no
+// other target is usable.
 //
 // A tier is short of capacity when its load exceeds minSpillLoad. The share of requests that spill to the next tier
 // then grows linearly with the load, so that the distribution settles instead of oscillating. Requests spill only to a
 // tier that is less loaded. Choose returns a refusal of kind CapacityShort if no candidate is usable.
 func (r Router) Choose(now time.Time, random *rand.Rand, request Request, candidates []Candidate) (Choice, error) {
 	grouped := r.groupByTier(now, request, candidates)
-	if trials := grouped.trials; trials.slots > random.Float64()*grouped.all.slots {
-		return Choice{Placement: trials.pickWeighted(random).candidate.Placement, Reason: "on trial after an ejection", Trial: true}, nil
+	if len(grouped.due.candidates) > 0 && len(request.Tried) == 0 {
+		return grouped.due.pickTrial(random), nil
 	}
 	chosen, reason := r.chooseTier(random, grouped)
-	if chosen < 0 {
+	switch {
+	case chosen < 0 && len(grouped.trials.candidates) > 0:
+		return grouped.trials.pickTrial(random), nil
+	case chosen < 0:
 		return Choice{}, refuser.Refuse(refuser.CapacityShort, "no usable target")
 	}
 	picked := grouped.tiers[chosen].pickLessLoaded(random)
@@ -103,12 +107,12 @@
 	return Choice{Placement: picked.candidate.Placement, Reason: reason}, nil
 }
 
-// tieredCandidates holds the usable candidates of a request. Those on trial are in trials, the others in tiers, and
-// both in all. localRegion is set if the request must not go to a remote region.
+// tieredCandidates holds the usable candidates of a request. Those on trial are in trials, and if they are due also in
+// due; the others are in tiers. localRegion is set if the request must not go to a remote region.
 type tieredCandidates struct {
 	tiers       [tierCount]tier
 	trials      tier
-	all         tier
+	due         tier
 	localRegion bool
 }
 
@@ -121,9 +125,11 @@
 		if !ok {
 			continue
 		}
-		grouped.all = grouped.all.with(weighted)
-		if _, trial := candidate.Status.(Trial); trial {
+		if trial, ok := candidate.Status.(Trial); ok {
 			grouped.trials = grouped.trials.with(weighted)
+			if trial.Due {
+				grouped.due = grouped.due.with(weighted)
+			}
 			continue
 		}
 		grouped.tiers[tierIndex] = grouped.tiers[tierIndex].with(weighted)
@@ -167,7 +173,7 @@
 		if !request.Repeatable {
 			return weightedCandidate{}, false
 		}
-		fraction = trialSlotFraction
+		fraction = 1
 	case Ejected:
 		return weightedCandidate{}, false
 	}
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -123,15 +123,15 @@
 			c := candidate(fmt.Sprint(i), "north", rapid.SampledFrom([]string{"auckland", "hamilton"}).Draw(t, "centre"),
 				rapid.IntRange(0, 30).Draw(t, "load"))
 			c.Placement.Target.Leaving = rapid.Bool().Draw(t, "leaving")
-			statuses := []router.Status{router.Serving{}, router.Serving{Since: start}, router.Trial{}, router.Ejected{}}
-			state := rapid.IntRange(0, 3).Draw(t, "status")
+			statuses := []router.Status{router.Serving{}, router.Serving{Since: start}, router.Trial{}, router.Trial{Due: true}, router.Ejected{}}
+			state := rapid.IntRange(0, 4).Draw(t, "status")
 			c.Status = statuses[state]
 			tried := rapid.Bool().Draw(t, "tried")
 			if tried {
 				request.Tried = append(request.Tried, c.Placement.Target.Name)
 			}
 			allowed[c.Placement.Target.Name] = !tried && !c.Placement.Target.Leaving &&
-				(state < 2 || state == 2 && request.Repeatable)
+				(state < 2 || state < 4 && request.Repeatable)
 			candidates = append(candidates, c)
 		}
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
@@ -195,19 +195,30 @@
 	assert.Assert(t, math.Abs(got["reported"]-0.75) < 0.03, "%v", got)
 }
 
-func TestTrialGetsFewRequestsEvenAloneInItsTier(t *testing.T) {
-	trial := candidate("trial", "north", "auckland", 0)
-	trial.Status = router.Trial{}
+// TestTrialGetsOnlyRequestsThatAreDue checks which requests go to a target on trial that is alone in the nearest tier: the
+// first attempts of repeatable requests while it is due, none before, and any repeatable one if there is no other target.
+func TestTrialGetsOnlyRequestsThatAreDue(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
-	count := 0
-	for range 10_000 {
-		choice, err := router.New(here).Choose(start, random, router.Request{Repeatable: true}, []router.Candidate{
-			trial, candidate("far", "south", "dunedin", 0),
-		})
-		assert.NilError(t, err)
-		if choice.Placement.Target.Name == "trial" {
-			count++
+	far := candidate("far", "south", "dunedin", 0)
+	for _, test := range []struct {
+		due     bool
+		request router.Request
+		others  []router.Candidate
+		trial   bool
+	}{
+		{true, router.Request{Repeatable: true}, []router.Candidate{far}, true},
+		{true, router.Request{}, []router.Candidate{far}, false},
+		{true, router.Request{Repeatable: true, Tried: []string{"other"}}, []router.Candidate{far}, false},
+		{false, router.Request{Repeatable: true}, []router.Candidate{far}, false},
+		{false, router.Request{Repeatable: true}, nil, true},
+	} {
+		trial := candidate("trial", "north", "auckland", 0)
+		trial.Status = router.Trial{Due: test.due}
+		for range 1000 {
+			choice, err := router.New(here).Choose(start, random, test.request, append(test.others, trial))
+			assert.NilError(t, err)
+			assert.Equal(t, choice.Trial, test.trial, "%+v", test)
+			assert.Equal(t, choice.Placement.Target.Name == "trial", test.trial, "%+v", test)
 		}
 	}
-	assert.Assert(t, count > 300 && count < 600, "%d of 10000", count)
 }
--- a/core/router/status.go
+++ b/core/router/status.go
@@ -9,10 +9,6 @@
 	// minSlotFraction is the fraction of its slots with which a target begins its slow start.
 	minSlotFraction = 0.1
 
-	// trialSlotFraction is the fraction of its slots with which a target on trial takes part in the choice for
-	// repeatable requests.
-	trialSlotFraction = 0.05
-
 	// reportLifetime is how long a gate's report of a target's load is used. Its weight falls linearly to 0.
 	reportLifetime = 5 * time.Second
 )
@@ -28,8 +24,11 @@
 	Since time.Time
 }
 
-// Trial is the status of an ejected target that gets a few repeatable requests.
-type Trial struct{}
+// Trial is the status of an ejected target that gets a few repeatable requests. Due is set while this entry is to send it
+// the next one.
+type Trial struct {
+	Due bool
+}
 
 // Ejected is the status of a target that gets no requests.
 type Ejected struct{}
--- a/core/router/tier.go
+++ b/core/router/tier.go
@@ -108,6 +108,11 @@
 	return first
 }
 
+// pickTrial returns the choice of a random candidate on trial.
+func (t tier) pickTrial(random *rand.Rand) Choice {
+	return Choice{Placement: t.pickWeighted(random).candidate.Placement, Reason: "on trial after an ejection", Trial: true}
+}
+
 // pickWeighted returns a random candidate, weighted by the slots of the candidates.
 func (t tier) pickWeighted(random *rand.Rand) weightedCandidate {
 	rest := random.Float64() * t.slots
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -11,6 +11,7 @@
 	"samphiremount.example/core/ejector"
 	"samphiremount.example/core/monitor"
 	"samphiremount.example/core/router"
+	"samphiremount.example/core/sampler"
 	"samphiremount.example/core/throttler"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/forwarder"
@@ -54,6 +55,7 @@
 	meanSizes     map[time.Duration]float64
 	ejections     map[string]map[string]ejector.Ejection
 	warmups       router.Warmups
+	trials        map[string]sampler.Pace
 	// throttles limits, for each service, the attempts in other regions while these have no free slots.
 	throttles map[string]throttler.Throttle
 
@@ -71,7 +73,7 @@
 		suspectUntil: make(map[string]time.Time), lost: make(map[string]time.Time),
 		highDurations: make(map[time.Duration]time.Duration), meanDurations: make(map[time.Duration]time.Duration),
 		meanSizes: make(map[time.Duration]float64), ejections: make(map[string]map[string]ejector.Ejection),
-		throttles: make(map[string]throttler.Throttle),
+		throttles: make(map[string]throttler.Throttle), trials: make(map[string]sampler.Pace),
 	}
 }
 
@@ -99,6 +101,9 @@
 	if c.isRemote(choice.Placement) {
 		c.throttles[head.Service] = throttle.WithAttempt(now)
 	}
+	if choice.Trial {
+		c.trials[choice.Placement.Target.Name] = c.newPace(now)
+	}
 	c.inFlight[choice.Placement.Target.Name]++
 	c.log.Info("target chosen", "request", head.AttemptID, "workspace", head.Workspace, "service", head.Service,
 		"target", choice.Placement.Target.Name, "node", choice.Placement.Node.Name, "candidates", len(candidates),
@@ -150,7 +155,7 @@
 			continue
 		}
 		candidates = append(candidates, router.Candidate{
-			Placement: placement, Load: c.inFlight[name], Report: c.reports[name], Status: c.status(ejected, name),
+			Placement: placement, Load: c.inFlight[name], Report: c.reports[name], Status: c.status(now, ejected, placement),
 		})
 	}
 	return candidates
@@ -227,24 +232,41 @@
 	for target := range c.ejections[name] {
 		if _, still := ejected[target]; !still {
 			c.warmups.RecordReturn(now, target)
+			delete(c.trials, target)
 		}
 	}
 	c.ejections[name] = ejected
 	return ejected
 }
 
-func (c *chooser) status(ejected map[string]ejector.Ejection, target string) router.Status {
-	entry, ok := ejected[target]
+func (c *chooser) status(now time.Time, ejected map[string]ejector.Ejection, placement tracker.Placement) router.Status {
+	name := placement.Target.Name
+	entry, ok := ejected[name]
 	switch {
 	case !ok:
-		return c.warmups.Serving(target)
+		return c.warmups.Serving(name)
 	case entry.Phase == ejector.Trial:
-		return router.Trial{}
+		return router.Trial{Due: !c.isRemote(placement) && c.isTrialDue(now, name)}
 	default:
+		delete(c.trials, name)
 		return router.Ejected{}
 	}
 }
 
+// isTrialDue reports whether this node is to send a request to the target on trial called name.
+func (c *chooser) isTrialDue(now time.Time, name string) bool {
+	if _, ok := c.trials[name]; !ok {
+		c.trials[name] = c.newPace(now)
+	}
+	return c.trials[name].Due(now)
+}
+
+// newPace returns the pace of this node towards a target on trial in its region. The nodes of other regions send it
+// nothing.
+func (c *chooser) newPace(now time.Time) sampler.Pace {
+	return sampler.New(now, c.random, min(c.fleet.Region, c.fleet.MaxPerTarget))
+}
+
 // updateView adopts view if it has changed.
 func (c *chooser) updateView(now time.Time, view *viewer.View) {
 	if view == c.view {
--- a/standin/pkg/simulator/entry.go
+++ b/standin/pkg/simulator/entry.go
@@ -7,6 +7,7 @@
 	"samphiremount.example/core/ejector"
 	"samphiremount.example/core/escalator"
 	"samphiremount.example/core/router"
+	"samphiremount.example/core/sampler"
 	"samphiremount.example/core/tracker"
 )
 
@@ -28,6 +29,7 @@
 	listDeadline time.Time
 	warmups      router.Warmups
 	ejected      map[string]ejector.Ejection
+	trials       map[string]sampler.Pace
 }
 
 // request is a request with its attempts so far.
@@ -97,6 +99,9 @@
 		}
 		plan, _ = plan.WithAttempt()
 		i := s.index[choice.Placement.Target.Name]
+		if choice.Trial {
+			r.entry.trials[choice.Placement.Target.Name] = s.newPace()
+		}
 		r.tried = append(r.tried, choice.Placement.Target.Name)
 		admitted, suspect := s.admits(s.gates[i], healthyOnly, scope.AllowSuspect)
 		if suspect {
@@ -130,7 +135,11 @@
 	case !ok:
 		return e.warmups.Serving(target)
 	case ejection.Phase == ejector.Trial:
-		return router.Trial{}
+		if _, known := e.trials[target]; !known {
+			e.trials[target] = s.newPace()
+		}
+		local := s.placements[s.index[target]].Node.Region == e.router.Locality().Region
+		return router.Trial{Due: local && e.trials[target].Due(s.now)}
 	default:
 		return router.Ejected{}
 	}
@@ -146,11 +155,17 @@
 	for target := range e.ejected {
 		if _, still := next[target]; !still {
 			e.warmups.RecordReturn(s.now, target)
+			delete(e.trials, target)
 		}
 	}
 	e.ejected = next
 }
 
+// newPace returns the pace of an entry towards a target on trial in its region, of which there are two.
+func (s *simulation) newPace() sampler.Pace {
+	return sampler.New(s.now, s.random, s.settings.Nodes/2)
+}
+
 func placement(name string, node tracker.Node, slots int) tracker.Placement {
 	return tracker.Placement{Target: tracker.Target{Name: name, Service: service, Slots: slots}, Node: node}
 }
--- a/standin/pkg/simulator/simulator.go
+++ b/standin/pkg/simulator/simulator.go
@@ -13,6 +13,7 @@
 	"samphiremount.example/core/ejector"
 	"samphiremount.example/core/observer"
 	"samphiremount.example/core/router"
+	"samphiremount.example/core/sampler"
 	"samphiremount.example/core/tracker"
 )
 
@@ -88,6 +89,7 @@
 		s.entries = append(s.entries, &entry{
 			router:   router.New(localities[i%len(localities)]).WithRegionalTier().WithSlowStart(slowStart),
 			inFlight: make([]int, settings.Targets), suspectUntil: make([]time.Time, settings.Targets),
+			trials: make(map[string]sampler.Pace),
 		})
 		s.entries[i].warmups.Update(start, nil)
 	}
