End an ejection after seconds if the target serves again

Failures of 3 s thus cost 12 s and more.

Ruled out: verdicts of gates that outlast a failure (idle for one period now and then), entries that do not know a target (none was sound, chosen and idle for more than a period).

The pause of a first ejection is now the time for which nodes follow a list: by then they know of it, and attempts from before have ended or count as late. It still doubles with each further ejection.

--- a/core/ejector/ejector.go
+++ b/core/ejector/ejector.go
@@ -18,9 +18,9 @@
 	// be valid. The extra tenth is the bound on the drift between two clocks.
 	returnHold = ListLifetime * 11 / 10
 
-	// baseEjectionTime is the time from the first ejection of a target to its trial. It doubles with each further
-	// ejection, up to maxEjectionTime.
-	baseEjectionTime = 10 * time.Second
+	// baseEjectionTime is the time from the first ejection of a target to its trial. By then the nodes follow the list, and
+	// most attempts from before have ended or count as late. It doubles with each further ejection, up to maxEjectionTime.
+	baseEjectionTime = ListLifetime
 	maxEjectionTime  = 5 * time.Minute
 
 	// A trial fails if at least minTrialBad attempts, and more than one in minTrialAttempts, are bad. A single bad attempt
