Let a target pass its trial if it is as good as its peers

Targets are ejected for being worse than their peers, but had to pass a trial with at most a tenth of bad attempts, however many the peers had.

A trial now tolerates twice the rate of the peers, or a tenth if that is more; without bad attempts at the peers nothing changes.

--- a/core/detector/detector.go
+++ b/core/detector/detector.go
@@ -13,13 +13,15 @@
 const halfLife = 10 * time.Second
 
 // Verdict is the result of a round for one target. Attempts and Bad count the attempts of that round. An attempt is bad
-// if it failed or was slow for its service. A target with a Score of 1 or more is a suspect.
+// if it failed or was slow for its service; PeerRate is the pooled fraction of bad attempts at the other targets. A target
+// with a Score of 1 or more is a suspect.
 type Verdict struct {
 	Target   string
 	Score    float64
 	Reason   string
 	Attempts int
 	Bad      int
+	PeerRate float64
 }
 
 // Suspect reports whether the target should be ejected.
@@ -89,9 +91,12 @@
 	}
 	var verdicts []Verdict
 	for _, name := range slices.Sorted(maps.Keys(joined)) {
-		target, evaluation := d.method.evaluate(targets[name], newBaseline(included, name))
+		peers := newBaseline(included, name)
+		target, evaluation := d.method.evaluate(targets[name], peers)
 		targets[name] = target
-		verdicts = append(verdicts, Verdict{name, evaluation.score, evaluation.reason, target.round.attempts, target.round.bad})
+		verdicts = append(verdicts, Verdict{
+			name, evaluation.score, evaluation.reason, target.round.attempts, target.round.bad, peers.rate,
+		})
 	}
 	return Detector{method: d.method, lastRound: now, targets: targets}, verdicts
 }
--- a/core/ejector/ejector.go
+++ b/core/ejector/ejector.go
@@ -23,11 +23,11 @@
 	baseEjectionTime = ListLifetime
 	maxEjectionTime  = 5 * time.Minute
 
-	// A trial fails if at least minTrialBad attempts, and more than one in minTrialAttempts, are bad. A single bad attempt
-	// is tolerated since a healthy target has slow answers too. Otherwise the target returns after minTrialAttempts
-	// attempts or after maxTrialTime.
+	// A trial fails if more of its attempts are bad than at maxTrialRatio times the rate of the peers, and more than one in
+	// minTrialAttempts. A target that is as good as its peers must pass, since it is no outlier. It returns after
+	// minTrialAttempts attempts or after maxTrialTime.
 	minTrialAttempts = 10
-	minTrialBad      = 2
+	maxTrialRatio    = 2
 	maxTrialTime     = 30 * time.Second
 
 	// returnMemory is how long after a return a new ejection counts as a repeated one, with a longer ejection time.
@@ -52,13 +52,21 @@
 	returned map[string]pastEjection
 }
 
-// ejectedTarget is an ejected target with its published ejection. attempts and bad count the attempts of its trial.
+// ejectedTarget is an ejected target with its published ejection. attempts and bad count the attempts of its trial, and
+// peerRate is the highest fraction of bad attempts that its peers had in a round of the trial.
 type ejectedTarget struct {
 	published     Ejection
 	trialStart    time.Time
 	trialDeadline time.Time
 	attempts      int
 	bad           int
+	peerRate      float64
+}
+
+// failsTrial reports whether the trial failed so far.
+func (t ejectedTarget) failsTrial() bool {
+	tolerated := max(maxTrialRatio*t.peerRate, 1.0/minTrialAttempts)
+	return float64(t.bad) > tolerated*float64(max(t.attempts, minTrialAttempts))
 }
 
 // pastEjection is the last ejection of a target that returned. It counts as ejected until heldUntil. count is the number
@@ -142,6 +150,7 @@
 		if out, ok := e.ejected[verdict.Target]; ok && out.published.Phase == Trial {
 			out.attempts += verdict.Attempts
 			out.bad += verdict.Bad
+			out.peerRate = max(out.peerRate, verdict.PeerRate)
 			e.ejected[verdict.Target] = out
 		}
 	}
@@ -150,7 +159,8 @@
 			decisions = append(decisions, e.endTrial(now, target)...)
 		} else if !now.Before(e.ejected[target].trialStart) {
 			out := e.ejected[target]
-			out.published.Phase, out.attempts, out.bad, out.trialDeadline = Trial, 0, 0, now.Add(maxTrialTime)
+			out.published.Phase, out.trialDeadline = Trial, now.Add(maxTrialTime)
+			out.attempts, out.bad, out.peerRate = 0, 0, 0
 			e.ejected[target] = out
 			decisions = append(decisions, TrialStarted{target})
 		}
@@ -162,7 +172,7 @@
 func (e Ejector) endTrial(now time.Time, target string) []Decision {
 	out := e.ejected[target]
 	switch {
-	case out.bad >= minTrialBad && out.bad*minTrialAttempts > out.attempts:
+	case out.failsTrial():
 		out.published.Phase = Excluded
 		out.published.Count++
 		out.trialStart = now.Add(ejectionTime(out.published.Count))
--- a/core/ejector/ejector_test.go
+++ b/core/ejector/ejector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -60,3 +61,48 @@
 	assert.DeepEqual(t, decisions, []ejector.Decision{ejector.Returned{Target: "a", Reason: "requests of its trial were good"}})
 	assert.Equal(t, len(e.Ejections()), 0)
 }
+
+// passesTrial reports whether a target that fails that fraction of its requests passes its trial, with two attempts in
+// each round. Its peers fail the fraction peerRate.
+func passesTrial(random *rand.Rand, rate, peerRate float64) bool {
+	now, present := time.Unix(1_000_000, 0), []ejector.Capacity{{"a", 5}, {"b", 5}}
+	verdicts := []detector.Verdict{{Target: "a", Score: 1}}
+	e, _ := ejector.Ejector{}.With(now, ejector.Round{Present: present, Floor: 5, Verdicts: verdicts})
+	for {
+		now = now.Add(500 * time.Millisecond)
+		var decisions []ejector.Decision
+		verdict := detector.Verdict{Target: "a", Attempts: 2, PeerRate: peerRate}
+		for range verdict.Attempts {
+			if random.Float64() < rate {
+				verdict.Bad++
+			}
+		}
+		e, decisions = e.With(now, ejector.Round{Present: present, Floor: 5, Verdicts: []detector.Verdict{verdict}})
+		for _, decision := range decisions {
+			switch decision.(type) {
+			case ejector.Returned:
+				return true
+			case ejector.Ejected:
+				return false
+			}
+		}
+	}
+}
+
+// TestTargetAsGoodAsItsPeersStaysEjected guards against a target that returns to no use in a service of which many
+// requests fail.
+func TestTargetAsGoodAsItsPeersStaysEjected(t *testing.T) {
+	for _, test := range []struct {
+		rate, peerRate float64
+		minPassed      int
+		maxPassed      int
+	}{{0.15, 0.15, 900, 1000}, {0, 0, 1000, 1000}, {0.6, 0.15, 0, 100}, {0.6, 0, 0, 10}, {0.9, 0.6, 1000, 1000}} {
+		random, passed := rand.New(rand.NewPCG(1, 2)), 0
+		for range 1000 {
+			if passesTrial(random, test.rate, test.peerRate) {
+				passed++
+			}
+		}
+		assert.Assert(t, passed >= test.minPassed && passed <= test.maxPassed, "%+v: %d passed", test, passed)
+	}
+}
