Count answers that break off or have no end as evidence against their target

Callers got a cut answer from a target whose heads were good and whose bodies had no end, broke off or stopped, and the next callers met the same target: the gate recorded the attempt when the head came, as answered.

What held already, as TestAnswerWithoutEnd shows: a head is bounded whatever it consists of, a body ends at the request's deadline, memory does not grow with it, and the connection is closed. What did not: the evidence. Five of its eleven cases were red: body, chunks, a silent body, a trailer and a chunk length without end each recorded a good answer only.

An answer that ends in an error of its target now counts as a further, broken attempt, for the breaker and for the fleet's statistics, unless the caller left. It is logged and counted in broken_bodies.

--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -176,10 +176,11 @@
 	return forwarder.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
-		Body: &slotBody{ReadCloser: response.Body, response: response, release: func(complete bool) {
-			if alone && complete {
+		Body: &slotBody{ReadCloser: response.Body, response: response, release: func(end bodyEnd) {
+			if alone && end == bodyComplete {
 				g.clearSuspicion(content)
 			}
+			g.recordBodyEnd(ctx, target, head, end)
 			release()
 			g.registerFinish(head.AttemptID, true)
 		}},
@@ -361,19 +362,45 @@
 	}
 }
 
-// slotBody calls release when the answer is closed, with whether it was read to its end.
+// recordBodyEnd records an answer that broke off, or had no end before the deadline, as evidence against the target. Its
+// head has been counted as an answer, so this counts as a further attempt.
+func (g *Gatekeeper) recordBodyEnd(ctx context.Context, target registrar.Announcement, head forwarder.Head, end bodyEnd) {
+	if end != bodyBroken || errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	g.counts.Add("broken_bodies", 1)
+	g.log.Info("answer broke off", "request", head.AttemptID, "target", target.Name)
+	g.trackAttempt(target, head)(observer.Broken{})
+}
+
+// bodyEnd is how far an answer was read when it was closed.
+type bodyEnd int
+
+const (
+	// bodyUnread is an answer that its reader did not need to its end.
+	bodyUnread bodyEnd = iota
+	bodyComplete
+	bodyBroken
+)
+
+// slotBody calls release when the answer is closed, with how far it was read.
 type slotBody struct {
 	io.ReadCloser
 
 	response *http.Response
-	release  func(complete bool)
-	complete bool
+	release  func(end bodyEnd)
+	end      bodyEnd
 }
 
 // Read implements io.Reader.
 func (b *slotBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.complete = b.complete || errors.Is(err, io.EOF)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.end = bodyComplete
+	case err != nil:
+		b.end = bodyBroken
+	}
 	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
 
@@ -384,6 +411,6 @@
 
 // Close implements io.Closer.
 func (b *slotBody) Close() error {
-	defer func() { b.release(b.complete) }()
+	defer func() { b.release(b.end) }()
 	return errors.Wrap(b.ReadCloser.Close(), "close answer of target")
 }
