Do not hold a refusal until the rest of a declined answer has come

If a target declined a request and then stopped within the body of that answer, the caller's request was held until its deadline before it went to another target or was refused: the gate reads such a body so that the connection can be used again, and bounded the bytes of it, not the time.

The exchange is aborted after 50 ms, and its connection closed.

--- a/node/pkg/gatekeeper/endless_test.go
+++ b/node/pkg/gatekeeper/endless_test.go
@@ -98,6 +98,7 @@
 		"no answer":       {"", "noise", []observer.Result{broken}, true},
 		"interim answers": {"", "HTTP/1.1 100 Continue\r\n\r\n", []observer.Result{broken}, true},
 		"declined":        {"HTTP/1.1 503 Full\r\n\r\n", "x", []observer.Result{observer.Answered{Status: 503}}, true},
+		"declined silent": {"HTTP/1.1 503 Full\r\n\r\nx", "", []observer.Result{observer.Answered{Status: 503}}, true},
 		"body":            {ok + "\r\n", "x", []observer.Result{answered, broken}, false},
 		"chunks":          {ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", []observer.Result{answered, broken}, false},
 		"silent body":     {ok + "Content-Length: 9\r\n\r\nx", "", []observer.Result{answered, broken}, false},
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -25,8 +25,12 @@
 	"samphiremount.example/node/pkg/forwarder"
 )
 
-// maxDrainBytes bounds the bytes read from an answer that is discarded.
-const maxDrainBytes = 4 << 10
+// maxDrainBytes and maxDrainTime bound what is read from an answer that is discarded, since the refusal waits for it. The
+// connection is closed if there is more, or if the rest takes longer.
+const (
+	maxDrainBytes = 4 << 10
+	maxDrainTime  = 50 * time.Millisecond
+)
 
 // Targets looks up the targets of this VM by name.
 type Targets interface {
@@ -143,7 +147,11 @@
 	if err != nil {
 		return forwarder.Answer{}, err
 	}
-	release := sync.OnceFunc(func() { g.release(target.Name, alone) })
+	exchangeContext, abort := context.WithCancel(ctx)
+	release := sync.OnceFunc(func() {
+		abort()
+		g.release(target.Name, alone)
+	})
 	if err := g.registerStart(ctx, head); err != nil {
 		release()
 		return forwarder.Answer{}, err
@@ -151,7 +159,7 @@
 	defer g.countRepeatable(head)()
 	g.protocol.Prepare(request.Header, head, target, time.Until(head.Deadline))
 	recordResult := g.trackAttempt(target, head)
-	response, err := g.connector.Exchange(ctx, target.Address, request, head.Repeatable) //nolint:bodyclose // slotBody closes it
+	response, err := g.connector.Exchange(exchangeContext, target.Address, request, head.Repeatable) //nolint:bodyclose // slotBody closes it
 	if err != nil {
 		refusal := toRefusal(ctx, err)
 		if g.detectCrash(ctx, head, target, content, alone, err) {
@@ -164,7 +172,7 @@
 		g.registerFinish(head.AttemptID, refusal.Outcome != refuser.NotRun{})
 		return forwarder.Answer{}, refusal
 	}
-	if refusal := g.checkResponse(head, response); refusal != nil {
+	if refusal := g.checkResponse(head, response, abort); refusal != nil {
 		recordResult(observer.Answered{Status: http.StatusServiceUnavailable})
 		_ = response.Body.Close()
 		release()
@@ -226,11 +234,13 @@
 }
 
 // checkResponse returns a refusal if the target did not run the request, or if the answer belongs to another request.
-// In the latter case the body stays unread, because the connection must not be reused.
-func (g *Gatekeeper) checkResponse(head forwarder.Head, response *http.Response) *refuser.Refusal {
+// In the latter case the body stays unread, because the connection must not be reused. abort ends the exchange.
+func (g *Gatekeeper) checkResponse(head forwarder.Head, response *http.Response, abort func()) *refuser.Refusal {
 	switch verdict := g.protocol.Classify(response.Header, response.StatusCode, head).(type) {
 	case Declined:
+		timer := time.AfterFunc(maxDrainTime, abort)
 		drain(response.Body)
+		timer.Stop()
 		return refuser.From(refuser.Refuse(verdict.Kind, "the target did not run it"))
 	case Mismatched:
 		g.counts.Add("crossed_answers", 1)
