--- a/standin/pkg/commander/simulate.go
+++ b/standin/pkg/commander/simulate.go
@@ -17,6 +17,7 @@
 	Controls int     `long:"controls" default:"11" description:"Number of control processes that vote on ejections"`
 	Targets  int     `long:"targets" default:"50" description:"Number of targets of the service"`
 	Rate     float64 `long:"rate" default:"318" description:"Requests per second"`
+	Repeat   float64 `long:"repeatable" default:"0.38" description:"Part of the requests that may run more than once"`
 	Floor    float64 `long:"floor" default:"0.7" description:"Part of the healthy targets that must get requests"`
 	Seeds    uint64  `long:"seeds" default:"10" description:"Number of runs of a minute, with the seeds from 0 on"`
 }
@@ -29,6 +30,7 @@
 	for seed := range c.Seeds {
 		settings := simulator.Grown(seed)
 		settings.Nodes, settings.Controls, settings.Targets, settings.Rate = c.Nodes, c.Controls, c.Targets, c.Rate
+		settings.Repeatable = c.Repeat
 		var sum simulator.Window
 		below := 0
 		windows := simulator.Run(settings)
