Let a new node try far control processes once the near ones prove stale

Cause: of eleven control processes seven are voters. The other four never get the log, so they publish nothing and say that they are out of contact. A node connects to its publishers in parallel, 100 ms apart, and takes the first that answers. Where the list holds such a process nearby and voters across the regions, the near one answers first, is left after 0.7 s as stale, and wins again; between them a random peer does, which may be as new.

Voters were in the list and reachable all the time. With five control processes all are voters, which is why the smaller sites do not show it.

A client now avoids a publisher that proved stale for 2 s, unless there is no other. TestStalePublishersNearbyHideFreshOnesFarAway was red before (no configuration after 15 s). During an outage of all control processes the round goes on as before, as nobody is left to prefer.

--- a/core/synchronizer/client.go
+++ b/core/synchronizer/client.go
@@ -77,13 +77,15 @@
 // lost the same publisher do not all reconnect at the same moment.
 func (c *Client) Run(ctx context.Context) error {
 	wait, first := minBackoff, 0
+	var avoided avoidance
 	for ctx.Err() == nil {
-		addresses := c.addresses()
+		all := c.addresses()
+		addresses := avoided.filter(time.Now(), all)
 		first %= len(addresses)
 		started := time.Now()
 		conn, index, err := c.connect(ctx, addresses, first)
 		if err == nil {
-			err = c.followBounded(ctx, conn, addresses[index], index != 0)
+			err = c.followBounded(ctx, conn, addresses[index], addresses[index] != all[0])
 		}
 		if ctx.Err() != nil {
 			return nil
@@ -93,9 +95,12 @@
 			wait = minBackoff
 		}
 		first = index + 1
-		if errors.Is(err, errFallbackExpired) {
+		if errors.Is(err, errFallbackExpired) || errors.Is(err, errStale) {
 			first = 0
 		}
+		if errors.Is(err, errStale) {
+			avoided = avoided.with(time.Now(), addresses[index])
+		}
 		sleep(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, maxBackoff)
 	}
--- a/core/synchronizer/connect_test.go
+++ b/core/synchronizer/connect_test.go
@@ -1,6 +1,7 @@
 package synchronizer_test
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -30,3 +31,54 @@
 	waitForVersion(t, s, 1)
 	assert.Assert(t, time.Since(began) < 2500*time.Millisecond, "it took %v", time.Since(began))
 }
+
+// farAddress returns an address that forwards to address and back, with that delay in each direction.
+func farAddress(t *testing.T, address string, delay time.Duration) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	forward := func(to io.WriteCloser, from io.Reader) {
+		defer func() { _ = to.Close() }()
+		buffer := make([]byte, 64<<10)
+		for {
+			n, err := from.Read(buffer)
+			time.Sleep(delay)
+			if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
+				return
+			}
+		}
+	}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			go forward(near, far)
+			go forward(far, near)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestStalePublishersNearbyHideFreshOnesFarAway guards against a subscriber that goes round publishers without contact to
+// control, because they answer sooner than a far one that has it.
+func TestStalePublishersNearbyHideFreshOnesFarAway(t *testing.T) {
+	hub := synchronizer.NewHub()
+	fresh := publish(t, hub, "127.0.0.1:0")
+	change(t, hub, workspace("one"))
+	never := func() time.Duration { return time.Hour }
+	first := publishWith(t, synchronizer.NewHub(), "127.0.0.1:0", never)
+	second := publishWith(t, synchronizer.NewHub(), "127.0.0.1:0", never)
+	far := farAddress(t, fresh.address, 70*time.Millisecond)
+	began := time.Now()
+	s := subscribe(t, far, first.address, second.address)
+	waitForVersion(t, s, 1)
+	assert.Assert(t, time.Since(began) < 5*time.Second, "it took %v", time.Since(began))
+}
--- a/core/synchronizer/synchronizer_test.go
+++ b/core/synchronizer/synchronizer_test.go
@@ -28,12 +28,18 @@
 }
 
 func publish(t *testing.T, hub *synchronizer.Hub, address string) *publisher {
+	t.Helper()
+	return publishWith(t, hub, address, func() time.Duration { return 0 })
+}
+
+// publishWith is publish with the age of the last contact with control.
+func publishWith(t *testing.T, hub *synchronizer.Hub, address string, age synchronizer.ContactAge) *publisher {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	assert.NilError(t, err)
 	log := slog.New(slog.DiscardHandler)
 	mux := messenger.Mux{}
-	server := synchronizer.NewServer(hub, func() time.Duration { return 0 }, log)
+	server := synchronizer.NewServer(hub, age, log)
 	server.Register(mux)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
