--- a/ctl/pkg/summarizer/summarizer.go
+++ b/ctl/pkg/summarizer/summarizer.go
@@ -29,8 +29,8 @@
 	Idle     []Idle
 }
 
-// Idle is a target that started no request in a period although it had started some before. State is "ejected", "trial",
-// or the verdict of its gate. Chosen counts how often entries chose it in that period.
+// Idle is a target that started no request in a period although it had started some before, and that had not left. State
+// is "ejected", "trial", or the verdict of its gate. Chosen counts how often entries chose it in that period.
 type Idle struct {
 	Target    string
 	State     string
@@ -62,13 +62,20 @@
 	changes []change
 }
 
-// change is a change of a target's state. The verdict is empty for a change of its ejection.
+// change is a change of a target's state, with an empty verdict, ejection or presence for what stays as it was.
 type change struct {
 	at       time.Time
 	verdict  string
 	ejection string
+	presence string
 }
 
+// The values of change.presence.
+const (
+	present = "present"
+	gone    = "gone"
+)
+
 // New returns a Summarizer of periods of that length.
 func New(length time.Duration) *Summarizer {
 	return &Summarizer{
@@ -113,8 +120,17 @@
 }
 
 func (s *Summarizer) add(l line) {
-	request, name := l.attributes["request"], l.attributes["target"]
-	start := l.at.Truncate(s.length)
+	s.addRequest(l)
+	s.addAttempt(l)
+	if made, ok := changeOf(l); ok {
+		t := s.target(l.attributes["target"])
+		t.changes = append(t.changes, made)
+	}
+}
+
+// addRequest counts a request or its refusal.
+func (s *Summarizer) addRequest(l line) {
+	request, start := l.attributes["request"], l.at.Truncate(s.length)
 	switch l.message {
 	case "route: request matched":
 		s.services[request] = l.attributes["service"]
@@ -124,6 +140,13 @@
 	case "route: request refused":
 		s.period(start, s.services[request]).Unserved[l.attributes["kind"]]++
 		delete(s.services, request)
+	}
+}
+
+// addAttempt counts an attempt on a target.
+func (s *Summarizer) addAttempt(l line) {
+	name, start := l.attributes["target"], l.at.Truncate(s.length)
+	switch l.message {
 	case "route: target chosen":
 		t := s.target(name)
 		t.service = l.attributes["service"]
@@ -134,13 +157,26 @@
 		if t := s.target(name); t.service != "" {
 			s.period(start, t.service).Refused[l.attributes["kind"]]++
 		}
+	}
+}
+
+// changeOf returns the change of a target's state that a line tells, or false if it tells none.
+func changeOf(l line) (change, bool) {
+	switch l.message {
 	case "gate: target judged":
-		t := s.target(name)
-		t.changes = append(t.changes, change{at: l.at, verdict: l.attributes["verdict"]})
+		return change{at: l.at, verdict: l.attributes["verdict"]}, true
 	case "eject: target ejected", "eject: target on trial", "eject: target returned":
-		t := s.target(name)
 		words := strings.Fields(l.message)
-		t.changes = append(t.changes, change{at: l.at, ejection: words[len(words)-1]})
+		return change{at: l.at, ejection: words[len(words)-1]}, true
+	case "enroll: target announced":
+		if l.attributes["leaving"] == "true" {
+			return change{at: l.at, presence: gone}, true
+		}
+		return change{at: l.at, presence: present}, true
+	case "enroll: target left", "enroll: target removed":
+		return change{at: l.at, presence: gone}, true
+	default:
+		return change{}, false
 	}
 }
 
@@ -189,8 +225,8 @@
 				last = started
 			}
 		}
-		if !last.IsZero() {
-			state := t.state(period.Start.Add(s.length))
+		state, isPresent := t.state(period.Start.Add(s.length))
+		if !last.IsZero() && isPresent {
 			idle = append(idle, Idle{Target: name, State: state, Chosen: t.chosen[period.Start], LastStart: last})
 		}
 	}
@@ -198,17 +234,18 @@
 	return idle
 }
 
-// state returns the state of the target before a time.
-func (t *target) state(before time.Time) string {
-	verdict, ejection := "sound", "returned"
+// state returns the state of the target before a time, and whether it was present.
+func (t *target) state(before time.Time) (name string, isPresent bool) {
+	verdict, ejection, presence := "sound", "returned", present
 	for _, changed := range t.changes {
 		if !changed.at.Before(before) {
 			break
 		}
 		verdict, ejection = cmp.Or(changed.verdict, verdict), cmp.Or(changed.ejection, ejection)
+		presence = cmp.Or(changed.presence, presence)
 	}
 	if ejection != "returned" {
-		return ejection
+		return ejection, presence == present
 	}
-	return verdict
+	return verdict, presence == present
 }
--- a/ctl/pkg/summarizer/summarizer_test.go
+++ b/ctl/pkg/summarizer/summarizer_test.go
@@ -25,7 +25,9 @@
 time=2026-01-01T00:00:01.400Z level=INFO msg="route: request answered" request=2
 time=2026-01-01T00:00:02.100Z level=INFO msg="eject: target returned" service=bookings target=a reason="requests of its trial were good"
 time=2026-01-01T00:00:02.200Z level=INFO msg="route: request refused" request=3 kind=rate-exceeded outcome=not-run
-time=2026-01-01T00:00:02.300Z level=INFO msg="route: request matched" request=4 service=bookings`
+time=2026-01-01T00:00:02.300Z level=INFO msg="route: request matched" request=4 service=bookings
+time=2026-01-01T00:00:03.100Z level=INFO msg="enroll: target announced" target=b service=bookings leaving=true
+time=2026-01-01T00:00:03.200Z level=INFO msg="route: request matched" request=5 service=bookings`
 
 func TestPeriodsTellWhyTargetsAreIdle(t *testing.T) {
 	summary := summarizer.New(time.Second)
@@ -47,5 +49,9 @@
 			Start: start.Add(2 * time.Second), Service: "bookings", Requests: 1, Unserved: none, Refused: none,
 			Idle: []summarizer.Idle{{Target: "a", State: "suspect", LastStart: lastA}, {Target: "b", State: "sound", LastStart: lastB}},
 		},
+		{
+			Start: start.Add(3 * time.Second), Service: "bookings", Requests: 1, Unserved: none, Refused: none,
+			Idle: []summarizer.Idle{{Target: "a", State: "suspect", LastStart: lastA}},
+		},
 	})
 }
