--- a/standin/pkg/commander/simulate.go
+++ b/standin/pkg/commander/simulate.go
@@ -28,7 +28,7 @@
 		return errors.New("simulate needs controls, targets, at least as many nodes as targets, and a rate above 0")
 	}
 	for seed := range c.Seeds {
-		settings := simulator.Grown(seed)
+		settings := simulator.Default(seed)
 		settings.Nodes, settings.Controls, settings.Targets, settings.Rate = c.Nodes, c.Controls, c.Targets, c.Rate
 		settings.Repeatable = c.Repeat
 		var sum simulator.Window
--- a/standin/pkg/simulator/settings.go
+++ b/standin/pkg/simulator/settings.go
@@ -38,9 +38,9 @@
 	Seed   uint64
 }
 
-// Grown returns the settings of a fleet of 83 nodes and 11 control processes, with 50 targets that hang for 3 s of each
+// Default returns the settings of a fleet of 83 nodes and 11 control processes, with 50 targets that hang for 3 s of each
 // 10 s, each at times of its own.
-func Grown(seed uint64) Settings {
+func Default(seed uint64) Settings {
 	return Settings{
 		Nodes: 83, Controls: 11, Targets: 50, Slots: 10,
 		Rate: 318, Repeatable: 0.38, Mean: 600 * time.Millisecond, Objective: 2 * time.Second, Timeout: 3 * time.Second,
--- a/standin/pkg/simulator/simulator_test.go
+++ b/standin/pkg/simulator/simulator_test.go
@@ -15,7 +15,7 @@
 // some seconds.
 func TestTargetsThatRecoveredStayIdle(t *testing.T) {
 	for seed := range uint64(3) {
-		for _, window := range simulator.Run(simulator.Grown(seed)) {
+		for _, window := range simulator.Run(simulator.Default(seed)) {
 			assert.Assert(t, !window.BelowFloor(floor), "seed %d: %+v", seed, window)
 		}
 	}
