Log who gives an attempt up, at which timer, and what was known of its run

The log had the refusal and its reason, but not which timer had ended the attempt, whether the gate had been heard, or whether it would have been heard later.

An entry now logs that a gate is silent, with the timer; that it is heard again; and that an attempt is given up. A gate logs who ended a request that it did not answer, and the length of large answers, which tells what its link was busy with. No decision changes.

--- a/node/pkg/forwarder/client.go
+++ b/node/pkg/forwarder/client.go
@@ -76,8 +76,8 @@
 		return Answer{}, false, refuser.Refuse(refuser.NodeUnreachable, err.Error())
 	}
 	head.StartBefore = startBefore(gateTime, time.Now(), head.Deadline)
-	exchange := newExchange(stream, cancel, destination, c.tombstoneFunc(ctx, destination, *head))
-	answer, err := exchange.run(*head, body)
+	exchange := newExchange(stream, cancel, destination, *head, c.log, c.tombstoneFunc(ctx, destination, *head))
+	answer, err := exchange.run(body)
 	if exchange.gateTime > 0 {
 		c.clocks.set(address, Clock{head.Incarnation, exchange.gateTime}, time.Now())
 	}
@@ -87,7 +87,7 @@
 	if err != nil {
 		err = exchange.toRefusal(ctx, err)
 		_ = exchange.Close()
-		return Answer{}, exchange.running, err
+		return Answer{}, exchange.running.Load(), err
 	}
 	return answer, true, nil
 }
--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,8 @@
 	stream      drpc.Stream
 	cancel      context.CancelFunc
 	destination Destination
+	head        Head
+	log         *slog.Logger
 	startedAt   time.Time
 	group       errgroup.Group
 	answer      *bodyReader
@@ -37,14 +40,20 @@
 	tombstoned         atomic.Bool
 	timedOut           atomic.Bool
 	bodySent           atomic.Bool
+	heard              atomic.Bool
+	running            atomic.Bool
+	silenceLogged      atomic.Bool
 	refused            bool
-	running            bool
-	responded          bool
 	gateTime           tombstoner.GateTime
 }
 
-func newExchange(stream drpc.Stream, cancel context.CancelFunc, destination Destination, placeTombstone func() bool) *exchange {
-	e := &exchange{stream: stream, cancel: cancel, destination: destination, startedAt: time.Now(), placeTombstone: placeTombstone}
+func newExchange(
+	stream drpc.Stream, cancel context.CancelFunc, destination Destination, head Head, log *slog.Logger, placeTombstone func() bool,
+) *exchange {
+	e := &exchange{
+		stream: stream, cancel: cancel, destination: destination, head: head, log: log, startedAt: time.Now(),
+		placeTombstone: placeTombstone,
+	}
 	e.idle = newIdleTimer(cmp.Or(destination.ResponseTimeout, idleTimeout), e.handleTimeout)
 	return e
 }
@@ -53,6 +62,7 @@
 // not repeatable would abort its run, so its stream is canceled only if the gate promises not to start it, or if the
 // gate stays silent for another idle timeout.
 func (e *exchange) handleTimeout() {
+	e.logSilence()
 	if e.placeTombstone == nil || e.tombstoneRequested.Swap(true) {
 		e.abort()
 		return
@@ -67,7 +77,20 @@
 	})
 }
 
+// logSilence logs which timer ended without a frame, and what the gate had said about the run by then.
+func (e *exchange) logSilence() {
+	e.silenceLogged.Store(true)
+	e.logEvent("gate silent", "timer", e.idle.current())
+}
+
+// logEvent logs an event of this attempt, with the time since it was sent and what the gate has said about the run.
+func (e *exchange) logEvent(event string, attributes ...any) {
+	e.log.Info(event, append(attributes, "request", e.head.AttemptID, "target", e.head.Target, "since", time.Since(e.startedAt),
+		"heard", e.heard.Load(), "running", e.running.Load())...)
+}
+
 func (e *exchange) abort() {
+	e.logEvent("attempt given up", "tombstoned", e.tombstoned.Load())
 	e.timedOut.Store(true)
 	e.cancel()
 }
@@ -77,7 +100,7 @@
 func (e *exchange) receive(into *frame) error {
 	defer e.idle.stop()
 	for {
-		if e.responded {
+		if e.heard.Load() {
 			e.tombstoneRequested.Store(false)
 			e.idle.setTimeout(idleTimeout)
 		}
@@ -93,22 +116,27 @@
 		if err := messenger.Unmarshal(into.data, &progress); err != nil {
 			return err
 		}
-		e.running = e.running || progress.Running
+		if progress.Running {
+			e.running.Store(true)
+		}
 	}
 }
 
-// noteResponse records the first response of the gate.
+// noteResponse records a frame of the gate, in particular the first one.
 func (e *exchange) noteResponse() {
-	if e.responded {
+	if e.silenceLogged.Swap(false) {
+		e.logEvent("gate heard again")
+	}
+	if e.heard.Swap(true) {
 		return
 	}
-	e.responded = true
 	if e.destination.OnFirstResponse != nil {
 		e.destination.OnFirstResponse(time.Since(e.startedAt))
 	}
 }
 
-func (e *exchange) run(head Head, body io.Reader) (Answer, error) {
+func (e *exchange) run(body io.Reader) (Answer, error) {
+	head := e.head
 	if err := send(e.stream, frameHead, head.wire(time.Now())); err != nil {
 		return Answer{}, err
 	}
@@ -176,7 +204,7 @@
 	if e.tombstoned.Load() {
 		return refuser.Refuse(refuser.NodeUnreachable, "the gate was silent and promised not to start it")
 	}
-	if e.timedOut.Load() && !e.responded {
+	if e.timedOut.Load() && !e.heard.Load() {
 		return refuser.Fail(refuser.NodeUnreachable, "the gate gave no sign of life")
 	}
 	if e.timedOut.Load() {
--- a/node/pkg/forwarder/idle.go
+++ b/node/pkg/forwarder/idle.go
@@ -35,6 +35,13 @@
 	t.restart()
 }
 
+// current returns the timeout in force.
+func (t *idleTimer) current() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.timeout
+}
+
 func (t *idleTimer) stop() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -116,7 +116,7 @@
 		refusal := refuser.From(err)
 		g.counts.Add("refused_"+refusal.Outcome.String(), 1)
 		g.log.Info("request refused", "request", head.AttemptID, "target", head.Target, "kind", refusal.Kind,
-			"outcome", refusal.Outcome, "detail", refusal.Detail)
+			"outcome", refusal.Outcome, "by", endedBy(ctx), "detail", refusal.Detail)
 		return forwarder.Answer{}, refusal
 	}
 	g.log.Info("request ran", "request", head.AttemptID, "target", head.Target, "status", answer.Status)
@@ -173,6 +173,7 @@
 		return forwarder.Answer{}, refusal
 	}
 	recordResult(observer.Answered{Status: response.StatusCode})
+	answeredAt := time.Now()
 	g.setLoadHeaders(response.Header, target.Name, head.Objective)
 	return forwarder.Answer{
 		Status: response.StatusCode,
@@ -182,12 +183,32 @@
 				g.clearSuspicion(content)
 			}
 			g.recordBodyEnd(ctx, target, head, end)
+			if response.ContentLength >= largeAnswerBytes {
+				g.log.Info("large answer sent", "request", head.AttemptID, "target", head.Target, "length", response.ContentLength,
+					"elapsed", time.Since(answeredAt), "whole", end == bodyComplete)
+			}
 			release()
 			g.registerFinish(head.AttemptID, true)
 		}},
 	}, nil
 }
 
+// largeAnswerBytes is the length from which on an answer is logged when it was sent. It occupies the link of this VM for a
+// while, which delays everything else that the gate sends.
+const largeAnswerBytes = 32 << 10
+
+// endedBy returns who ended a request that the gate did not answer: the entry, its deadline, or else the gate or target.
+func endedBy(ctx context.Context) string {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return "deadline"
+	case ctx.Err() != nil:
+		return "entry"
+	default:
+		return "gate"
+	}
+}
+
 // setLoadHeaders sets the headers that tell the entry the target's load and how long requests with the objective take
 // there.
 func (g *Gatekeeper) setLoadHeaders(header http.Header, target string, objective time.Duration) {
