--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -65,6 +65,14 @@
 // newFleetWith is newFleet with a retry policy and a shared retry budget.
 func newFleetWith(
 	t *testing.T, policy func() retrier.Policy, budget acceptor.Budget, handlers ...http.Handler,
+) *fleet {
+	t.Helper()
+	return newFleetBehind(t, func(gate string) string { return gate }, policy, budget, handlers...)
+}
+
+// newFleetBehind is newFleetWith whose entry reaches the gate at the address that reach returns for the gate's own.
+func newFleetBehind(
+	t *testing.T, reach func(gate string) string, policy func() retrier.Policy, budget acceptor.Budget, handlers ...http.Handler,
 ) *fleet {
 	t.Helper()
 	known := targets{}
@@ -121,7 +129,7 @@
 	// the test.
 	view.RecordContact(-time.Hour)
 	view.Merge(tracker.Node{
-		Name: "node", Region: "r", Centre: "c", Address: listener.Addr().String(), Incarnation: 1, Sequence: 1, Targets: trackedTargets,
+		Name: "node", Region: "r", Centre: "c", Address: reach(listener.Addr().String()), Incarnation: 1, Sequence: 1, Targets: trackedTargets,
 	})
 	entry := acceptor.New(acceptor.Dependencies{
 		Name: "node", Viewer: view, Client: client, Limiter: freeLimiter{}, Retrier: retrier.NewWith(policy), Budget: budget,
--- /dev/null
+++ b/node/pkg/acceptor/link_test.go
@@ -0,0 +1,84 @@
+package acceptor_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+)
+
+// packet is what was read from a connection at once; an empty one closes it.
+type packet struct {
+	to   net.Conn
+	data []byte
+}
+
+// link is a network link of a bandwidth, in bytes per second, with one queue in each direction for all its connections.
+type link struct {
+	listener  net.Listener
+	to        string
+	bandwidth int
+	group     *errgroup.Group
+	forward   chan packet
+	backward  chan packet
+}
+
+// newLink returns a link to the address to, which lasts until the test ends.
+func newLink(t *testing.T, to string, bandwidth int) *link {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := &link{
+		listener: listener, to: to, bandwidth: bandwidth, group: new(errgroup.Group),
+		forward: make(chan packet, 1<<12), backward: make(chan packet, 1<<12),
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	l.group.Go(l.accept)
+	l.group.Go(func() error { return l.deliver(l.forward) })
+	l.group.Go(func() error { return l.deliver(l.backward) })
+	return l
+}
+
+func (l *link) accept() error {
+	for {
+		near, err := l.listener.Accept()
+		if err != nil {
+			return err
+		}
+		far, err := net.Dial("tcp", l.to)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		l.group.Go(func() error { return read(near, far, l.forward) })
+		l.group.Go(func() error { return read(far, near, l.backward) })
+	}
+}
+
+// read puts what arrives from one end of a connection into the queue of its direction.
+func read(from, to net.Conn, queue chan<- packet) error {
+	for {
+		data := make([]byte, 32<<10)
+		n, err := from.Read(data)
+		queue <- packet{to, data[:n]}
+		if err != nil {
+			queue <- packet{to: to}
+			return nil
+		}
+	}
+}
+
+// deliver sends the packets of one direction in their order, each after the time that it occupies the link.
+func (l *link) deliver(queue <-chan packet) error {
+	for p := range queue {
+		time.Sleep(time.Duration(len(p.data)) * time.Second / time.Duration(l.bandwidth))
+		if len(p.data) == 0 {
+			_ = p.to.Close()
+			continue
+		}
+		_, _ = p.to.Write(p.data)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/pkg/acceptor/silence_test.go
@@ -0,0 +1,64 @@
+package acceptor_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/retrier"
+)
+
+// noExtraAttempts is a policy without budget for an attempt of a request that may have reached a target.
+func noExtraAttempts() retrier.Policy {
+	return retrier.Policy{FreeRetries: 8, Allowance: retrier.Allowance{Window: time.Minute}}
+}
+
+// TestRequestBehindLargeAnswersIsGivenUp sends lookups over a link on which large answers delay what the gate sends. The
+// target works on every lookup, and no other attempt is allowed.
+func TestRequestBehindLargeAnswersIsGivenUp(t *testing.T) {
+	const bandwidth = 800_000
+	random := rand.New(rand.NewPCG(24, 1))
+	catalogue := make(chan []byte, 1000)
+	f := newFleetBehind(t, func(gate string) string { return newLink(t, gate, bandwidth).listener.Addr().String() },
+		noExtraAttempts, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/catalogue" {
+				_, _ = w.Write(<-catalogue)
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+			answerReady(w, r)
+		}))
+	// The entry learns how long the gate takes to respond while the link is idle.
+	for range 5 {
+		assert.Equal(t, do(t, f.request(t, http.MethodGet, "/lookups")).status, http.StatusOK)
+	}
+	var mu sync.Mutex
+	statuses := make(map[int]int)
+	var group errgroup.Group
+	for range 12 {
+		size := 100_000 + random.IntN(150_000)
+		catalogue <- bytes.Repeat([]byte{'x'}, size)
+		group.Go(func() error {
+			assert.Check(t, len(do(t, f.request(t, http.MethodGet, "/catalogue")).content) == size)
+			return nil
+		})
+		for range 4 {
+			time.Sleep(time.Duration(random.IntN(80)) * time.Millisecond)
+			group.Go(func() error {
+				status := do(t, f.request(t, http.MethodGet, "/lookups")).status
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[status]++
+				return nil
+			})
+		}
+	}
+	assert.NilError(t, group.Wait())
+	assert.DeepEqual(t, statuses, map[int]int{http.StatusOK: 48})
+}
