Ask a silent gate about a request in place of giving it up

Cause: an entry that got no frame of a gate for four mean round trips, 80 ms at least, ended the attempt, which ends the run. The frame was waiting behind a large answer in the link of the gate's VM: 90 kB take 112 ms there. If the retry budget was used up the caller got the failure of the attempt. The round trips that would have raised the time were never recorded, since their attempts were ended. The class: a timer that takes silence for a proof.

Without a reply, a repeatable request is also sent to another target where the budget allows it, and its first attempt goes on. This holds for attempts before and during their answer, repeatable or not.

--- /dev/null
+++ b/core/abandoner/abandoner.go
@@ -0,0 +1,78 @@
+// Package abandoner decides whether an entry gives up an attempt while it hears nothing from the gate.
+//
+// Silence proves nothing about the run: the entry, the gate or the link between them may be busy while the target works on
+// the request, and ending the attempt would end that run. So an entry that hears nothing asks the gate for a tombstone over
+// other connections, and only the reply can end the attempt. Without a reply the request may be sent to a second target,
+// beside the attempt, if it is repeatable.
+package abandoner
+
+import (
+	"time"
+
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/tombstoner"
+)
+
+const (
+	// repliesUntilDead is the number of replies in a row, without a frame of the attempt between them, that show that the
+	// attempt's own connection delivers nothing. A reply takes the same links as the frames that the gate sent before it.
+	repliesUntilDead = 2
+	// maxDoublings bounds how often the interval between two questions doubles.
+	maxDoublings = 3
+)
+
+// Silence is what an entry knows about an attempt since the last frame of the gate. It is immutable. The zero value is an
+// attempt without any question.
+type Silence struct {
+	replies    int
+	unanswered int
+}
+
+// Decision is Wait, Assist, Withdraw or GiveUp.
+type Decision interface{ decision() }
+
+// Wait keeps the attempt.
+type Wait struct{}
+
+// Assist keeps the attempt. Since nothing reaches or leaves its gate, a repeatable request may also go to another target.
+type Assist struct{}
+
+// Withdraw ends the attempt, because the gate promised not to start it.
+type Withdraw struct{}
+
+// GiveUp ends the attempt with an unknown outcome, because its answer cannot arrive any more.
+type GiveUp struct{ Reason string }
+
+func (Wait) decision()     {}
+func (Assist) decision()   {}
+func (Withdraw) decision() {}
+func (GiveUp) decision()   {}
+
+// WithReply returns the silence after the gate replied to a question with state, and what follows for the attempt.
+func (s Silence) WithReply(state tombstoner.State) (Silence, Decision) {
+	if tombstoner.Outcome(state) == (refuser.NotRun{}) {
+		return s, Withdraw{}
+	}
+	s.replies++
+	s.unanswered = 0
+	if s.replies < repliesUntilDead {
+		return s, Wait{}
+	}
+	switch state.(type) {
+	case tombstoner.Started:
+		return s, GiveUp{"the target runs it, but the connection to its gate is dead"}
+	default:
+		return s, GiveUp{"its run has ended, but the connection to its gate is dead"}
+	}
+}
+
+// WithoutReply returns the silence after a question got no reply, and what follows for the attempt.
+func (s Silence) WithoutReply() (Silence, Decision) {
+	s.unanswered++
+	return s, Assist{}
+}
+
+// Interval returns how long to wait for a frame until the next question. shortest is the interval while the gate replies.
+func (s Silence) Interval(shortest time.Duration) time.Duration {
+	return shortest << min(s.unanswered, maxDoublings)
+}
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -24,7 +24,7 @@
 // DefaultPolicy charges every extra attempt to the default allowance.
 func DefaultPolicy() Policy { return Policy{Allowance: defaultAllowance} }
 
-// Event is the result of an attempt, or the time for its hedge. It is Refused, Answered or Slow.
+// Event is the result of an attempt, or the time for its hedge. It is Refused, Answered, Slow or Silent.
 type Event interface {
 	event()
 }
@@ -42,9 +42,13 @@
 // Slow is an attempt without an answer at the time for a hedge.
 type Slow struct{}
 
+// Silent is an attempt at a gate that nothing reaches, or from which nothing comes.
+type Silent struct{}
+
 func (Refused) event()  {}
 func (Answered) event() {}
 func (Slow) event()     {}
+func (Silent) event()   {}
 
 // Attempt describes one attempt of a request. Number is 1 for the first. Reached is the number of attempts, this one
 // included, that may have reached a target. MaxAttempts is the bound that the route sets, or 0 for DefaultMaxAttempts.
@@ -172,6 +176,8 @@
 		return retryableStatus(event.Status, repeatable)
 	case Slow:
 		return "no answer before the time for a hedge", repeatable
+	case Silent:
+		return "the gate gives no sign of life", repeatable
 	}
 	return "the event is of an unknown type", false
 }
--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -22,7 +22,8 @@
 	maxHedgeFraction = 0.9
 )
 
-// pendingAttempt is an attempt that was started. Its result is sent to done once.
+// pendingAttempt is an attempt that was started. Its result is sent to done once. silent has a value while its gate gives no
+// sign of life.
 type pendingAttempt struct {
 	head      forwarder.Head
 	placement tracker.Placement
@@ -30,6 +31,7 @@
 	cancel    context.CancelFunc
 	group     errgroup.Group
 	done      chan result
+	silent    chan struct{}
 }
 
 type result struct {
@@ -53,8 +55,15 @@
 	f.excluded = append(f.excluded, target.Name)
 	f.head.Target, f.head.Incarnation = target.Name, node.Incarnation
 	ctx, cancel := context.WithCancel(ctx)
-	pending := &pendingAttempt{head: f.head, placement: choice.Placement, trial: choice.Trial, cancel: cancel, done: make(chan result, 1)}
+	pending := &pendingAttempt{
+		head: f.head, placement: choice.Placement, trial: choice.Trial, cancel: cancel, done: make(chan result, 1),
+		silent: make(chan struct{}, 1),
+	}
 	destination := a.chooser.destination(choice.Placement, func() []string { return a.relays(view, node.Name) })
+	destination.OnSilence = func() {
+		a.chooser.recordSilence(pending.placement)
+		pending.reportSilence()
+	}
 	body := f.body.reader()
 	pending.group.Go(func() error {
 		answer, err := a.Client.Forward(ctx, destination, pending.head, body)
@@ -86,40 +95,97 @@
 	})
 }
 
-// race waits for the first attempt. If that takes long and the budget allows it, race starts a second one in parallel.
-// It returns the first successful result, or else the last one. A second attempt that its gate refuses is sent to
-// another target.
-func (a *Acceptor) race(ctx context.Context, f *forwardedRequest, first *pendingAttempt) (forwarder.Answer, error) {
+// reportSilence tells the race that the gate gives no sign of life.
+func (p *pendingAttempt) reportSilence() {
 	select {
-	case r := <-first.done:
-		return r.answer, r.err
-	case <-a.hedgeTimer(f, first):
+	case p.silent <- struct{}{}:
+	default:
+	}
+}
+
+// race waits for the first attempt. If that takes long, or if its gate gives no sign of life, and the budget allows it, race
+// starts a second one in parallel. It returns the first successful result, or else the last one. A second attempt that its
+// gate refuses is sent to another target. The first attempt is never ended without a result, since its target may be at work.
+func (a *Acceptor) race(ctx context.Context, f *forwardedRequest, first *pendingAttempt) (forwarder.Answer, error) {
+	race := &race{acceptor: a, request: f, first: first, hedge: a.hedgeTimer(f, first), end: func() {}}
+	defer func() { race.end() }()
+	for {
+		answer, decided, err := race.step(ctx)
+		if decided {
+			return answer, err
+		}
 	}
-	allowed, end := a.allowHedge(ctx, f)
-	defer end()
-	var second *pendingAttempt
+}
+
+// race is the state of the attempts of a request that run in parallel. second is nil while there is only one. allowed is
+// not nil while the budget is asked for a second one, and end cancels that query.
+type race struct {
+	acceptor *Acceptor
+	request  *forwardedRequest
+	first    *pendingAttempt
+	second   *pendingAttempt
+	hedge    <-chan time.Time
+	allowed  <-chan bool
+	end      func()
+}
+
+// step waits for the next event. It reports whether that decided the race.
+func (r *race) step(ctx context.Context) (answer forwarder.Answer, decided bool, err error) {
 	select {
-	case r := <-first.done:
-		return r.answer, r.err
-	case ok := <-allowed:
+	case result := <-r.first.done:
+		answer, err = r.finish(r.first, result, r.second)
+		return answer, true, err
+	case result := <-r.secondDone():
+		if result.err == nil || refuser.From(result.err).Outcome != (refuser.NotRun{}) {
+			answer, err = r.finish(r.second, result, r.first)
+			return answer, true, err
+		}
+		r.second = r.acceptor.retryHedge(ctx, r.request, r.second, result.err)
+	case <-r.hedge:
+		r.hedge = nil
+		r.askBudget(ctx, retrier.Slow{})
+	case <-r.silence():
+		r.askBudget(ctx, retrier.Silent{})
+	case ok := <-r.allowed:
+		r.end()
+		r.allowed = nil
 		if ok {
-			second = a.startHedge(ctx, f)
+			r.second = r.acceptor.startHedge(ctx, r.request)
 		}
 	}
-	for second != nil {
-		select {
-		case r := <-first.done:
-			return a.resolveRace(f, first, r, second)
-		case r := <-second.done:
-			if r.err == nil || refuser.From(r.err).Outcome != (refuser.NotRun{}) {
-				return a.resolveRace(f, second, r, first)
-			}
-			second = a.retryHedge(ctx, f, second, r.err)
-		}
+	return forwarder.Answer{}, false, nil
+}
+
+// secondDone returns the channel of the second attempt's result, or nil if there is none.
+func (r *race) secondDone() <-chan result {
+	if r.second == nil {
+		return nil
 	}
-	r := <-first.done
-	f.head.Target = first.head.Target
-	return r.answer, r.err
+	return r.second.done
+}
+
+// silence returns the channel that tells of a silent gate, or nil if a second attempt is not possible now.
+func (r *race) silence() <-chan struct{} {
+	if r.second != nil || r.allowed != nil || !r.request.head.Repeatable || !r.request.body.replayable() {
+		return nil
+	}
+	return r.first.silent
+}
+
+// askBudget asks whether a second attempt is allowed, unless there is one or the answer is awaited.
+func (r *race) askBudget(ctx context.Context, event retrier.Event) {
+	if r.second == nil && r.allowed == nil {
+		r.allowed, r.end = r.acceptor.allowHedge(ctx, r.request, event)
+	}
+}
+
+// finish returns the result of the finished attempt, or that of the other one if that may still be better.
+func (r *race) finish(finished *pendingAttempt, result result, other *pendingAttempt) (forwarder.Answer, error) {
+	if other == nil {
+		r.request.head.Target = finished.head.Target
+		return result.answer, result.err
+	}
+	return r.acceptor.resolveRace(r.request, finished, result, other)
 }
 
 // resolveRace returns the result of the finished attempt if it succeeded, and otherwise waits for that of the other
@@ -154,14 +220,14 @@
 
 // allowHedge asks whether the budget allows a second attempt; end cancels the query. It runs in the background, since
 // the shared budget may take a while to answer and the first attempt continues meanwhile.
-func (a *Acceptor) allowHedge(ctx context.Context, f *forwardedRequest) (allowed <-chan bool, end func()) {
+func (a *Acceptor) allowHedge(ctx context.Context, f *forwardedRequest, event retrier.Event) (allowed <-chan bool, end func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	attempt, id := f.attempt, f.head.AttemptID
 	attempt.Reached++
 	answer := make(chan bool, 1)
 	var group errgroup.Group
 	group.Go(func() error {
-		stop, stopped := a.decide(ctx, retrier.Slow{}, attempt).(retrier.Stop)
+		stop, stopped := a.decide(ctx, event, attempt).(retrier.Stop)
 		if stopped {
 			a.RouteLog.Info("request not hedged", "request", id, "reason", stop.Reason)
 		}
--- a/node/pkg/acceptor/record.go
+++ b/node/pkg/acceptor/record.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"samphiremount.example/core/pacer"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/router"
@@ -46,6 +48,17 @@
 	}
 }
 
+// errSilent is the reason for avoiding the path to a gate that gives no sign of life.
+var errSilent = errors.New("the gate gives no sign of life")
+
+// recordSilence records that nothing comes from the gate of placement, neither of a request nor over another connection.
+func (c *chooser) recordSilence(placement tracker.Placement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recordPathFailure(time.Now(), placement.Node.Name, errSilent)
+	c.watcher.RecordUnreachable(placement.Target.Name, placement.Target.Service)
+}
+
 // recordAnswer records what an answer shows about all requests of its kind: their durations and the size of their
 // answers. Requests of one kind have one objective, so the objective identifies the kind.
 func (c *chooser) recordAnswer(objective time.Duration, answer forwarder.Answer) {
--- a/node/pkg/forwarder/client.go
+++ b/node/pkg/forwarder/client.go
@@ -11,6 +11,7 @@
 
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/tombstoner"
 )
 
 const (
@@ -76,7 +77,10 @@
 		return Answer{}, false, refuser.Refuse(refuser.NodeUnreachable, err.Error())
 	}
 	head.StartBefore = startBefore(gateTime, time.Now(), head.Deadline)
-	exchange := newExchange(stream, cancel, destination, *head, c.log, c.tombstoneFunc(ctx, destination, *head))
+	sent := *head
+	exchange := newExchange(stream, cancel, destination, sent, c.log, func() (tombstoner.State, bool) {
+		return c.placeTombstone(ctx, destination, sent)
+	})
 	answer, err := exchange.run(body)
 	if exchange.gateTime > 0 {
 		c.clocks.set(address, Clock{head.Incarnation, exchange.gateTime}, time.Now())
--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 	"storj.io/drpc"
 
+	"samphiremount.example/core/abandoner"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/tombstoner"
@@ -33,22 +35,24 @@
 	group       errgroup.Group
 	answer      *bodyReader
 	idle        *idleTimer
-	// placeTombstone asks the gate over other connections not to start the request, and reports whether the gate
-	// promised that. It is nil for a repeatable request, which is sent to another target at once instead.
-	placeTombstone     func() bool
-	tombstoneRequested atomic.Bool
-	tombstoned         atomic.Bool
-	timedOut           atomic.Bool
-	bodySent           atomic.Bool
-	heard              atomic.Bool
-	running            atomic.Bool
-	silenceLogged      atomic.Bool
-	refused            bool
-	gateTime           tombstoner.GateTime
+	// placeTombstone asks the gate over other connections not to start the request, and returns the gate's reply, if any.
+	placeTombstone func() (tombstoner.State, bool)
+	bodySent       atomic.Bool
+	heard          atomic.Bool
+	running        atomic.Bool
+
+	mu       sync.Mutex
+	silence  abandoner.Silence
+	silent   bool
+	frames   int
+	ended    abandoner.Decision
+	refused  bool
+	gateTime tombstoner.GateTime
 }
 
 func newExchange(
-	stream drpc.Stream, cancel context.CancelFunc, destination Destination, head Head, log *slog.Logger, placeTombstone func() bool,
+	stream drpc.Stream, cancel context.CancelFunc, destination Destination, head Head, log *slog.Logger,
+	placeTombstone func() (tombstoner.State, bool),
 ) *exchange {
 	e := &exchange{
 		stream: stream, cancel: cancel, destination: destination, head: head, log: log, startedAt: time.Now(),
@@ -58,50 +62,12 @@
 	return e
 }
 
-// handleTimeout is called when the gate sent no frame for the idle timeout. Canceling the stream of a request that is
-// not repeatable would abort its run, so its stream is canceled only if the gate promises not to start it, or if the
-// gate stays silent for another idle timeout.
-func (e *exchange) handleTimeout() {
-	e.logSilence()
-	if e.placeTombstone == nil || e.tombstoneRequested.Swap(true) {
-		e.abort()
-		return
-	}
-	e.idle.setTimeout(idleTimeout)
-	e.group.Go(func() error {
-		if e.placeTombstone() {
-			e.tombstoned.Store(true)
-			e.abort()
-		}
-		return nil
-	})
-}
-
-// logSilence logs which timer ended without a frame, and what the gate had said about the run by then.
-func (e *exchange) logSilence() {
-	e.silenceLogged.Store(true)
-	e.logEvent("gate silent", "timer", e.idle.current())
-}
-
-// logEvent logs an event of this attempt, with the time since it was sent and what the gate has said about the run.
-func (e *exchange) logEvent(event string, attributes ...any) {
-	e.log.Info(event, append(attributes, "request", e.head.AttemptID, "target", e.head.Target, "since", time.Since(e.startedAt),
-		"heard", e.heard.Load(), "running", e.running.Load())...)
-}
-
-func (e *exchange) abort() {
-	e.logEvent("attempt given up", "tombstoned", e.tombstoned.Load())
-	e.timedOut.Store(true)
-	e.cancel()
-}
-
-// receive reads the next frame that is not a progress frame. It fails after idleTimeout without any frame: a live
-// gate sends progress frames more often, so the connection must be broken.
+// receive reads the next frame that is not a progress frame. A live gate sends progress frames, so an idle timeout without
+// any frame is a reason to ask the gate about the attempt.
 func (e *exchange) receive(into *frame) error {
 	defer e.idle.stop()
 	for {
 		if e.heard.Load() {
-			e.tombstoneRequested.Store(false)
 			e.idle.setTimeout(idleTimeout)
 		}
 		e.idle.start()
@@ -124,9 +90,7 @@
 
 // noteResponse records a frame of the gate, in particular the first one.
 func (e *exchange) noteResponse() {
-	if e.silenceLogged.Swap(false) {
-		e.logEvent("gate heard again")
-	}
+	e.endSilence()
 	if e.heard.Swap(true) {
 		return
 	}
@@ -201,14 +165,12 @@
 	if errors.As(err, &refusal) {
 		return refusal
 	}
-	if e.tombstoned.Load() {
+	switch ended := e.decision().(type) {
+	case abandoner.Withdraw:
 		return refuser.Refuse(refuser.NodeUnreachable, "the gate was silent and promised not to start it")
-	}
-	if e.timedOut.Load() && !e.heard.Load() {
-		return refuser.Fail(refuser.NodeUnreachable, "the gate gave no sign of life")
-	}
-	if e.timedOut.Load() {
-		return refuser.Fail(refuser.OutcomeUnknown, "the connection to the gate went silent")
+	case abandoner.GiveUp:
+		return refuser.Fail(refuser.OutcomeUnknown, ended.Reason)
+	default:
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return refuser.Fail(refuser.DeadlinePassed, "no answer before the deadline")
--- a/node/pkg/forwarder/head.go
+++ b/node/pkg/forwarder/head.go
@@ -103,13 +103,15 @@
 }
 
 // Destination describes how to reach a gate. Relays returns the addresses of other nodes that may reach the gate when
-// this node can't. ResponseTimeout is how long to wait for the first response of the gate; 0 means idleTimeout.
-// OnFirstResponse may be nil. It is called with the time until the first response.
+// this node can't. ResponseTimeout is how long to wait for the first response before the gate is asked about the attempt; 0
+// means idleTimeout. OnFirstResponse may be nil. It is called with the time until the first response. OnSilence may be nil.
+// It is called when a silent gate did not reply to that question.
 type Destination struct {
 	Address         string
 	Relays          func() []string
 	ResponseTimeout time.Duration
 	OnFirstResponse func(elapsed time.Duration)
+	OnSilence       func()
 }
 
 func (h Head) wire(now time.Time) headMessage {
--- /dev/null
+++ b/node/pkg/forwarder/silence.go
@@ -0,0 +1,94 @@
+package forwarder
+
+import (
+	"time"
+
+	"samphiremount.example/core/abandoner"
+)
+
+// handleTimeout is called when the gate sent no frame for the idle timeout. It asks the gate about the attempt, and then
+// waits for the next frame again unless the reply ends the attempt.
+func (e *exchange) handleTimeout() {
+	e.logSilence("gate silent", "timer", e.idle.current())
+	e.mu.Lock()
+	e.silent = true
+	frames := e.frames
+	e.mu.Unlock()
+	e.group.Go(func() error {
+		decision := e.question(frames)
+		if e.stream.Context().Err() != nil {
+			return nil
+		}
+		switch decision := decision.(type) {
+		case abandoner.Withdraw:
+			e.end(decision, "the gate promised not to start it")
+		case abandoner.GiveUp:
+			e.end(decision, decision.Reason)
+		case abandoner.Assist:
+			if e.destination.OnSilence != nil {
+				e.destination.OnSilence()
+			}
+		case abandoner.Wait:
+		}
+		return nil
+	})
+}
+
+// question asks the gate about the attempt and returns what follows. frames is the number of frames that had arrived when the
+// gate became silent. If another one has come since, the silence is over, and only a promise still counts.
+func (e *exchange) question(frames int) abandoner.Decision {
+	state, ok := e.placeTombstone()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var silence abandoner.Silence
+	var decision abandoner.Decision
+	if ok {
+		silence, decision = e.silence.WithReply(state)
+	} else {
+		silence, decision = e.silence.WithoutReply()
+	}
+	if e.frames != frames {
+		if _, promised := decision.(abandoner.Withdraw); !promised {
+			decision = abandoner.Wait{}
+		}
+		return decision
+	}
+	e.silence = silence
+	e.idle.setTimeout(silence.Interval(idleTimeout))
+	return decision
+}
+
+// endSilence records that a frame has arrived.
+func (e *exchange) endSilence() {
+	e.mu.Lock()
+	silent := e.silent
+	e.frames++
+	e.silence, e.silent = abandoner.Silence{}, false
+	e.mu.Unlock()
+	if silent {
+		e.logSilence("gate heard again")
+	}
+}
+
+// end ends the attempt for the reason that decision gives.
+func (e *exchange) end(decision abandoner.Decision, reason string) {
+	e.logSilence("attempt given up", "reason", reason)
+	e.mu.Lock()
+	e.ended = decision
+	e.mu.Unlock()
+	e.cancel()
+}
+
+// decision returns the decision that ended the attempt, or nil.
+func (e *exchange) decision() abandoner.Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.ended
+}
+
+// logSilence logs an event of a silence, with the time since the attempt was sent and what the gate has said about the run.
+func (e *exchange) logSilence(event string, attributes ...any) {
+	attributes = append(attributes, "request", e.head.AttemptID, "target", e.head.Target, "since", time.Since(e.startedAt),
+		"heard", e.heard.Load(), "running", e.running.Load())
+	e.log.Info(event, attributes...) //nolint:sloglint // all callers pass constants
+}
--- a/node/pkg/forwarder/tombstone.go
+++ b/node/pkg/forwarder/tombstone.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,37 +49,28 @@
 	return !errors.Is(ctx.Err(), context.Canceled)
 }
 
-// tombstoneFunc returns the function that an exchange calls when its gate is silent, or nil for a repeatable request.
-func (c *Client) tombstoneFunc(ctx context.Context, destination Destination, head Head) func() bool {
-	if head.Repeatable {
-		return nil
-	}
-	return func() bool { return c.placeTombstone(ctx, destination, head) }
-}
-
 // placeTombstone requests a tombstone for the request of head, over a new connection to the gate and through other
-// nodes at the same time. It reports whether the gate promised that the request will not start. It may outlast the
-// deadline of the request by tombstoneTimeout.
-func (c *Client) placeTombstone(ctx context.Context, destination Destination, head Head) bool {
+// nodes at the same time, and returns the first reply. It may outlast the deadline of the request by tombstoneTimeout.
+func (c *Client) placeTombstone(ctx context.Context, destination Destination, head Head) (tombstoner.State, bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tombstoneTimeout)
 	defer cancel()
 	identity := head.Identity()
 	request := tombstoneRequest{ID: identity.ID, Incarnation: identity.Incarnation, StartBefore: int64(identity.StartBefore)}
 	state, ok := c.requestTombstone(ctx, destination, request)
-	if !ok {
-		c.counts.Add("settle_no_reply", 1)
-		c.log.Info("tombstone asked for", "request", head.AttemptID, "target", head.Target, "state", "no reply")
-		return false
+	name := "no reply"
+	if ok {
+		name = tombstoner.Name(state)
 	}
-	c.counts.Add("settle_"+tombstoner.Name(state), 1)
-	c.log.Info("tombstone asked for", "request", head.AttemptID, "target", head.Target, "state", tombstoner.Name(state))
-	return tombstoner.Outcome(state) == (refuser.NotRun{})
+	c.counts.Add("settle_"+strings.ReplaceAll(name, " ", "_"), 1)
+	c.log.Info("tombstone asked for", "request", head.AttemptID, "target", head.Target, "state", name)
+	return state, ok
 }
 
 // resolveOutcome returns the error for the request of head, whose exchange failed with cause: a refusal with the
 // outcome NotRun if the gate promised that the request will not start, and otherwise cause.
 func (c *Client) resolveOutcome(ctx context.Context, destination Destination, head Head, cause error) error {
-	if !c.placeTombstone(ctx, destination, head) {
+	state, ok := c.placeTombstone(ctx, destination, head)
+	if !ok || tombstoner.Outcome(state) != (refuser.NotRun{}) {
 		return cause
 	}
 	refusal := *refuser.From(cause)
--- a/node/pkg/gatekeeper/body.go
+++ b/node/pkg/gatekeeper/body.go
@@ -27,9 +27,20 @@
 	}
 }
 
-// recordBodyEnd records an answer that broke off, or had no end before the deadline, as evidence against the target. Its
-// head has been counted as an answer, so this counts as a further attempt.
-func (g *Gatekeeper) recordBodyEnd(ctx context.Context, target registrar.Announcement, head forwarder.Head, end bodyEnd) {
+// largeAnswerBytes is the length from which on an answer is logged when it was sent. It occupies the link of this VM for a
+// while, which delays everything else that the gate sends.
+const largeAnswerBytes = 32 << 10
+
+// recordBodyEnd logs a large answer of length bytes that began at answeredAt. It records an answer that broke off, or had no
+// end before the deadline, as evidence against the target. Its head has been counted as an answer, so this counts as a
+// further attempt.
+func (g *Gatekeeper) recordBodyEnd(
+	ctx context.Context, target registrar.Announcement, head forwarder.Head, length int64, answeredAt time.Time, end bodyEnd,
+) {
+	if length >= largeAnswerBytes {
+		g.log.Info("large answer sent", "request", head.AttemptID, "target", head.Target, "length", length,
+			"elapsed", time.Since(answeredAt), "whole", end == bodyComplete)
+	}
 	if end != bodyBroken || errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -173,30 +173,21 @@
 		return forwarder.Answer{}, refusal
 	}
 	recordResult(observer.Answered{Status: response.StatusCode})
-	answeredAt := time.Now()
 	g.setLoadHeaders(response.Header, target.Name, head.Objective)
+	answeredAt := time.Now()
 	return forwarder.Answer{
-		Status: response.StatusCode,
-		Header: response.Header,
+		Status: response.StatusCode, Header: response.Header,
 		Body: &slotBody{ReadCloser: response.Body, response: response, release: func(end bodyEnd) {
 			if alone && end == bodyComplete {
 				g.clearSuspicion(content)
 			}
-			g.recordBodyEnd(ctx, target, head, end)
-			if response.ContentLength >= largeAnswerBytes {
-				g.log.Info("large answer sent", "request", head.AttemptID, "target", head.Target, "length", response.ContentLength,
-					"elapsed", time.Since(answeredAt), "whole", end == bodyComplete)
-			}
+			g.recordBodyEnd(ctx, target, head, response.ContentLength, answeredAt, end)
 			release()
 			g.registerFinish(head.AttemptID, true)
 		}},
 	}, nil
 }
 
-// largeAnswerBytes is the length from which on an answer is logged when it was sent. It occupies the link of this VM for a
-// while, which delays everything else that the gate sends.
-const largeAnswerBytes = 32 << 10
-
 // endedBy returns who ended a request that the gate did not answer: the entry, its deadline, or else the gate or target.
 func endedBy(ctx context.Context) string {
 	switch {
