Go on connecting to a gate while there is no other target

What callers saw: 502 or 503, not run, for requests whose target was free, while connecting to its gate took longer than 80 ms to 300 ms.

Connecting was ended after three usual round trips, 300 ms at most, also if the next attempt could only go to the same gate, where it was ended again, until all attempts were used.

Change: when connecting takes long, the request is sent elsewhere if there is another target and the retry policy allows it; otherwise connecting goes on until the deadline. The attempt has not run while it connects, and a flag that is set once decides whether it is sent or withdrawn, so a request that may not be repeated never goes to two gates.

Red before: TestRequestIsRefusedWhileConnectingTakesLong, "502 != 200: node-unreachable, outcome not-run" after 0.6 s. TestRequestIsSentElsewhereWhileConnectingHangs was green before and guards the other side: no booking waits for a node that accepts connections and says nothing.

--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -10,8 +10,10 @@
 
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
+	"samphiremount.example/core/router"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/forwarder"
+	"samphiremount.example/node/pkg/viewer"
 )
 
 const (
@@ -32,6 +34,7 @@
 	group     errgroup.Group
 	done      chan result
 	silent    chan struct{}
+	launch    *forwarder.Launch
 }
 
 type result struct {
@@ -51,15 +54,21 @@
 	if err != nil {
 		return nil, err
 	}
+	return a.launch(ctx, f, view, choice), nil
+}
+
+// launch sends the request to the target of choice.
+func (a *Acceptor) launch(ctx context.Context, f *forwardedRequest, view *viewer.View, choice router.Choice) *pendingAttempt {
 	target, node := choice.Placement.Target, choice.Placement.Node
 	f.excluded = append(f.excluded, target.Name)
 	f.head.Target, f.head.Incarnation = target.Name, node.Incarnation
 	ctx, cancel := context.WithCancel(ctx)
 	pending := &pendingAttempt{
 		head: f.head, placement: choice.Placement, trial: choice.Trial, cancel: cancel, done: make(chan result, 1),
-		silent: make(chan struct{}, 1),
+		silent: make(chan struct{}, 1), launch: new(forwarder.Launch),
 	}
 	destination := a.chooser.destination(choice.Placement, func() []string { return a.relays(view, node.Name) })
+	destination.Launch = pending.launch
 	destination.OnSilence = func() {
 		a.chooser.recordSilence(pending.placement)
 		pending.reportSilence()
@@ -81,7 +90,7 @@
 		pending.done <- result{answer: answer}
 		return nil
 	})
-	return pending, nil
+	return pending
 }
 
 // cancelAndClose cancels an attempt whose result is no longer needed, and closes its answer.
@@ -145,7 +154,9 @@
 		r.hedge = nil
 		r.askBudget(ctx, retrier.Slow{})
 	case <-r.silence():
-		r.askBudget(ctx, retrier.Silent{})
+		if !r.replaceUnsent(ctx) && r.request.head.Repeatable {
+			r.askBudget(ctx, retrier.Silent{})
+		}
 	case ok := <-r.allowed:
 		r.end()
 		r.allowed = nil
@@ -166,12 +177,38 @@
 
 // silence returns the channel that tells of a silent gate, or nil if a second attempt is not possible now.
 func (r *race) silence() <-chan struct{} {
-	if r.second != nil || r.allowed != nil || !r.request.head.Repeatable || !r.request.body.replayable() {
+	if r.second != nil || r.allowed != nil || !r.request.body.replayable() {
 		return nil
 	}
 	return r.first.silent
 }
 
+// replaceUnsent sends the request to another target in place of the first one, if it has not been sent yet and there is
+// another target. Without one the first attempt goes on, however long connecting takes.
+func (r *race) replaceUnsent(ctx context.Context) bool {
+	a, f := r.acceptor, r.request
+	if r.first.launch.Sent() {
+		return false
+	}
+	view := a.Viewer.View()
+	choice, err := a.chooseTarget(view, f)
+	if err != nil {
+		return false
+	}
+	unsent := &refuser.Refusal{Kind: refuser.NodeUnreachable, Outcome: refuser.NotRun{}}
+	decision := a.Retrier.Decide(time.Now(), retrier.Refused{Refusal: unsent}, f.attempt)
+	if _, ok := decision.(retrier.Retry); !ok || !r.first.launch.Withdraw() {
+		a.chooser.endRequest(choice.Placement.Target.Name)
+		return false
+	}
+	a.RouteLog.Info("request sent elsewhere", "request", r.first.head.AttemptID, "target", r.first.head.Target,
+		"reason", "connecting takes long")
+	r.first.cancelAndClose()
+	f.prepareNext()
+	r.first = a.launch(ctx, f, view, choice)
+	return true
+}
+
 // askBudget asks whether a second attempt is allowed, unless there is one or the answer is awaited.
 func (r *race) askBudget(ctx context.Context, event retrier.Event) {
 	if r.second == nil && r.allowed == nil {
--- a/node/pkg/acceptor/link_test.go
+++ b/node/pkg/acceptor/link_test.go
@@ -1,6 +1,7 @@
 package acceptor_test
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -82,3 +83,35 @@
 	}
 	return nil
 }
+
+// newLateLink returns the address of a link to the address to that holds each new connection back for delay.
+func newLateLink(t *testing.T, to string, delay time.Duration) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	group := new(errgroup.Group)
+	group.Go(func() error {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return err
+			}
+			group.Go(func() error {
+				time.Sleep(delay)
+				far, err := net.Dial("tcp", to)
+				if err != nil {
+					return near.Close()
+				}
+				group.Go(func() error { return pipe(far, near) })
+				return pipe(near, far)
+			})
+		}
+	})
+	return listener.Addr().String()
+}
+
+func pipe(from, to net.Conn) error {
+	_, _ = io.Copy(to, from)
+	return to.Close()
+}
--- a/node/pkg/acceptor/silence_test.go
+++ b/node/pkg/acceptor/silence_test.go
@@ -88,3 +88,14 @@
 		assert.Assert(t, time.Since(began) < 2*time.Second, "%v", time.Since(began))
 	}
 }
+
+// TestRequestIsRefusedWhileConnectingTakesLong has one target, behind a network that delays each new connection.
+func TestRequestIsRefusedWhileConnectingTakesLong(t *testing.T) {
+	const delay = 700 * time.Millisecond
+	f := newFleetBehind(t, func(gate string) string { return newLateLink(t, gate, delay) }, generousPolicy, nil,
+		http.HandlerFunc(answerReady))
+	for _, path := range []string{"/bookings", "/lookups"} {
+		reply := do(t, f.request(t, http.MethodGet, path))
+		assert.Equal(t, reply.status, http.StatusOK, reply.content)
+	}
+}
--- a/node/pkg/forwarder/client.go
+++ b/node/pkg/forwarder/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
 
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
@@ -21,8 +22,8 @@
 	maxConnectTimeout = 300 * time.Millisecond
 )
 
-// connectTimeout returns how long opening a connection may take: connectRoundTrips times ResponseTimeout, capped at
-// maxConnectTimeout, but never less than ResponseTimeout. Without a ResponseTimeout it is idleTimeout.
+// connectTimeout returns how long opening a connection usually takes at most: connectRoundTrips times ResponseTimeout, capped
+// at maxConnectTimeout, but never less than ResponseTimeout. Without a ResponseTimeout it is idleTimeout.
 func (d Destination) connectTimeout() time.Duration {
 	if d.ResponseTimeout == 0 {
 		return idleTimeout
@@ -60,18 +61,7 @@
 func (c *Client) attempt(ctx context.Context, destination Destination, head *Head, body io.Reader) (Answer, bool, error) {
 	address := destination.Address
 	ctx, cancel := context.WithDeadline(ctx, head.Deadline)
-	// The request can't run before the stream is open, so a slow connect is aborted early.
-	connectTimer := time.AfterFunc(destination.connectTimeout(), cancel)
-	gateTime, err := c.gateTime(ctx, address, head.Incarnation)
-	if err != nil {
-		cancel()
-		return Answer{}, false, refuser.Refuse(refuser.NodeUnreachable, err.Error())
-	}
-	stream, err := c.pool.Get(ctx, address).NewStream(ctx, callForward, frameEncoding{})
-	if !connectTimer.Stop() && err == nil {
-		_ = stream.Close()
-		err = errors.New("connect timed out")
-	}
+	stream, gateTime, err := c.connect(ctx, destination, head)
 	if err != nil {
 		cancel()
 		return Answer{}, false, refuser.Refuse(refuser.NodeUnreachable, err.Error())
@@ -95,3 +85,24 @@
 	}
 	return answer, true, nil
 }
+
+// connect opens a stream to the gate for the request of head, and returns the gate's time. The request can't run before
+// that, so an entry that has another target may withdraw it when this takes long.
+func (c *Client) connect(ctx context.Context, destination Destination, head *Head) (drpc.Stream, tombstoner.GateTime, error) {
+	if destination.OnSilence != nil {
+		defer time.AfterFunc(destination.connectTimeout(), func() {
+			c.log.Info("connecting takes long", "request", head.AttemptID, "target", head.Target, "timer", destination.connectTimeout())
+			destination.OnSilence()
+		}).Stop()
+	}
+	gateTime, err := c.gateTime(ctx, destination.Address, head.Incarnation)
+	if err != nil {
+		return nil, 0, err
+	}
+	stream, err := c.pool.Get(ctx, destination.Address).NewStream(ctx, callForward, frameEncoding{})
+	if err == nil && !destination.Launch.commit() {
+		_ = stream.Close()
+		err = errors.New("connecting took long, and another target was chosen")
+	}
+	return stream, gateTime, errors.Wrap(err, "open stream to gate")
+}
--- a/node/pkg/forwarder/head.go
+++ b/node/pkg/forwarder/head.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"samphiremount.example/core/configurer"
@@ -105,15 +106,30 @@
 // Destination describes how to reach a gate. Relays returns the addresses of other nodes that may reach the gate when
 // this node can't. ResponseTimeout is how long to wait for the first response before the gate is asked about the attempt; 0
 // means idleTimeout. OnFirstResponse may be nil. It is called with the time until the first response. OnSilence may be nil.
-// It is called when a silent gate did not reply to that question.
+// It is called when connecting takes long, and when a silent gate did not reply to that question. Launch may be nil.
 type Destination struct {
 	Address         string
 	Relays          func() []string
 	ResponseTimeout time.Duration
 	OnFirstResponse func(elapsed time.Duration)
 	OnSilence       func()
+	Launch          *Launch
 }
 
+// Launch decides once whether an attempt is sent to its gate or withdrawn.
+type Launch struct {
+	decided atomic.Bool
+}
+
+// Withdraw prevents the attempt from being sent. It returns false if the attempt may have been sent already.
+func (l *Launch) Withdraw() bool { return l.decided.CompareAndSwap(false, true) }
+
+// Sent reports whether the attempt may have been sent, or was withdrawn.
+func (l *Launch) Sent() bool { return l.decided.Load() }
+
+// commit reports whether the attempt may be sent. After that it cannot be withdrawn.
+func (l *Launch) commit() bool { return l == nil || l.decided.CompareAndSwap(false, true) }
+
 func (h Head) wire(now time.Time) headMessage {
 	return headMessage{
 		AttemptID: h.AttemptID, Incarnation: h.Incarnation, Target: h.Target, Service: h.Service, Workspace: h.Workspace,
