Log the steps of a stop and what they still wait for

A process that was killed at the end of its grace time left no line that says which step of the stop it was in, nor which requests kept it. Each step now logs when it begins, every second, and when it ends: callers' requests and requests of other nodes in progress with the oldest, callers' connections by state, and background tasks that have not ended. Repeated signals are logged. No decision changes.

--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -13,6 +13,7 @@
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
+	"samphiremount.example/node/pkg/counter"
 	"samphiremount.example/node/pkg/forwarder"
 	"samphiremount.example/node/pkg/viewer"
 )
@@ -76,6 +77,7 @@
 // Serve authenticates, admits, routes and forwards call, and returns the target's answer, whose Body must be closed. The
 // error is a refusal.
 func (a *Acceptor) Serve(ctx context.Context, call Call) (forwarder.Answer, error) {
+	counter.Name(ctx, call.ID)
 	answer, objective, err := a.answer(ctx, call)
 	if err != nil {
 		refusal := *refuser.From(err)
--- a/node/pkg/forwarder/server.go
+++ b/node/pkg/forwarder/server.go
@@ -10,6 +10,7 @@
 
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/node/pkg/counter"
 )
 
 // Server answers the calls of other nodes' clients.
@@ -21,12 +22,13 @@
 	active   int
 	stopping bool
 	idle     chan struct{}
+	counter  *counter.Counter
 }
 
 // NewServer returns a server that runs requests on gate. It uses client to request tombstones from other gates on
 // behalf of nodes that can't reach them.
 func NewServer(gate Gate, client *Client) *Server {
-	return &Server{gate: gate, client: client, idle: make(chan struct{})}
+	return &Server{gate: gate, client: client, idle: make(chan struct{}), counter: counter.New()}
 }
 
 // Register adds to mux the handlers of calls from other nodes.
@@ -37,6 +39,9 @@
 	mux[callCrash] = s.crash
 }
 
+// Active returns the requests of other nodes in progress at now.
+func (s *Server) Active(now time.Time) counter.Active { return s.counter.Active(now) }
+
 // Stop refuses new requests and waits until the active ones have ended, or until ctx ends.
 func (s *Server) Stop(ctx context.Context) error {
 	s.mu.Lock()
@@ -97,6 +102,7 @@
 		return s.refuse(stream, refuser.From(refuser.Refuse(refuser.NodeStopping, "")))
 	}
 	defer s.end()
+	defer s.counter.Begin(time.Now(), head.AttemptID).End()
 	// This tells the entry at once that the connection works. If sending fails, the entry notices that no frame arrives.
 	_ = send(stream, frameProgress, progressMessage{})
 	ticker := newProgressTicker(func() { _ = send(stream, frameProgress, progressMessage{s.gate.Running(head.AttemptID)}) })
--- a/node/pkg/starter/callers.go
+++ b/node/pkg/starter/callers.go
@@ -32,7 +32,9 @@
 			handler.ServeHTTP(w, r)
 		}),
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+		ConnState: n.connections.set,
 	}
+	server.Handler = n.countCallers(server.Handler)
 	n.awaitView(ctx)
 	group, running := errgroup.WithContext(background)
 	group.Go(func() error {
@@ -50,13 +52,21 @@
 		n.leaving.Store(true)
 		n.reporter.Leave()
 		n.log.Part("node").Info("node leaving", "reason", "shutdown requested")
-		wait(running, n.options.Stop.LeaveDelay)
-		// Shutdown drops requests that it has not read yet, so the last accepted connections get time to send theirs.
-		_ = listener.Close()
-		wait(running, n.options.Stop.LastRequestDelay)
-		graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.options.Stop.Grace)
-		defer cancel()
-		return errors.Wrap(server.Shutdown(graceCtx), "wait for callers' requests")
+		_ = n.logStep("leave", func() error {
+			wait(running, n.options.Stop.LeaveDelay)
+			return nil
+		})
+		_ = n.logStep("last requests", func() error {
+			// Shutdown drops requests that it has not read yet, so the last accepted connections get time to send theirs.
+			_ = listener.Close()
+			wait(running, n.options.Stop.LastRequestDelay)
+			return nil
+		})
+		return n.logStep("callers", func() error {
+			graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.options.Stop.Grace)
+			defer cancel()
+			return errors.Wrap(server.Shutdown(graceCtx), "wait for callers' requests")
+		})
 	})
 	return group.Wait()
 }
@@ -85,9 +95,12 @@
 func (n *Node) stopGate(ctx context.Context) error {
 	graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.options.Stop.Grace)
 	defer cancel()
-	err := n.forwarder.Stop(graceCtx)
-	// Requests that are arriving now need time to get their refusal before the connections are closed.
-	wait(graceCtx, lastRefusalDelay)
+	err := n.logStep("gate", func() error { return n.forwarder.Stop(graceCtx) })
+	_ = n.logStep("last refusals", func() error {
+		// Requests that are arriving now need time to get their refusal before the connections are closed.
+		wait(graceCtx, lastRefusalDelay)
+		return nil
+	})
 	return err
 }
 
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -32,6 +32,7 @@
 	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/cacher"
 	"samphiremount.example/node/pkg/connector"
+	"samphiremount.example/node/pkg/counter"
 	"samphiremount.example/node/pkg/enroller"
 	"samphiremount.example/node/pkg/forwarder"
 	"samphiremount.example/node/pkg/gatekeeper"
@@ -110,6 +111,9 @@
 	watcher     *watcher.Watcher
 	forwarder   *forwarder.Server
 	leaving     atomic.Bool
+	callers     *counter.Counter
+	tasks       *counter.Counter
+	connections *connectionStates
 }
 
 // New returns a node. Its initial state is the cache in its data folder, if there is one.
@@ -121,7 +125,7 @@
 	view := viewer.New(hub)
 	n := &Node{
 		Viewer: view, options: options, credentials: credentials, log: log, mux: messenger.Mux{},
-		pool: messenger.NewPool(credentials),
+		pool: messenger.NewPool(credentials), callers: counter.New(), tasks: counter.New(), connections: newConnectionStates(),
 		reporter: reporter.New(tracker.Node{
 			Name: options.Name, Region: options.Region, Centre: options.Centre, Incarnation: incarnation,
 			Address: options.Fleet, Entry: options.Entry,
@@ -322,25 +326,28 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
-	tasks := []func(context.Context) error{
-		local, n.Enroller.Run, n.connector.Run, n.client.Run, n.prober.Run, n.limiter.Run, n.watcher.Run,
-		n.budget.Run,
+	tasks := map[string]func(context.Context) error{
+		"local": local, "enroll": n.Enroller.Run, "connect": n.connector.Run, "subscribe": n.client.Run, "probe": n.prober.Run,
+		"admit": n.limiter.Run, "eject": n.watcher.Run, "budget": n.budget.Run,
 	}
 	if n.options.Data != "" {
-		tasks = append(tasks, n.cacher.Run)
+		tasks["keep"] = n.cacher.Run
 	}
 	if n.lender != nil {
-		tasks = append(tasks, n.lender.Run)
-	}
-	for _, task := range tasks {
-		group.Go(func() error { return task(background) })
+		tasks["lend"] = n.lender.Run
 	}
 	server := messenger.NewServer(n.credentials, n.mux, n.log.Part("fleet"))
-	group.Go(func() error { return server.Serve(background, fleet) })
+	tasks["fleet"] = func(ctx context.Context) error { return server.Serve(ctx, fleet) }
+	for name, task := range tasks {
+		group.Go(func() error { return n.runTask(background, name, task) })
+	}
+	stopped := make(chan struct{})
 	group.Go(func() error {
+		defer close(stopped)
 		defer stopBackground()
 		err := n.serveCallers(ctx, background, callers, handler)
 		return errors.Join(err, n.stopGate(ctx))
 	})
-	return group.Wait()
+	<-stopped
+	return n.logStep("tasks", group.Wait)
 }
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -44,12 +44,15 @@
 	}, credentials, logger.New(writer, settings.LogLevel()))
 	node.Log().Part("node").Info("node started", "node", settings.Name, "entry", listeners.entry.Addr(),
 		"fleet", listeners.fleet.Addr(), "metrics", listeners.metrics.Addr())
-	return node.Run(ctx, listeners.fleet, listeners.entry, node.Acceptor.Handler(), func(ctx context.Context) error {
+	err = node.Run(ctx, listeners.fleet, listeners.entry, node.Acceptor.Handler(), func(ctx context.Context) error {
 		group, ctx := errgroup.WithContext(ctx)
+		group.Go(func() error { return core.LogSignals(ctx, node.Log().Part("node")) })
 		group.Go(func() error { return core.ServeMetrics(ctx, listeners.metrics) })
 		group.Go(func() error { return core.ServeHTTP(ctx, listeners.local, node.Enroller.Handler(), time.Second) })
 		return group.Wait()
 	})
+	node.Log().Part("node").Info("node stopped", "node", settings.Name)
+	return err
 }
 
 type listeners struct {
