Keep SIGHUP from ending a process that starts or stops

Callers saw connections cut when the settings of a stopping node changed. The handler of SIGHUP was installed after the listeners were open, and removed with the other background tasks while the process still finished; between these times, and for all of its life in the product's own processes, SIGHUP ended the process at once. A SIGTERM between the end of the program's run and its exit did the same.

Main now registers these signals before anything else and never drops them.

--- a/core/starter/run.go
+++ b/core/starter/run.go
@@ -18,8 +18,10 @@
 const readHeaderTimeout = 5 * time.Second
 
 // Main parses the settings, runs a program until it ends or receives SIGINT or SIGTERM, and returns its exit code. It
-// prints errors to stderr.
+// prints errors to stderr. Further signals, and SIGHUP at any time, do not end the process.
 func Main(parse func() error, run func(ctx context.Context) error) int {
+	// Signals without a channel would end the process, also between the end of run and the exit.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	err := parse()
 	if errors.Is(err, ErrHelp) {
 		return ExitOK
