Give a stop one deadline, and answer what outlasts it

Callers saw their connections end without an answer while their node stopped, under planned work only.

The steps of a stop were durations that started one after another: leave, last requests, wait for callers, wait for the gate. On the users' platform their sum was 1.45 of the grace period, and the background tasks came after that. A node whose callers' requests took long began to wait for its gate at 0.90 of it, and was killed with these requests in progress. Where the gate was idle it exited at about 0.94, and closed their connections itself.

All times of a stop are now fixed when the signal arrives (core/stopper). Callers' requests and those of other nodes finish side by side. The gate refuses new ones as not run once the fleet has had time to learn that the node leaves. What has no answer in the last tenth of the grace period, 2 s at most, is broken off and answered as unknown; then connections are closed, and the process ends even if a background task does not. Requests that come late on open connections are refused as not run, in place of net/http's Shutdown, which drops what it reads after it began and waits for connections that never sent anything. The grace period of the product's own nodes becomes a setting.

TestLateRequestIsCut fails with Shutdown in its place ("connection reset by peer"), without the refusal, and without the end of the reading of a body ("unexpected EOF").

--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -36,6 +36,8 @@
 	// RetryFraction returns the fraction of the repeatable requests now running on the targets of this VM that were
 	// sent to another target before. Calls that such a request makes count as retries too.
 	RetryFraction func() (fraction float64)
+	// Refuses reports whether requests that arrive at now are refused because the node stops; nil refuses none.
+	Refuses func(now time.Time) bool
 	// UseLostNodes lets requests go to nodes that the control process has declared lost, as long as this node reaches them.
 	UseLostNodes bool
 	// HedgeAfter is the fraction of its objective that must pass before a repeatable request is sent to a second target;
@@ -78,6 +80,10 @@
 // error is a refusal.
 func (a *Acceptor) Serve(ctx context.Context, call Call) (forwarder.Answer, error) {
 	counter.Name(ctx, call.ID)
+	if a.Refuses != nil && a.Refuses(time.Now()) {
+		a.RouteLog.Info("request refused", "request", call.ID, "kind", refuser.NodeStopping, "outcome", refuser.NotRun{})
+		return forwarder.Answer{}, refuser.Refuse(refuser.NodeStopping, "")
+	}
 	answer, objective, err := a.answer(ctx, call)
 	if err != nil {
 		refusal := *refuser.From(err)
--- a/node/pkg/forwarder/server.go
+++ b/node/pkg/forwarder/server.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,25 +10,23 @@
 
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/stopper"
 	"samphiremount.example/node/pkg/counter"
+	"samphiremount.example/node/pkg/finisher"
 )
 
 // Server answers the calls of other nodes' clients.
 type Server struct {
-	gate   Gate
-	client *Client
-
-	mu       sync.Mutex
-	active   int
-	stopping bool
-	idle     chan struct{}
-	counter  *counter.Counter
+	gate     Gate
+	client   *Client
+	requests *finisher.Finisher
+	plan     atomic.Pointer[stopper.Plan]
 }
 
 // NewServer returns a server that runs requests on gate. It uses client to request tombstones from other gates on
 // behalf of nodes that can't reach them.
 func NewServer(gate Gate, client *Client) *Server {
-	return &Server{gate: gate, client: client, idle: make(chan struct{}), counter: counter.New()}
+	return &Server{gate: gate, client: client, requests: finisher.New()}
 }
 
 // Register adds to mux the handlers of calls from other nodes.
@@ -40,42 +38,22 @@
 }
 
 // Active returns the requests of other nodes in progress at now.
-func (s *Server) Active(now time.Time) counter.Active { return s.counter.Active(now) }
+func (s *Server) Active(now time.Time) counter.Active { return s.requests.Active(now) }
 
-// Stop refuses new requests and waits until the active ones have ended, or until ctx ends.
-func (s *Server) Stop(ctx context.Context) error {
-	s.mu.Lock()
-	s.stopping = true
-	if s.active == 0 {
-		close(s.idle)
-	}
-	s.mu.Unlock()
-	select {
-	case <-s.idle:
-		return nil
-	case <-ctx.Done():
-		return errors.Wrap(ctx.Err(), "wait for requests of other nodes")
-	}
-}
+// Stop begins a stop: plan decides from now on which new requests are refused.
+func (s *Server) Stop(plan stopper.Plan) { s.plan.Store(&plan) }
 
-// begin counts a new request as active. It returns false if the server is stopping.
-func (s *Server) begin() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopping {
-		return false
-	}
-	s.active++
-	return true
-}
+// Finish waits for the requests in progress as plan says, and returns the number of those that it broke off.
+func (s *Server) Finish(plan stopper.Plan) (brokenOff int) { return s.requests.Finish(plan) }
 
-func (s *Server) end() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.active--
-	if s.stopping && s.active == 0 {
-		close(s.idle)
+// refuses reports whether a request that arrives at now is refused because the node stops.
+func (s *Server) refuses(now time.Time) bool {
+	plan := s.plan.Load()
+	if plan == nil {
+		return false
 	}
+	_, refused := plan.Decide(now, stopper.FromNode{}).(stopper.Refuse)
+	return refused
 }
 
 func (s *Server) forward(stream drpc.Stream) error {
@@ -98,11 +76,11 @@
 		// Unread messages would block the end of the stream, and with it the next request on the connection.
 		defer body.drain()
 	}
-	if !s.begin() {
+	request := s.requests.Begin(time.Now(), head.AttemptID, cancel)
+	defer request.End()
+	if s.refuses(time.Now()) {
 		return s.refuse(stream, refuser.From(refuser.Refuse(refuser.NodeStopping, "")))
 	}
-	defer s.end()
-	defer s.counter.Begin(time.Now(), head.AttemptID).End()
 	// This tells the entry at once that the connection works. If sending fails, the entry notices that no frame arrives.
 	_ = send(stream, frameProgress, progressMessage{})
 	ticker := newProgressTicker(func() { _ = send(stream, frameProgress, progressMessage{s.gate.Running(head.AttemptID)}) })
@@ -112,6 +90,7 @@
 		return s.refuse(stream, refuser.From(err))
 	}
 	defer func() { _ = answer.Body.Close() }()
+	request.Answer()
 	message := answerMessage{ID: head.AttemptID, Status: answer.Status, Header: answer.Header, GateTime: s.gateTime()}
 	if err := send(stream, frameAnswer, message); err != nil {
 		return err
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/core/allocator"
@@ -26,6 +25,7 @@
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
+	"samphiremount.example/core/stopper"
 	"samphiremount.example/core/synchronizer"
 	"samphiremount.example/core/timekeeper"
 	"samphiremount.example/core/tracker"
@@ -34,6 +34,7 @@
 	"samphiremount.example/node/pkg/connector"
 	"samphiremount.example/node/pkg/counter"
 	"samphiremount.example/node/pkg/enroller"
+	"samphiremount.example/node/pkg/finisher"
 	"samphiremount.example/node/pkg/forwarder"
 	"samphiremount.example/node/pkg/gatekeeper"
 	"samphiremount.example/node/pkg/limiter"
@@ -65,7 +66,7 @@
 	// AnnouncementLifetime is how long a target's announcement is valid.
 	AnnouncementLifetime time.Duration
 	Protocol             gatekeeper.Protocol
-	Stop                 Stop
+	Stop                 stopper.Policy
 	Router               router.Router
 	// RetryPolicy returns the retry policy for a fleet with that number of nodes.
 	RetryPolicy func(nodes int) retrier.Policy
@@ -80,15 +81,6 @@
 	FallbackSlack float64
 }
 
-// Stop holds the durations of a shutdown. After the node has announced that it leaves, it accepts connections for
-// LeaveDelay. Then it waits LastRequestDelay for requests on the last connections, and at most Grace for the requests
-// in progress.
-type Stop struct {
-	LeaveDelay       time.Duration
-	LastRequestDelay time.Duration
-	Grace            time.Duration
-}
-
 // Node is one node without the listeners and handlers for callers and targets.
 type Node struct {
 	Acceptor *acceptor.Acceptor
@@ -110,8 +102,8 @@
 	lender      *lender.Lender
 	watcher     *watcher.Watcher
 	forwarder   *forwarder.Server
-	leaving     atomic.Bool
-	callers     *counter.Counter
+	plan        atomic.Pointer[stopper.Plan]
+	callers     *finisher.Finisher
 	tasks       *counter.Counter
 	connections *connectionStates
 }
@@ -125,7 +117,7 @@
 	view := viewer.New(hub)
 	n := &Node{
 		Viewer: view, options: options, credentials: credentials, log: log, mux: messenger.Mux{},
-		pool: messenger.NewPool(credentials), callers: counter.New(), tasks: counter.New(), connections: newConnectionStates(),
+		pool: messenger.NewPool(credentials), callers: finisher.New(), tasks: counter.New(), connections: newConnectionStates(),
 		reporter: reporter.New(tracker.Node{
 			Name: options.Name, Region: options.Region, Centre: options.Centre, Incarnation: incarnation,
 			Address: options.Fleet, Entry: options.Entry,
@@ -183,7 +175,7 @@
 	n.Acceptor = acceptor.New(acceptor.Dependencies{
 		Name: n.options.Name, Viewer: n.Viewer, Client: client, Limiter: n.limiter, Retrier: retrier.NewWith(n.retryPolicy),
 		Watcher: n.watcher, Locality: n.options.Router.Locality(), Router: n.options.Router, UseLostNodes: n.options.UseLostNodes,
-		HedgeAfter: n.options.HedgeAfter, Budget: n.budget, RetryFraction: gate.RetryFraction,
+		HedgeAfter: n.options.HedgeAfter, Budget: n.budget, RetryFraction: gate.RetryFraction, Refuses: n.refusesCallers,
 		Random:   rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 		RouteLog: n.log.Part("route"), AdmitLog: n.log.Part("admit"),
 	})
@@ -304,7 +296,7 @@
 
 // Ready reports whether the node can serve requests: it has a configuration and a directory, and is not stopping.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.hasView()
+	return n.plan.Load() == nil && n.hasView()
 }
 
 // hasView reports whether the node has a configuration and a directory.
@@ -318,8 +310,8 @@
 
 // Run runs the node until ctx ends, with fleet as the listener for other processes, and callers and handler for
 // callers. It runs local until the last request has ended. On shutdown the node first leaves the directory, then
-// finishes the callers' requests, then the requests that other nodes sent to its gate, and at last closes the stream
-// to control.
+// finishes the callers' requests and those that other nodes sent to its gate, and at last closes the stream to control.
+// It returns at the end of the stop's plan at the latest, with an error if a task has not ended by then.
 func (n *Node) Run(
 	ctx context.Context, fleet, callers net.Listener, handler http.Handler, local func(ctx context.Context) error,
 ) error {
@@ -345,9 +337,8 @@
 	group.Go(func() error {
 		defer close(stopped)
 		defer stopBackground()
-		err := n.serveCallers(ctx, background, callers, handler)
-		return errors.Join(err, n.stopGate(ctx))
+		return n.serveCallers(ctx, background, callers, handler)
 	})
 	<-stopped
-	return n.logStep("tasks", group.Wait)
+	return n.logStep("tasks", func() error { return n.awaitTasks(group) })
 }
--- a/node/pkg/starter/progress.go
+++ b/node/pkg/starter/progress.go
@@ -10,7 +10,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/core/ticker"
-	"samphiremount.example/node/pkg/counter"
 )
 
 // stepLogInterval is the interval at which a step of the stop logs what it still waits for.
@@ -52,23 +51,15 @@
 	return task(ctx)
 }
 
-// countCallers counts the requests that handler serves.
-func (n *Node) countCallers(handler http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		entry := n.callers.Begin(time.Now(), "")
-		defer entry.End()
-		handler.ServeHTTP(w, r.WithContext(counter.WithEntry(r.Context(), entry)))
-	})
-}
-
 // connectionStates holds the state of each caller's connection.
 type connectionStates struct {
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState
+	ended  chan struct{}
 }
 
 func newConnectionStates() *connectionStates {
-	return &connectionStates{states: make(map[net.Conn]http.ConnState)}
+	return &connectionStates{states: make(map[net.Conn]http.ConnState), ended: make(chan struct{}, 1)}
 }
 
 // set is an http.Server.ConnState.
@@ -81,6 +72,27 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(s.states, conn)
 	}
+	if state != http.StateNew && state != http.StateActive {
+		select {
+		case s.ended <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// awaitInactive waits until no request is in progress on any connection, or until end.
+func (s *connectionStates) awaitInactive(end time.Time) {
+	timeout := time.After(time.Until(end))
+	for {
+		if _, active, _ := s.count(); active == 0 {
+			return
+		}
+		select {
+		case <-s.ended:
+		case <-timeout:
+			return
+		}
+	}
 }
 
 // count returns the numbers of connections on which no request has begun, on which one is in progress, and on which the
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -14,12 +14,16 @@
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
+	"samphiremount.example/core/stopper"
 	"samphiremount.example/node/pkg/gatekeeper"
 )
 
-// defaultStop is the Stop of a node with the product's own interfaces. LeaveDelay gives the directory time to reach
-// the other nodes, and callers time to receive the answers that close their connections.
-var defaultStop = Stop{LeaveDelay: 3 * time.Second, LastRequestDelay: 500 * time.Millisecond, Grace: 30 * time.Second}
+// leaveDelay gives the directory time to reach the other nodes, and callers time to receive the answers that close their
+// connections. lastRequestDelay is the time that callers have to send a request over a connection that they just opened.
+const (
+	leaveDelay       = 3 * time.Second
+	lastRequestDelay = 500 * time.Millisecond
+)
 
 // Run runs a node with the product's own interfaces until ctx ends. Then the node announces that it leaves, finishes
 // its requests and stops.
@@ -39,7 +43,8 @@
 		Entry: listeners.entry.Addr().String(), Fleet: cmp.Or(settings.Advertise, listeners.fleet.Addr().String()),
 		Seeds: settings.Controls, OnlySeeds: true, Peers: settings.Peers, Data: settings.Data, Decisions: settings.Decisions,
 		Lenders: settings.AllLenders(), AnnouncementLifetime: registrar.AnnouncementLifetime, Protocol: gatekeeper.DefaultProtocol{},
-		Stop: defaultStop, Router: router.New(router.Locality{Region: settings.Region, Centre: settings.Centre}),
+		Stop:        stopper.Policy{Grace: settings.Grace, Leave: leaveDelay, LastRequest: lastRequestDelay},
+		Router:      router.New(router.Locality{Region: settings.Region, Centre: settings.Centre}),
 		RetryPolicy: func(int) retrier.Policy { return retrier.DefaultPolicy() },
 	}, credentials, logger.New(writer, settings.LogLevel()))
 	node.Log().Part("node").Info("node started", "node", settings.Name, "entry", listeners.entry.Addr(),
--- a/node/pkg/starter/settings.go
+++ b/node/pkg/starter/settings.go
@@ -2,6 +2,8 @@
 package starter
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	core "samphiremount.example/core/starter"
@@ -11,18 +13,19 @@
 type Settings struct {
 	core.Settings
 
-	Name      string   `long:"name" env:"SAMPHIRE_NAME" description:"Name of this node, unique in the fleet"`
-	Region    string   `long:"region" env:"SAMPHIRE_REGION" description:"Region of this VM"`
-	Centre    string   `long:"centre" env:"SAMPHIRE_CENTRE" description:"Data centre of this VM"`
-	Entry     string   `long:"entry" env:"SAMPHIRE_ENTRY" default:"127.0.0.1:8080" description:"IP address and port of the listener for callers"`
-	Fleet     string   `long:"fleet" env:"SAMPHIRE_FLEET" default:"127.0.0.1:8081" description:"IP address and port of the listener for other nodes; it must be reachable from them"`
-	Advertise string   `long:"advertise" env:"SAMPHIRE_ADVERTISE" description:"IP address and port under which other nodes reach --fleet, if it differs"`
-	Local     string   `long:"local" env:"SAMPHIRE_LOCAL" default:"127.0.0.1:8082" description:"IP address and port of the listener for announcements of targets on this VM"`
-	Decisions int      `long:"decisions" env:"SAMPHIRE_DECISIONS" default:"16384" description:"Number of newest log lines about requests that the node keeps for samphire explain"`
-	Controls  []string `long:"control" env:"SAMPHIRE_CONTROLS" env-delim:"," description:"IP address and port of a control process; repeat it, own data centre first"`
-	Data      string   `long:"data" env:"SAMPHIRE_DATA" description:"Folder on a disk in which the node keeps what it knows of the fleet; empty for a VM without a disk"`
-	Lenders   []string `long:"lender" env:"SAMPHIRE_LENDERS" env-delim:"," description:"NAME=ADDRESS of a process that lends parts of the workspaces' rates, control processes included; repeat it, alike on all processes. A node that is named lends"`
-	Peers     []string `long:"peer" env:"SAMPHIRE_PEERS" env-delim:"," description:"IP address and port of another node to ask for the configuration while no control process answers; repeat it"`
+	Name      string        `long:"name" env:"SAMPHIRE_NAME" description:"Name of this node, unique in the fleet"`
+	Region    string        `long:"region" env:"SAMPHIRE_REGION" description:"Region of this VM"`
+	Centre    string        `long:"centre" env:"SAMPHIRE_CENTRE" description:"Data centre of this VM"`
+	Entry     string        `long:"entry" env:"SAMPHIRE_ENTRY" default:"127.0.0.1:8080" description:"IP address and port of the listener for callers"`
+	Fleet     string        `long:"fleet" env:"SAMPHIRE_FLEET" default:"127.0.0.1:8081" description:"IP address and port of the listener for other nodes; it must be reachable from them"`
+	Advertise string        `long:"advertise" env:"SAMPHIRE_ADVERTISE" description:"IP address and port under which other nodes reach --fleet, if it differs"`
+	Local     string        `long:"local" env:"SAMPHIRE_LOCAL" default:"127.0.0.1:8082" description:"IP address and port of the listener for announcements of targets on this VM"`
+	Decisions int           `long:"decisions" env:"SAMPHIRE_DECISIONS" default:"16384" description:"Number of newest log lines about requests that the node keeps for samphire explain"`
+	Grace     time.Duration `long:"grace" env:"SAMPHIRE_GRACE" default:"60s" description:"Time between SIGTERM and the end of the process. What kills the process later must wait longer"`
+	Controls  []string      `long:"control" env:"SAMPHIRE_CONTROLS" env-delim:"," description:"IP address and port of a control process; repeat it, own data centre first"`
+	Data      string        `long:"data" env:"SAMPHIRE_DATA" description:"Folder on a disk in which the node keeps what it knows of the fleet; empty for a VM without a disk"`
+	Lenders   []string      `long:"lender" env:"SAMPHIRE_LENDERS" env-delim:"," description:"NAME=ADDRESS of a process that lends parts of the workspaces' rates, control processes included; repeat it, alike on all processes. A node that is named lends"`
+	Peers     []string      `long:"peer" env:"SAMPHIRE_PEERS" env-delim:"," description:"IP address and port of another node to ask for the configuration while no control process answers; repeat it"`
 }
 
 // Check returns one error for each invalid setting.
@@ -42,6 +45,9 @@
 	if s.Decisions < 0 {
 		errs = append(errs, errors.New("--decisions must not be below 0"))
 	}
+	if s.Grace <= 0 {
+		errs = append(errs, errors.New("--grace must be above 0"))
+	}
 	if len(s.Controls) == 0 {
 		errs = append(errs, errors.New("--control must be given at least once"))
 	}
