Write the last log lines before the end of the grace period

The plan of the stop now has a time for the exit, and the log is closed by then.

TestStuckWriterDelaysExit fails without it ("closed 450ms late") and passes now.

--- a/core/logger/bounded.go
+++ b/core/logger/bounded.go
@@ -34,6 +34,7 @@
 	written     int
 	dropped     int
 	closed      bool
+	closeBy     time.Time
 }
 
 // NewBounded returns a Bounded that writes to w.
@@ -101,15 +102,27 @@
 	b.dropped++
 }
 
-// Close writes the waiting lines, as far as the underlying writer accepts them within closeTimeout.
+// CloseBy sets the time at which Close returns at the latest. The zero time is no limit.
+func (b *Bounded) CloseBy(end time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closeBy = end
+}
+
+// Close writes the waiting lines, as far as the underlying writer accepts them within closeTimeout and before the time that
+// CloseBy has set.
 func (b *Bounded) Close() {
+	end := time.Now().Add(closeTimeout)
 	b.mu.Lock()
 	if !b.closed {
 		b.closed = true
 		close(b.lines)
 	}
+	if !b.closeBy.IsZero() && b.closeBy.Before(end) {
+		end = b.closeBy
+	}
 	b.mu.Unlock()
-	ended, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	ended, cancel := context.WithDeadline(context.Background(), end)
 	var waiting errgroup.Group
 	waiting.Go(func() error {
 		defer cancel()
--- a/core/logger/bounded_test.go
+++ b/core/logger/bounded_test.go
@@ -43,6 +43,18 @@
 	target.mu.Unlock()
 }
 
+func TestStuckWriterDelaysExit(t *testing.T) {
+	target := &lockableWriter{}
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	bounded := logger.NewBounded(target)
+	_, _ = io.WriteString(bounded, "line\n")
+	end := time.Now().Add(50 * time.Millisecond)
+	bounded.CloseBy(end)
+	bounded.Close()
+	assert.Assert(t, time.Since(end) < 300*time.Millisecond, "closed %s late", time.Since(end))
+}
+
 func TestDroppedLinesAreCounted(t *testing.T) {
 	target := &lockableWriter{}
 	bounded := logger.NewBounded(target)
--- a/core/stopper/stopper.go
+++ b/core/stopper/stopper.go
@@ -12,9 +12,11 @@
 	// broken off: for their answers, and for the end of the process.
 	marginShare = 0.10
 	maxMargin   = 2 * time.Second
-	// closeShare and endShare are the fractions of the margin after which connections are closed and the process ends.
+	// closeShare, endShare and exitShare are the fractions of the margin after which connections are closed, background
+	// tasks have ended and the process exits.
 	closeShare = 0.50
 	endShare   = 0.80
+	exitShare  = 0.95
 )
 
 // Policy holds the settings of a stop. The process must have ended after Grace. Leave is the time in which the fleet and
@@ -28,14 +30,15 @@
 
 // Plan holds the times of one stop. Connections are accepted until ListenUntil. Requests of other nodes that arrive
 // later are refused, and so are callers' requests that arrive after AcceptUntil. Requests in progress are broken off at
-// BreakOffAt, connections are closed at CloseAt, and the process has ended at EndAt, shortly before the end of the grace
-// period.
+// BreakOffAt, connections are closed at CloseAt, background tasks are given up at EndAt, and the process exits at ExitAt,
+// shortly before the end of the grace period.
 type Plan struct {
 	ListenUntil time.Time
 	AcceptUntil time.Time
 	BreakOffAt  time.Time
 	CloseAt     time.Time
 	EndAt       time.Time
+	ExitAt      time.Time
 }
 
 // New returns the plan of a stop whose signal arrived at now.
@@ -50,6 +53,7 @@
 		BreakOffAt:  breakOff,
 		CloseAt:     breakOff.Add(share(margin, closeShare)),
 		EndAt:       breakOff.Add(share(margin, endShare)),
+		ExitAt:      breakOff.Add(share(margin, exitShare)),
 	}
 }
 
--- a/core/stopper/stopper_test.go
+++ b/core/stopper/stopper_test.go
@@ -21,7 +21,8 @@
 		policy := stopper.Policy{Grace: span.Draw(t, "grace"), Leave: span.Draw(t, "leave"), LastRequest: span.Draw(t, "last request")}
 		plan := stopper.New(signalled, policy)
 		times := []time.Time{
-			signalled, plan.ListenUntil, plan.AcceptUntil, plan.BreakOffAt, plan.CloseAt, plan.EndAt, signalled.Add(max(policy.Grace, 0)),
+			signalled, plan.ListenUntil, plan.AcceptUntil, plan.BreakOffAt, plan.CloseAt, plan.EndAt, plan.ExitAt,
+			signalled.Add(max(policy.Grace, 0)),
 		}
 		for i, end := range times[1:] {
 			assert.Assert(t, !end.Before(times[i]), "%d: %v", i, times)
@@ -65,18 +66,21 @@
 			stopper.Policy{Grace: 6 * time.Second, Leave: 3 * time.Second, LastRequest: 500 * time.Millisecond},
 			stopper.Plan{
 				ListenUntil: after(1800), AcceptUntil: after(2100), BreakOffAt: after(5400), CloseAt: after(5700), EndAt: after(5880),
+				ExitAt: after(5970),
 			},
 		},
 		"long grace period": {
 			stopper.Policy{Grace: time.Minute, Leave: 3 * time.Second, LastRequest: 500 * time.Millisecond},
 			stopper.Plan{
 				ListenUntil: after(3000), AcceptUntil: after(3500), BreakOffAt: after(58000), CloseAt: after(59000), EndAt: after(59600),
+				ExitAt: after(59900),
 			},
 		},
 		"no grace period": {
 			stopper.Policy{Leave: time.Second, LastRequest: time.Second},
 			stopper.Plan{
 				ListenUntil: signalled, AcceptUntil: signalled, BreakOffAt: signalled, CloseAt: signalled, EndAt: signalled,
+				ExitAt: signalled,
 			},
 		},
 	} {
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -57,6 +57,7 @@
 		return group.Wait()
 	})
 	node.Log().Part("node").Info("node stopped", "node", settings.Name)
+	writer.CloseBy(node.ExitAt())
 	return err
 }
 
--- a/node/pkg/starter/stop.go
+++ b/node/pkg/starter/stop.go
@@ -75,6 +75,14 @@
 	}
 }
 
+// ExitAt returns the time at which the process must exit, or the zero time if the node is not stopping.
+func (n *Node) ExitAt() time.Time {
+	if plan := n.plan.Load(); plan != nil {
+		return plan.ExitAt
+	}
+	return time.Time{}
+}
+
 // wait waits until end or until ctx ends.
 func wait(ctx context.Context, end time.Time) error {
 	select {
