Let callers whom a stopping node refuses come back after a pause

A request that came late in a stop was refused with Retry-After 0 on the users' platform: the refusal did not pass through the code that sets the time of the retry. The caller came back at once, to a node that refuses it again or is gone.

TestRefusedCallerReturnsAtOnce fails without the change ("0001-01-01").

--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -80,10 +80,6 @@
 // error is a refusal.
 func (a *Acceptor) Serve(ctx context.Context, call Call) (forwarder.Answer, error) {
 	counter.Name(ctx, call.ID)
-	if a.Refuses != nil && a.Refuses(time.Now()) {
-		a.RouteLog.Info("request refused", "request", call.ID, "kind", refuser.NodeStopping, "outcome", refuser.NotRun{})
-		return forwarder.Answer{}, refuser.Refuse(refuser.NodeStopping, "")
-	}
 	answer, objective, err := a.answer(ctx, call)
 	if err != nil {
 		refusal := *refuser.From(err)
@@ -97,7 +93,7 @@
 
 // answer serves call. It also returns the objective of the request's route, or 0 if the route is unknown or has none.
 func (a *Acceptor) answer(ctx context.Context, call Call) (forwarder.Answer, time.Duration, error) {
-	if err := checkCall(call); err != nil {
+	if err := a.check(call); err != nil {
 		return forwarder.Answer{}, 0, err
 	}
 	view := a.Viewer.View()
@@ -141,6 +137,14 @@
 	return answer, head.Objective, err
 }
 
+// check refuses a call that is invalid, and any call while the node stops.
+func (a *Acceptor) check(call Call) error {
+	if a.Refuses != nil && a.Refuses(time.Now()) {
+		return refuser.Refuse(refuser.NodeStopping, "")
+	}
+	return checkCall(call)
+}
+
 // chargeRetry charges a nested call to the shared retry budget, with the probability that the request which made it is
 // a retry.
 func (a *Acceptor) chargeRetry(head forwarder.Head) {
