--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -13,6 +13,7 @@
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
+	"samphiremount.example/node/pkg/counter"
 	"samphiremount.example/node/pkg/forwarder"
 	"samphiremount.example/node/pkg/viewer"
 )
@@ -35,6 +36,8 @@
 	// RetryFraction returns the fraction of the repeatable requests now running on the targets of this VM that were
 	// sent to another target before. Calls that such a request makes count as retries too.
 	RetryFraction func() (fraction float64)
+	// Refuses reports whether requests that arrive at now are refused because the node stops; nil refuses none.
+	Refuses func(now time.Time) bool
 	// UseLostNodes lets requests go to nodes that the control process has declared lost, as long as this node reaches them.
 	UseLostNodes bool
 	// HedgeAfter is the fraction of its objective that must pass before a repeatable request is sent to a second target;
@@ -76,6 +79,7 @@
 // Serve authenticates, admits, routes and forwards call, and returns the target's answer, whose Body must be closed. The
 // error is a refusal.
 func (a *Acceptor) Serve(ctx context.Context, call Call) (forwarder.Answer, error) {
+	counter.Name(ctx, call.ID)
 	answer, objective, err := a.answer(ctx, call)
 	if err != nil {
 		refusal := *refuser.From(err)
@@ -89,7 +93,7 @@
 
 // answer serves call. It also returns the objective of the request's route, or 0 if the route is unknown or has none.
 func (a *Acceptor) answer(ctx context.Context, call Call) (forwarder.Answer, time.Duration, error) {
-	if err := checkCall(call); err != nil {
+	if err := a.check(call); err != nil {
 		return forwarder.Answer{}, 0, err
 	}
 	view := a.Viewer.View()
@@ -133,6 +137,14 @@
 	return answer, head.Objective, err
 }
 
+// check refuses a call that is invalid, and any call while the node stops.
+func (a *Acceptor) check(call Call) error {
+	if a.Refuses != nil && a.Refuses(time.Now()) {
+		return refuser.Refuse(refuser.NodeStopping, "")
+	}
+	return checkCall(call)
+}
+
 // chargeRetry charges a nested call to the shared retry budget, with the probability that the request which made it is
 // a retry.
 func (a *Acceptor) chargeRetry(head forwarder.Head) {
--- a/node/pkg/starter/callers.go
+++ b/node/pkg/starter/callers.go
@@ -13,31 +13,23 @@
 const (
 	viewTimeout      = 5 * time.Second
 	viewPollInterval = 10 * time.Millisecond
-	lastRefusalDelay = 200 * time.Millisecond
 
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeadBytes      = 64 << 10
 )
 
-// serveCallers serves callers until ctx or background ends. Then the node leaves the directory and keeps serving for
-// Stop.LeaveDelay, during which each answer closes its connection. Idle connections are closed only after that,
-// because a request that the caller sends while the node closes the connection is lost.
+// serveCallers serves callers until ctx or background ends, and then stops the node.
 func (n *Node) serveCallers(ctx, background context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if n.leaving.Load() {
-				w.Header().Set("Connection", "close")
-			}
-			handler.ServeHTTP(w, r)
-		}),
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+		Handler: n.trackCallers(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeadBytes, ConnState: n.connections.set,
 	}
 	n.awaitView(ctx)
 	group, running := errgroup.WithContext(background)
 	group.Go(func() error {
 		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) || n.leaving.Load() && errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, http.ErrServerClosed) || n.plan.Load() != nil && errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		return errors.Wrap(err, "serve callers")
@@ -47,16 +39,7 @@
 		case <-ctx.Done():
 		case <-running.Done():
 		}
-		n.leaving.Store(true)
-		n.reporter.Leave()
-		n.log.Part("node").Info("node leaving", "reason", "shutdown requested")
-		wait(running, n.options.Stop.LeaveDelay)
-		// Shutdown drops requests that it has not read yet, so the last accepted connections get time to send theirs.
-		_ = listener.Close()
-		wait(running, n.options.Stop.LastRequestDelay)
-		graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.options.Stop.Grace)
-		defer cancel()
-		return errors.Wrap(server.Shutdown(graceCtx), "wait for callers' requests")
+		return n.stop(running, server, listener)
 	})
 	return group.Wait()
 }
@@ -80,20 +63,3 @@
 		}
 	}
 }
-
-// stopGate refuses new requests of other nodes and waits for those in progress.
-func (n *Node) stopGate(ctx context.Context) error {
-	graceCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), n.options.Stop.Grace)
-	defer cancel()
-	err := n.forwarder.Stop(graceCtx)
-	// Requests that are arriving now need time to get their refusal before the connections are closed.
-	wait(graceCtx, lastRefusalDelay)
-	return err
-}
-
-func wait(ctx context.Context, delay time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(delay):
-	}
-}
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"samphiremount.example/core/allocator"
@@ -26,13 +25,16 @@
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
+	"samphiremount.example/core/stopper"
 	"samphiremount.example/core/synchronizer"
 	"samphiremount.example/core/timekeeper"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/cacher"
 	"samphiremount.example/node/pkg/connector"
+	"samphiremount.example/node/pkg/counter"
 	"samphiremount.example/node/pkg/enroller"
+	"samphiremount.example/node/pkg/finisher"
 	"samphiremount.example/node/pkg/forwarder"
 	"samphiremount.example/node/pkg/gatekeeper"
 	"samphiremount.example/node/pkg/limiter"
@@ -64,7 +66,7 @@
 	// AnnouncementLifetime is how long a target's announcement is valid.
 	AnnouncementLifetime time.Duration
 	Protocol             gatekeeper.Protocol
-	Stop                 Stop
+	Stop                 stopper.Policy
 	Router               router.Router
 	// RetryPolicy returns the retry policy for a fleet with that number of nodes.
 	RetryPolicy func(nodes int) retrier.Policy
@@ -79,15 +81,6 @@
 	FallbackSlack float64
 }
 
-// Stop holds the durations of a shutdown. After the node has announced that it leaves, it accepts connections for
-// LeaveDelay. Then it waits LastRequestDelay for requests on the last connections, and at most Grace for the requests
-// in progress.
-type Stop struct {
-	LeaveDelay       time.Duration
-	LastRequestDelay time.Duration
-	Grace            time.Duration
-}
-
 // Node is one node without the listeners and handlers for callers and targets.
 type Node struct {
 	Acceptor *acceptor.Acceptor
@@ -109,7 +102,10 @@
 	lender      *lender.Lender
 	watcher     *watcher.Watcher
 	forwarder   *forwarder.Server
-	leaving     atomic.Bool
+	plan        atomic.Pointer[stopper.Plan]
+	callers     *finisher.Finisher
+	tasks       *counter.Counter
+	connections *connectionStates
 }
 
 // New returns a node. Its initial state is the cache in its data folder, if there is one.
@@ -121,7 +117,7 @@
 	view := viewer.New(hub)
 	n := &Node{
 		Viewer: view, options: options, credentials: credentials, log: log, mux: messenger.Mux{},
-		pool: messenger.NewPool(credentials),
+		pool: messenger.NewPool(credentials), callers: finisher.New(), tasks: counter.New(), connections: newConnectionStates(),
 		reporter: reporter.New(tracker.Node{
 			Name: options.Name, Region: options.Region, Centre: options.Centre, Incarnation: incarnation,
 			Address: options.Fleet, Entry: options.Entry,
@@ -179,7 +175,7 @@
 	n.Acceptor = acceptor.New(acceptor.Dependencies{
 		Name: n.options.Name, Viewer: n.Viewer, Client: client, Limiter: n.limiter, Retrier: retrier.NewWith(n.retryPolicy),
 		Watcher: n.watcher, Locality: n.options.Router.Locality(), Router: n.options.Router, UseLostNodes: n.options.UseLostNodes,
-		HedgeAfter: n.options.HedgeAfter, Budget: n.budget, RetryFraction: gate.RetryFraction,
+		HedgeAfter: n.options.HedgeAfter, Budget: n.budget, RetryFraction: gate.RetryFraction, Refuses: n.refusesCallers,
 		Random:   rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 		RouteLog: n.log.Part("route"), AdmitLog: n.log.Part("admit"),
 	})
@@ -300,7 +296,7 @@
 
 // Ready reports whether the node can serve requests: it has a configuration and a directory, and is not stopping.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.hasView()
+	return n.plan.Load() == nil && n.hasView()
 }
 
 // hasView reports whether the node has a configuration and a directory.
@@ -314,33 +310,35 @@
 
 // Run runs the node until ctx ends, with fleet as the listener for other processes, and callers and handler for
 // callers. It runs local until the last request has ended. On shutdown the node first leaves the directory, then
-// finishes the callers' requests, then the requests that other nodes sent to its gate, and at last closes the stream
-// to control.
+// finishes the callers' requests and those that other nodes sent to its gate, and at last closes the stream to control.
+// It returns at the end of the stop's plan at the latest, with an error if a task has not ended by then.
 func (n *Node) Run(
 	ctx context.Context, fleet, callers net.Listener, handler http.Handler, local func(ctx context.Context) error,
 ) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
-	tasks := []func(context.Context) error{
-		local, n.Enroller.Run, n.connector.Run, n.client.Run, n.prober.Run, n.limiter.Run, n.watcher.Run,
-		n.budget.Run,
+	tasks := map[string]func(context.Context) error{
+		"local": local, "enroll": n.Enroller.Run, "connect": n.connector.Run, "subscribe": n.client.Run, "probe": n.prober.Run,
+		"admit": n.limiter.Run, "eject": n.watcher.Run, "budget": n.budget.Run,
 	}
 	if n.options.Data != "" {
-		tasks = append(tasks, n.cacher.Run)
+		tasks["keep"] = n.cacher.Run
 	}
 	if n.lender != nil {
-		tasks = append(tasks, n.lender.Run)
-	}
-	for _, task := range tasks {
-		group.Go(func() error { return task(background) })
+		tasks["lend"] = n.lender.Run
 	}
 	server := messenger.NewServer(n.credentials, n.mux, n.log.Part("fleet"))
-	group.Go(func() error { return server.Serve(background, fleet) })
+	tasks["fleet"] = func(ctx context.Context) error { return server.Serve(ctx, fleet) }
+	for name, task := range tasks {
+		group.Go(func() error { return n.runTask(background, name, task) })
+	}
+	stopped := make(chan struct{})
 	group.Go(func() error {
+		defer close(stopped)
 		defer stopBackground()
-		err := n.serveCallers(ctx, background, callers, handler)
-		return errors.Join(err, n.stopGate(ctx))
+		return n.serveCallers(ctx, background, callers, handler)
 	})
-	return group.Wait()
+	<-stopped
+	return n.logStep("tasks", func() error { return n.awaitTasks(group) })
 }
