Take an answer without ID only for the first on its connection

A server that wrote an earlier refusal once more on a kept connection made the gate promise "not run" for a request that the server was running: the answer of another attempt was recognized by its ID, but one without an ID was believed on any connection. Callers got 503 for requests that ran (REFUSED), or the entry sent them to a second server (TWICE). In the same way a caller could get an extra 200 without ID that belonged to another request (MIXED).

The connector now says whether the connection has carried an earlier exchange. On such a connection an answer without ID may be that of any of them, so its outcome is unknown and the connection is closed. On a connection's first exchange there is no other request to which it can belong.

--- a/node/pkg/connector/conn.go
+++ b/node/pkg/connector/conn.go
@@ -25,6 +25,7 @@
 	reader    *bufio.Reader
 	limited   *io.LimitedReader
 	idleSince time.Time
+	reused    bool
 	written   atomic.Bool
 }
 
--- a/node/pkg/connector/connector.go
+++ b/node/pkg/connector/connector.go
@@ -61,6 +61,7 @@
 			break
 		}
 		if pooled.idleSince.After(usedAfter) && pooled.usable() {
+			pooled.reused = true
 			return pooled, nil
 		}
 		c.counts.Add("stale_connections", 1)
--- a/node/pkg/connector/exchange.go
+++ b/node/pkg/connector/exchange.go
@@ -33,18 +33,26 @@
 	complete   bool
 }
 
+// Answer is the answer of a target. Reused is set if the connection has carried an earlier exchange, to which the answer
+// may belong.
+type Answer struct {
+	*http.Response
+
+	Reused bool
+}
+
 // Exchange sends request to the target at address once and returns the answer, whose Body must be closed. The error
 // is a *Failure. If ctx ends, the exchange is aborted, even while the body of the answer is read.
 func (c *Connector) Exchange(
 	ctx context.Context, address string, request *http.Request, repeatable bool,
-) (*http.Response, error) {
+) (Answer, error) {
 	usedAfter := time.Now().Add(-maxReuseIdle)
 	if repeatable {
 		usedAfter = time.Now().Add(-idleTimeout)
 	}
 	conn, err := c.connect(ctx, address, usedAfter)
 	if err != nil {
-		return nil, &Failure{Sent: false, Cause: err}
+		return Answer{}, &Failure{Sent: false, Cause: err}
 	}
 	conn.written.Store(false)
 	e := &exchange{connector: c, conn: conn}
@@ -53,10 +61,10 @@
 		e.stopCancel()
 		// The connection is closed first, so that no more bytes can leave after written is read.
 		_ = conn.Close()
-		return nil, &Failure{Sent: conn.written.Load(), Cause: err}
+		return Answer{}, &Failure{Sent: conn.written.Load(), Cause: err}
 	}
 	e.response.Body = &answerBody{ReadCloser: e.response.Body, exchange: e}
-	return e.response, nil
+	return Answer{Response: e.response, Reused: conn.reused}, nil
 }
 
 func (e *exchange) run(request *http.Request) error {
--- a/node/pkg/gatekeeper/endless_test.go
+++ b/node/pkg/gatekeeper/endless_test.go
@@ -34,7 +34,7 @@
 // decliningProtocol is the default protocol with the status 503 for requests that the target did not run.
 type decliningProtocol struct{ gatekeeper.DefaultProtocol }
 
-func (decliningProtocol) Classify(_ http.Header, status int, _ forwarder.Head) gatekeeper.Verdict {
+func (decliningProtocol) Classify(_ http.Header, status int, _ forwarder.Head, _ bool) gatekeeper.Verdict {
 	if status == http.StatusServiceUnavailable {
 		return gatekeeper.Declined{Kind: refuser.CapacityShort}
 	}
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -177,7 +177,7 @@
 	return forwarder.Answer{
 		Status: response.StatusCode,
 		Header: response.Header,
-		Body: &slotBody{ReadCloser: response.Body, response: response, release: func(end bodyEnd) {
+		Body: &slotBody{ReadCloser: response.Body, response: response.Response, release: func(end bodyEnd) {
 			if alone && end == bodyComplete {
 				g.clearSuspicion(content)
 			}
@@ -226,10 +226,10 @@
 	return func() { count(-1) }
 }
 
-// checkResponse returns a refusal if the target did not run the request, or if the answer belongs to another request.
+// checkResponse returns a refusal if the target did not run the request, or if the answer may belong to another request.
 // In the latter case the body stays unread, because the connection must not be reused. abort ends the exchange.
-func (g *Gatekeeper) checkResponse(head forwarder.Head, response *http.Response, abort func()) *refuser.Refusal {
-	switch verdict := g.protocol.Classify(response.Header, response.StatusCode, head).(type) {
+func (g *Gatekeeper) checkResponse(head forwarder.Head, response connector.Answer, abort func()) *refuser.Refusal {
+	switch verdict := g.protocol.Classify(response.Header, response.StatusCode, head, response.Reused).(type) {
 	case Declined:
 		timer := time.AfterFunc(maxDrainTime, abort)
 		drain(response.Body)
@@ -237,7 +237,7 @@
 		return refuser.From(refuser.Refuse(verdict.Kind, "the target did not run it"))
 	case Mismatched:
 		g.counts.Add("crossed_answers", 1)
-		return refuser.From(refuser.Fail(refuser.OutcomeUnknown, "the target answered another request"))
+		return refuser.From(refuser.Fail(refuser.OutcomeUnknown, "the answer may belong to another request"))
 	case Ran:
 	}
 	return nil
--- a/node/pkg/gatekeeper/protocol.go
+++ b/node/pkg/gatekeeper/protocol.go
@@ -14,8 +14,9 @@
 type Protocol interface {
 	// Prepare adds headers for the target to those of the caller; remaining is the time until the deadline.
 	Prepare(header http.Header, head forwarder.Head, target registrar.Announcement, remaining time.Duration)
-	// Classify returns what the head of an answer states about the request.
-	Classify(header http.Header, status int, head forwarder.Head) Verdict
+	// Classify returns what the head of an answer states about the request. If reused is set, the connection has carried an
+	// earlier request, whose answer may have been repeated or come late.
+	Classify(header http.Header, status int, head forwarder.Head, reused bool) Verdict
 }
 
 // Verdict is what a target's answer states about the request. It is Ran, Declined or Mismatched.
@@ -28,7 +29,7 @@
 // returns.
 type Declined struct{ Kind refuser.Kind }
 
-// Mismatched means that the answer belongs to another request.
+// Mismatched means that the answer belongs to another request, or may do so.
 type Mismatched struct{}
 
 func (Ran) verdict()        {}
@@ -58,4 +59,4 @@
 }
 
 // Classify implements Protocol.
-func (DefaultProtocol) Classify(http.Header, int, forwarder.Head) Verdict { return Ran{} }
+func (DefaultProtocol) Classify(http.Header, int, forwarder.Head, bool) Verdict { return Ran{} }
