Send a declined request again on a new connection only

A target refuses a request, and the request comes to it again: its entry has tried all targets once, or another entry got the same attempt of the client. Both refusals carry the same ID.

The gate remembers for a minute which requests a target declined (core/decliner). It sends such a request on a new connection, where nothing earlier can arrive, and believes no refusal of it on a kept one, for the case that both attempts were under way at the same time. While the memory is full, all requests whose answers carry an ID are sent on new connections.

--- /dev/null
+++ b/core/decliner/decliner_test.go
@@ -0,0 +1,38 @@
+package decliner_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/decliner"
+)
+
+func TestDeclinedRequestsAreRemembered(t *testing.T) {
+	start := time.Unix(1000, 0)
+	request := decliner.Request{Target: "a", ID: "x"}
+	d := decliner.New(3)
+	assert.Assert(t, !d.MayHaveDeclined(start, request))
+	d.Record(start, request)
+	assert.Assert(t, d.MayHaveDeclined(start.Add(time.Minute), request))
+	assert.Assert(t, !d.MayHaveDeclined(start, decliner.Request{Target: "b", ID: "x"}))
+
+	// The second time extends the deadline.
+	d.Record(start.Add(30*time.Second), request)
+	assert.Assert(t, d.MayHaveDeclined(start.Add(80*time.Second), request))
+	assert.Assert(t, !d.MayHaveDeclined(start.Add(91*time.Second), request))
+}
+
+// TestFullMemoryDeclaresNoRequestNew guards against a request that is taken for a new one because it was not remembered.
+func TestFullMemoryDeclaresNoRequestNew(t *testing.T) {
+	start := time.Unix(1000, 0)
+	d := decliner.New(2)
+	for _, id := range []string{"x", "y", "z"} {
+		d.Record(start, decliner.Request{Target: "a", ID: id})
+	}
+	for _, id := range []string{"x", "z", "never sent"} {
+		assert.Assert(t, d.MayHaveDeclined(start, decliner.Request{Target: "a", ID: id}), id)
+	}
+	assert.Assert(t, !d.MayHaveDeclined(start.Add(61*time.Second), decliner.Request{Target: "a", ID: "never sent"}))
+}
--- a/node/pkg/connector/connector.go
+++ b/node/pkg/connector/connector.go
@@ -53,9 +53,26 @@
 	}
 }
 
-// connect returns an idle connection that was last used after usedAfter, or else a new one.
-func (c *Connector) connect(ctx context.Context, address string, usedAfter time.Time) (*conn, error) {
-	for {
+// Reuse states which pooled connections an exchange may use.
+type Reuse int
+
+const (
+	// ReuseNone makes the exchange open a new connection, on which no answer to an earlier request can arrive.
+	ReuseNone Reuse = iota
+	// ReuseRecent allows a connection that was idle for maxReuseIdle at most.
+	ReuseRecent
+	// ReuseAny allows any idle connection. It is for repeatable requests.
+	ReuseAny
+)
+
+// connect returns an idle connection that reuse allows, or else a new one.
+func (c *Connector) connect(ctx context.Context, address string, reuse Reuse) (*conn, error) {
+	maxIdle := idleTimeout
+	if reuse == ReuseRecent {
+		maxIdle = maxReuseIdle
+	}
+	usedAfter := time.Now().Add(-maxIdle)
+	for reuse != ReuseNone {
 		pooled := c.take(address)
 		if pooled == nil {
 			break
--- a/node/pkg/connector/connector_test.go
+++ b/node/pkg/connector/connector_test.go
@@ -80,7 +80,7 @@
 	t *testing.T, c *connector.Connector, address net.Addr, request *http.Request,
 ) (status int, content string, err error) {
 	t.Helper()
-	response, err := c.Exchange(t.Context(), address.String(), request, false)
+	response, err := c.Exchange(t.Context(), address.String(), request, connector.ReuseRecent)
 	if err != nil {
 		return 0, "", err
 	}
@@ -196,7 +196,8 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	request := newRequest(http.MethodPost, nil, 0)
-	_, err := connector.New(new(expvar.Map)).Exchange(ctx, target.Addr().String(), request, false) //nolint:bodyclose // it fails
+	c := connector.New(new(expvar.Map))
+	_, err := c.Exchange(ctx, target.Addr().String(), request, connector.ReuseRecent) //nolint:bodyclose // it fails
 	var failure *connector.Failure
 	assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%v", err)
 }
--- a/node/pkg/connector/exchange.go
+++ b/node/pkg/connector/exchange.go
@@ -44,13 +44,9 @@
 // Exchange sends request to the target at address once and returns the answer, whose Body must be closed. The error
 // is a *Failure. If ctx ends, the exchange is aborted, even while the body of the answer is read.
 func (c *Connector) Exchange(
-	ctx context.Context, address string, request *http.Request, repeatable bool,
+	ctx context.Context, address string, request *http.Request, reuse Reuse,
 ) (Answer, error) {
-	usedAfter := time.Now().Add(-maxReuseIdle)
-	if repeatable {
-		usedAfter = time.Now().Add(-idleTimeout)
-	}
-	conn, err := c.connect(ctx, address, usedAfter)
+	conn, err := c.connect(ctx, address, reuse)
 	if err != nil {
 		return Answer{}, &Failure{Sent: false, Cause: err}
 	}
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"samphiremount.example/core/breaker"
+	"samphiremount.example/core/decliner"
 	"samphiremount.example/core/estimator"
 	"samphiremount.example/core/observer"
 	"samphiremount.example/core/quarantiner"
@@ -48,6 +49,7 @@
 	mu         sync.Mutex
 	states     map[string]*targetState
 	tombstoner *tombstoner.Tombstoner
+	decliner   *decliner.Decliner
 
 	protocol          Protocol
 	runningRepeatable int
@@ -75,6 +77,7 @@
 		counts:         counts,
 		log:            log,
 		states:         make(map[string]*targetState),
+		decliner:       decliner.New(decliner.Capacity),
 		tombstoner:     tombstoner.New(incarnation, tombstoner.Capacity),
 		quarantiner:    quarantiner.New(),
 		broadcastCrash: broadcastCrash,
@@ -152,7 +155,7 @@
 	defer g.countRepeatable(head)()
 	g.protocol.Prepare(request.Header, head, target, time.Until(head.Deadline))
 	recordResult := g.trackAttempt(target, head)
-	response, err := g.connector.Exchange(exchangeContext, target.Address, request, head.Repeatable) //nolint:bodyclose // slotBody closes it
+	response, err := g.connector.Exchange(exchangeContext, target.Address, request, g.reuse(head)) //nolint:bodyclose // slotBody closes it
 	if err != nil {
 		refusal := toRefusal(ctx, err)
 		if g.detectCrash(ctx, head, target, content, alone, err) {
@@ -231,18 +234,26 @@
 func (g *Gatekeeper) checkResponse(head forwarder.Head, response connector.Answer, abort func()) *refuser.Refusal {
 	switch verdict := g.protocol.Classify(response.Header, response.StatusCode, head, response.Reused).(type) {
 	case Declined:
+		if response.Reused && g.mayHaveDeclined(head) {
+			return g.mismatch()
+		}
+		g.recordDecline(head)
 		timer := time.AfterFunc(maxDrainTime, abort)
 		drain(response.Body)
 		timer.Stop()
 		return refuser.From(refuser.Refuse(verdict.Kind, "the target did not run it"))
 	case Mismatched:
-		g.counts.Add("crossed_answers", 1)
-		return refuser.From(refuser.Fail(refuser.OutcomeUnknown, "the answer may belong to another request"))
+		return g.mismatch()
 	case Ran:
 	}
 	return nil
 }
 
+func (g *Gatekeeper) mismatch() *refuser.Refusal {
+	g.counts.Add("crossed_answers", 1)
+	return refuser.From(refuser.Fail(refuser.OutcomeUnknown, "the answer may belong to another request"))
+}
+
 // registerStart records the identity of the request as started. It returns a refusal if the identity has a tombstone,
 // is a duplicate, belongs to another incarnation or cannot be recorded, or if its latest start has passed.
 func (g *Gatekeeper) registerStart(ctx context.Context, head forwarder.Head) error {
--- a/node/pkg/gatekeeper/protocol.go
+++ b/node/pkg/gatekeeper/protocol.go
@@ -14,6 +14,9 @@
 type Protocol interface {
 	// Prepare adds headers for the target to those of the caller; remaining is the time until the deadline.
 	Prepare(header http.Header, head forwarder.Head, target registrar.Announcement, remaining time.Duration)
+	// RequestID returns the ID that the target's answers to the request carry, or "" if they carry none. All attempts at a
+	// request have the same.
+	RequestID(head forwarder.Head) string
 	// Classify returns what the head of an answer states about the request. If reused is set, the connection has carried an
 	// earlier request, whose answer may have been repeated or come late.
 	Classify(header http.Header, status int, head forwarder.Head, reused bool) Verdict
@@ -58,5 +61,8 @@
 	header.Set(headerRemaining, strconv.FormatInt(max(remaining.Milliseconds(), 0), 10))
 }
 
+// RequestID implements Protocol.
+func (DefaultProtocol) RequestID(forwarder.Head) string { return "" }
+
 // Classify implements Protocol.
 func (DefaultProtocol) Classify(http.Header, int, forwarder.Head, bool) Verdict { return Ran{} }
