Test answers and requests that break off at each byte

A report from elsewhere: a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. No reader of HTTP messages here does that. The tests were green from the start:

- connector: 15 forms of answers (sized, chunked, with trailer, without length, HTTP/1.0, line feeds only, folded lines, interim, HEAD, ...), each cut at each byte: an error, and the request counts as sent
- through gate and entry: a 200 whose head is cut at each byte becomes a 504 with the outcome unknown
- a caller's request that is cut at each byte runs nowhere
- samphire asks another control process after an answer that is cut at any byte

go test -race -count=1 ./pkg/connector ./pkg/acceptor in node, and ./pkg/client in ctl: ok.

--- a/ctl/pkg/client/client_test.go
+++ b/ctl/pkg/client/client_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -92,3 +94,25 @@
 	assert.NilError(t, results[2].Err)
 	assert.Equal(t, len(fakes[0].seen)+len(fakes[1].seen), 2)
 }
+
+// TestAnswerThatBreaksOffIsAskedForElsewhere lets a control process stop at each byte of its answer.
+func TestAnswerThatBreaksOffIsAskedForElsewhere(t *testing.T) {
+	const broken = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{\"version\":1}"
+	var size atomic.Int64
+	first := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, broken[:size.Load()])
+		_ = conn.Close()
+	}))
+	fake := &fakeControl{applied: map[string]uint64{"one": 2}}
+	api := client.New([]string{first, serve(t, fake)}, "token")
+	for n := range len(broken) {
+		size.Store(int64(n))
+		receipt, err := api.Change(t.Context(), client.Batch{Operation: "one"})
+		assert.NilError(t, err)
+		assert.Equal(t, receipt.Version, uint64(2), "%q", broken[:n])
+	}
+}
--- a/node/pkg/acceptor/acceptor_test.go
+++ b/node/pkg/acceptor/acceptor_test.go
@@ -160,6 +160,39 @@
 	}
 }
 
+// TestHeadThatBreaksOffBecomesNoAnswer covers targets that close the connection in the middle of an answer's head. A caller
+// would take what is left for a whole answer.
+func TestHeadThatBreaksOffBecomesNoAnswer(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\nConnection: close\r\n\r\n"
+	var size atomic.Int64
+	f := newFleet(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer[:size.Load()])
+		_ = conn.Close()
+	}))
+	for n := range len(answer) {
+		size.Store(int64(n))
+		reply := do(t, f.request(t, http.MethodPost, "/bookings"))
+		assert.Equal(t, reply.status, http.StatusGatewayTimeout, "%q", answer[:n])
+		assert.Equal(t, reply.header.Get("Samphire-Outcome"), "unknown", "%q", answer[:n])
+	}
+}
+
+// TestRequestThatBreaksOffIsNotRun covers callers that close the connection in the middle of a request.
+func TestRequestThatBreaksOffIsNotRun(t *testing.T) {
+	var runs atomic.Int64
+	f := newFleet(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	text := "POST /bookings HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + f.key + "\r\nContent-Length: 4\r\n\r\nbody"
+	for n := range len(text) {
+		line := sendRaw(t, f, text[:n])
+		assert.Assert(t, line == "" || strings.HasPrefix(line, "HTTP/1.1 4"), "%q: %s", text[:n], line)
+	}
+	assert.Equal(t, runs.Load(), int64(0))
+}
+
 func TestFailedTargetIsRetriedOnlyWhereThatIsSafe(t *testing.T) {
 	var bookings, lookups atomic.Int64
 	failing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/node/pkg/connector/connector_test.go
+++ b/node/pkg/connector/connector_test.go
@@ -22,8 +22,11 @@
 	"samphiremount.example/node/pkg/connector"
 )
 
+// cut at the end of a target's answer closes the connection there.
+const cut = "\x00cut"
+
 // target is a server that calls answer for the n-th request on all its connections and writes the result. An empty
-// result, or one that contains "short", closes the connection.
+// result, or one that contains "short" or ends with cut, closes the connection.
 type target struct {
 	net.Listener
 
@@ -58,8 +61,8 @@
 		}
 		n := t.requests.Add(1)
 		_, _ = io.Copy(io.Discard, request.Body)
-		text := answer(n, request)
-		if _, err := io.WriteString(conn, text); err != nil || text == "" || strings.Contains(text, "short") {
+		text, last := strings.CutSuffix(answer(n, request), cut)
+		if _, err := io.WriteString(conn, text); err != nil || last || text == "" || strings.Contains(text, "short") {
 			return
 		}
 	}
@@ -162,6 +165,46 @@
 	}
 }
 
+// TestAnswerThatBreaksOffIsNeverWhole lets a target stop at each byte of its answer and close the connection.
+func TestAnswerThatBreaksOffIsNeverWhole(t *testing.T) {
+	const (
+		sized   = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\n0123456789"
+		chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n"
+		endless = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+	)
+	for name, test := range map[string]struct{ method, answer string }{
+		"sized":              {http.MethodPost, sized},
+		"sized and closed":   {http.MethodPost, strings.Replace(sized, "OK\r\n", "OK\r\nConnection: close\r\n", 1)},
+		"empty":              {http.MethodPost, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+		"chunked":            {http.MethodPost, chunked},
+		"chunked and closed": {http.MethodPost, strings.Replace(chunked, "OK\r\n", "OK\r\nConnection: close\r\n", 1)},
+		"with trailer":       {http.MethodPost, strings.Replace(chunked, "0\r\n\r\n", "0\r\nSum: 12\r\nCount: 34\r\n\r\n", 1)},
+		"chunk extension":    {http.MethodPost, strings.Replace(chunked, "4\r\n", "4;a=b\r\n", 1)},
+		"without length":     {http.MethodPost, endless},
+		"HTTP/1.0":           {http.MethodPost, strings.Replace(endless, "1.1", "1.0", 1)},
+		"without any header": {http.MethodPost, "HTTP/1.1 200 OK\r\n\r\n"},
+		"line feeds only":    {http.MethodPost, strings.ReplaceAll(sized, "\r\n", "\n")},
+		"folded line":        {http.MethodPost, "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\td\r\n\r\n"},
+		"interim":            {http.MethodPost, "HTTP/1.1 100 Continue\r\n\r\n" + sized},
+		"no content":         {http.MethodPost, "HTTP/1.1 204 No Content\r\n\r\n"},
+		"of a HEAD":          {http.MethodHead, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var size atomic.Int64
+			target := newTarget(t, func(int64, *http.Request) string { return test.answer[:size.Load()] + cut })
+			for n := range len(test.answer) {
+				size.Store(int64(n))
+				_, _, err := exchange(t, connector.New(new(expvar.Map)), target.Addr(), newRequest(test.method, nil, 0))
+				var failure *connector.Failure
+				assert.Assert(t, err != nil && (!errors.As(err, &failure) || failure.Sent), "%q: %v", test.answer[:n], err)
+			}
+			size.Store(int64(len(test.answer)))
+			status, _, err := exchange(t, connector.New(new(expvar.Map)), target.Addr(), newRequest(test.method, nil, 0))
+			assert.Assert(t, err == nil && status/100 == 2, "%d %v", status, err)
+		})
+	}
+}
+
 func TestUnsolicitedAnswerIsDiscarded(t *testing.T) {
 	target := newTarget(t, func(int64, *http.Request) string {
 		return okAnswer + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
