Reset callers of HTTP/1.0 when an answer ends early

A caller of HTTP/1.0 got a truncated answer that looked whole: a target broke off its chunked answer, and the entry closed the caller's connection. To HTTP/1.0 an answer without length ends with its connection, so an orderly close is its end. Callers of HTTP/1.1 were not concerned: they miss the last chunk.

The entry now resets the connection of such a caller, which no client takes for the end of an answer.

go test -run OldCallers ./pkg/acceptor in node, before:

/catalogue: "HTTP/1.0 200 OK\r\n...\r\n\r\npart" <nil> --- FAIL: TestTruncatedAnswerResetsOldCallers

Now ok, three times with -race.

--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -60,6 +60,6 @@
 	answer.Header = withoutPrefix(EndToEnd(answer.Header))
 	answer.Header.Set(headerRequest, id)
 	answer.Header.Set(headerOutcome, refuser.Ran{}.String())
-	a.Relay(c.Response(), id, answer)
+	a.Relay(c.Response(), request, id, answer)
 	return nil
 }
--- a/node/pkg/acceptor/acceptor_test.go
+++ b/node/pkg/acceptor/acceptor_test.go
@@ -160,6 +160,27 @@
 	}
 }
 
+// TestTruncatedAnswerResetsOldCallers covers callers of HTTP/1.0, to whom an answer without length ends with the connection.
+func TestTruncatedAnswerResetsOldCallers(t *testing.T) {
+	f := newFleet(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		if r.URL.Path == "/catalogue" {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	for path, whole := range map[string]bool{"/bookings": true, "/catalogue": false} {
+		conn, err := net.Dial("tcp", f.entry.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "POST "+path+" HTTP/1.0\r\nHost: a\r\nAuthorization: Bearer "+f.key+"\r\nContent-Length: 0\r\n\r\n")
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+		content, err := io.ReadAll(conn)
+		assert.Equal(t, err == nil, whole, "%s: %q %v", path, content, err)
+		_ = conn.Close()
+	}
+}
+
 // TestHeadThatBreaksOffBecomesNoAnswer covers targets that close the connection in the middle of an answer's head. A caller
 // would take what is left for a whole answer.
 func TestHeadThatBreaksOffBecomesNoAnswer(t *testing.T) {
--- a/node/pkg/acceptor/reply.go
+++ b/node/pkg/acceptor/reply.go
@@ -4,6 +4,7 @@
 	"io"
 	"maps"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,16 +42,32 @@
 	_ = c.JSON(answer.Status, refusalReply{string(refusal.Kind), answer.Message, refusal.Outcome.String(), id})
 }
 
-// Relay writes answer with its headers to the caller of the request called id. If the answer ends early, Relay aborts
-// the connection by panicking with http.ErrAbortHandler, so that the caller sees that the answer is truncated.
-func (a *Acceptor) Relay(response http.ResponseWriter, id string, answer forwarder.Answer) {
+// Relay writes answer with its headers to the caller of request, called id. If the answer ends early, Relay aborts the
+// connection by panicking with http.ErrAbortHandler, so that the caller sees that the answer is truncated.
+func (a *Acceptor) Relay(response http.ResponseWriter, request *http.Request, id string, answer forwarder.Answer) {
 	if err := relay(response, answer); err != nil {
 		a.RouteLog.Warn("answer cut", "request", id, "reason", err.Error())
+		if !request.ProtoAtLeast(1, 1) {
+			reset(response)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	a.RouteLog.Info("request answered", "request", id, "status", answer.Status, "outcome", refuser.Ran{})
 }
 
+// reset resets the connection of response. A caller of HTTP/1.0 would take an orderly close for the end of an answer
+// without length.
+func reset(response http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(response).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // relay writes answer to the caller. It flushes each chunk, so that a slow answer is streamed.
 func relay(response http.ResponseWriter, answer forwarder.Answer) error {
 	header := response.Header()
