Read messages and records whose text is not UTF-8

Text from outside was written as it came, but a message or record with text that is not UTF-8 could not be read: the decoder refused it as a whole. One odd entry thus stopped what depends on the message:

- An operator's configuration with one such byte, in a field that is kept as it came: every control process ended when it applied the log entry, and again at each start.
The control plane was lost for good.
- A server whose ID in the heartbeat's path has such a byte: no control process could read the reports of that server's node, so none of the node's servers was in the directory.
- A caller's request with a Latin-1 byte in a header or the URI: 502.
A target's answer with one in a header: the outcome was unknown though it had run.

Texts are opaque to the fleet, so the decoder takes them as they are.

Before the fix:

control, go test -run NotUTF8 ./pkg/proposer --- FAIL: TestTextThatIsNotUTF8EndsNoProcess error is not nil: leader-unknown: this process stops core, go test -run OddText ./synchronizer --- FAIL: TestOddTextOfOneTargetStopsNoSubscriber (5.06s) timeout hit after 5s: 0 targets, version 1 node, go test -run OtherCharsets ./pkg/acceptor --- FAIL: TestHeadersInOtherCharsetsPass 502 != 200: {"error":"node-unreachable", ... "outcome":"not-run"}

All pass now with -race, the first three times.

--- a/control/pkg/proposer/proposer_test.go
+++ b/control/pkg/proposer/proposer_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphiremount.example/control/pkg/storer"
+	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/refuser"
 )
 
@@ -97,3 +98,23 @@
 	assert.Assert(t, err != nil)
 	assert.ErrorIs(t, m.group.Wait(), errDisk)
 }
+
+// TestTextThatIsNotUTF8EndsNoProcess guards against an operator's text that can be written to the log but not be read.
+func TestTextThatIsNotUTF8EndsNoProcess(t *testing.T) {
+	c := newCluster(t, 3)
+	odd := configurer.PutDocument{Document: configurer.Document{Name: "d", Text: "caf\xe9"}}
+	_, err := c.waitForLeader().Propose(t.Context(), batch("first", odd))
+	assert.NilError(t, err)
+	c.stop("m0")
+	c.start("m0")
+	_, err = c.waitForLeader().Propose(t.Context(), batch("second", workspace("w", 1)))
+	assert.NilError(t, err)
+	for name, m := range c.members {
+		for deadline := time.Now().Add(20 * time.Second); m.hub.Configuration().Version() < 2; {
+			assert.Assert(t, time.Now().Before(deadline), "%s has version %d", name, m.hub.Configuration().Version())
+			time.Sleep(10 * time.Millisecond)
+		}
+		document, ok := m.hub.Configuration().Document("d")
+		assert.Assert(t, ok && document == odd.Document, name)
+	}
+}
--- a/core/messenger/encoding.go
+++ b/core/messenger/encoding.go
@@ -20,6 +20,8 @@
 		MaxArrayElements:  maxElements,
 		MaxMapPairs:       maxElements,
 		ExtraReturnErrors: cbor.ExtraDecErrorNone,
+		// Text of callers and targets need not be UTF-8. One odd text must not make a whole message unreadable.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode())
 )
 
--- a/core/synchronizer/synchronizer_test.go
+++ b/core/synchronizer/synchronizer_test.go
@@ -82,9 +82,27 @@
 }
 
 func subscribe(t *testing.T, addresses ...string) *sink {
+	t.Helper()
+	return subscribeAs(t, nil, addresses...)
+}
+
+// fixedReporter reports a record that does not change.
+type fixedReporter tracker.Node
+
+func (r fixedReporter) Node() *tracker.Node {
+	node := tracker.Node(r)
+	return &node
+}
+
+func (fixedReporter) Changes() <-chan struct{} { return nil }
+
+func (fixedReporter) Connected() {}
+
+// subscribeAs is subscribe for a process that reports its own record.
+func subscribeAs(t *testing.T, reporter synchronizer.Reporter, addresses ...string) *sink {
 	t.Helper()
 	s := &sink{Hub: synchronizer.NewHub(), t: t}
-	client := synchronizer.NewClient(messenger.NewPool(credentials), func() []string { return addresses }, s, nil,
+	client := synchronizer.NewClient(messenger.NewPool(credentials), func() []string { return addresses }, s, reporter,
 		slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
@@ -204,3 +222,23 @@
 		return poll.Success()
 	}, poll.WithTimeout(15*time.Second))
 }
+
+// TestOddTextOfOneTargetStopsNoSubscriber has a node with a target whose name is not UTF-8. The directory and later changes
+// must still reach all subscribers.
+func TestOddTextOfOneTargetStopsNoSubscriber(t *testing.T) {
+	hub := synchronizer.NewHub()
+	first := publish(t, hub, "127.0.0.1:0")
+	node := subscribeAs(t, fixedReporter{Name: "n", Incarnation: 1, Sequence: 1, Targets: []tracker.Target{
+		{Name: "i-\xff", Service: "s", Slots: 1}, {Name: "i", Service: "s", Slots: 1},
+	}}, first.address)
+	other := subscribe(t, publish(t, node.Hub, "127.0.0.1:0").address)
+	change(t, hub, workspace("one"))
+	for _, s := range []*sink{{Hub: hub}, node, other} {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if placements := s.Directory().Placements("s"); len(placements) != 2 || s.Configuration().Version() != 1 {
+				return poll.Continue("%d targets, version %d", len(placements), s.Configuration().Version())
+			}
+			return poll.Success()
+		}, poll.WithTimeout(5*time.Second))
+	}
+}
--- a/node/pkg/acceptor/acceptor_test.go
+++ b/node/pkg/acceptor/acceptor_test.go
@@ -57,6 +57,21 @@
 	}
 }
 
+// TestHeadersInOtherCharsetsPass covers bytes above 0x7f in the URI and in the headers of a request and of its answer. RFC
+// 9110, section 5.5, has recipients treat them as opaque.
+func TestHeadersInOtherCharsetsPass(t *testing.T) {
+	const latin = "caf\xe9"
+	f := newFleet(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Seen", r.Header.Get("X-Sent")+"?"+r.URL.RawQuery)
+	}))
+	request := f.request(t, http.MethodPost, "/bookings")
+	request.URL.RawQuery = latin
+	request.Header.Set("X-Sent", latin)
+	reply := do(t, request)
+	assert.Equal(t, reply.status, http.StatusOK, reply.content)
+	assert.Equal(t, reply.header.Get("X-Seen"), latin+"?"+latin)
+}
+
 func TestFramingThroughTheFleet(t *testing.T) {
 	f := newFleet(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		content, _ := io.ReadAll(r.Body)
