Refuse a change that cannot be read back before it is logged

An operator's change was logged as soon as it could be encoded. Each control process then decodes the committed entry, and ends if it can't: at once, and again at each start. The decoder has bounds that the encoder does not have. A route with over a million splits, 27 MB in an operator's body, ended all control processes for good.

The process that takes a change now decodes it first, and answers change-invalid.

go test -run ReadBack ./pkg/proposer in control, before:

--- FAIL: TestChangeThatCannotBeReadBackIsRefused leader-unknown: this process stops

Now ok, with -race too.

--- a/control/pkg/proposer/proposer.go
+++ b/control/pkg/proposer/proposer.go
@@ -122,6 +122,10 @@
 	if err != nil {
 		return configurer.Receipt{}, err
 	}
+	// A committed entry that cannot be decoded would end every process that applies it.
+	if _, err := decodeBatch(data); err != nil {
+		return configurer.Receipt{}, refuser.Refuse(refuser.ChangeInvalid, err.Error())
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	answer := r.submit(ctx, func(id uint64) replicator.Input { return replicator.Propose{ID: id, Data: data} })
--- a/control/pkg/proposer/proposer_test.go
+++ b/control/pkg/proposer/proposer_test.go
@@ -118,3 +118,13 @@
 		assert.Assert(t, ok && document == odd.Document, name)
 	}
 }
+
+// TestChangeThatCannotBeReadBackIsRefused guards against a log entry that ends every process that applies it.
+func TestChangeThatCannotBeReadBackIsRefused(t *testing.T) {
+	c := newCluster(t, 1)
+	route := configurer.Route{Name: "r", Prefix: "/", Timeout: time.Second, Splits: make([]configurer.Split, 1<<20+1)}
+	_, err := c.waitForLeader().Propose(t.Context(), batch("first", configurer.PutRoute{Route: route}))
+	assert.Equal(t, refuser.From(err).Kind, refuser.ChangeInvalid, "%v", err)
+	_, err = c.waitForLeader().Propose(t.Context(), batch("second", workspace("w", 1)))
+	assert.NilError(t, err)
+}
