Bound the numbers that operators set

Numbers near the limits of their types were accepted and overflowed later:

- Two weights of 1<<62 on one route: their sum is negative, which panics where a request picks its service (rand.IntN: "invalid argument to IntN"). net/http recovers that, but each request on the route ended without an answer.
- The largest floors, ranks and bursts overflow in sums.

--- a/core/configurer/apply.go
+++ b/core/configurer/apply.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -12,6 +13,12 @@
 	// maxReceipts bounds the receipts that are kept for operators who resend an operation.
 	maxReceipts     = 4096
 	maxRouteTimeout = time.Hour
+	// MaxNumber bounds bursts, floors, ranks and the like, so that what is computed from them cannot overflow.
+	MaxNumber = math.MaxInt32
+	// MaxRate bounds rates, in requests per second.
+	MaxRate = 1e9
+	// maxWeight bounds the weights of a route's services. Their sum does not overflow.
+	maxWeight = 1 << 40
 )
 
 // With returns the configuration after batch. For an operation that was applied before it returns the configuration
@@ -142,6 +149,9 @@
 	if service.Name == "" || service.Floor < 0 || service.FloorShare < 0 || service.FloorShare > 1 || service.MaxConnections < 0 {
 		return invalid("service " + service.Name + " needs a name, a floor of 0 or more and a floor share from 0 to 1")
 	}
+	if service.Floor > MaxNumber || service.MaxConnections > MaxNumber {
+		return invalid("service " + service.Name + " has a number that is too large")
+	}
 	return nil
 }
 
@@ -167,6 +177,9 @@
 	if workspace.Name == "" || !limited || workspace.Weight < 0 || workspace.Rank < 0 {
 		return invalid("workspace " + workspace.Name + " needs a name, and a rate above 0 and a burst of 1 or more, or neither")
 	}
+	if workspace.Rate > MaxRate || max(workspace.Burst, workspace.Weight, int(workspace.Rank)) > MaxNumber {
+		return invalid("workspace " + workspace.Name + " has a number that is too large")
+	}
 	return nil
 }
 
@@ -180,14 +193,17 @@
 	if route.MaxAttempts < 0 || route.Objective < 0 || route.Rank < 0 {
 		return invalid("route " + route.Name + " has attempts, an objective or a rank below 0")
 	}
+	if max(route.MaxAttempts, int(route.Rank)) > MaxNumber {
+		return invalid("route " + route.Name + " has a number that is too large")
+	}
 	return c.checkServices(route)
 }
 
 func (c Configuration) checkServices(route Route) error {
 	total := 0
 	for _, split := range route.Splits {
-		if split.Weight < 0 {
-			return invalid("route " + route.Name + " has a weight below 0")
+		if split.Weight < 0 || split.Weight > maxWeight {
+			return invalid("route " + route.Name + " has a weight below 0 or one that is too large")
 		}
 		total += split.Weight
 	}
--- a/core/configurer/configuration_test.go
+++ b/core/configurer/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -76,6 +77,28 @@
 		"route to an unknown service":  {0, configurer.PutRoute{}, refuser.ChangeInvalid},
 		"service with a floor below 0": {0, configurer.PutService{Service: configurer.Service{Name: "t", Floor: -1}}, refuser.ChangeInvalid},
 	}
+	const large = math.MaxInt
+	route := func(attempts int, rank configurer.Rank) configurer.Change {
+		return configurer.PutRoute{Route: configurer.Route{
+			Name: "q", Prefix: "/", Service: "s", Timeout: time.Second, MaxAttempts: attempts, Rank: rank,
+		}}
+	}
+	for name, change := range map[string]configurer.Change{
+		"rate":        configurer.PutWorkspace{Workspace: configurer.Workspace{Name: "b", Rate: 1e300, Burst: 1}},
+		"burst":       configurer.PutWorkspace{Workspace: configurer.Workspace{Name: "b", Rate: 1, Burst: large}},
+		"rank":        configurer.PutWorkspace{Workspace: configurer.Workspace{Name: "b", Rate: 1, Burst: 1, Rank: large}},
+		"weight":      configurer.PutWorkspace{Workspace: configurer.Workspace{Name: "b", Rate: 1, Burst: 1, Weight: large}},
+		"floor":       configurer.PutService{Service: configurer.Service{Name: "t", Floor: large}},
+		"connections": configurer.PutService{Service: configurer.Service{Name: "t", MaxConnections: large}},
+		"attempts":    route(large, 1),
+		"route rank":  route(1, large),
+	} {
+		cases[name+" too large"] = struct {
+			base   uint64
+			change configurer.Change
+			kind   refuser.Kind
+		}{0, change, refuser.ChangeInvalid}
+	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			batch := configurer.Batch{Operation: name, BaseVersion: c.base, Changes: []configurer.Change{workspace("z"), c.change}}
--- a/core/configurer/numbering_test.go
+++ b/core/configurer/numbering_test.go
@@ -93,6 +93,7 @@
 		"below zero": {{Service: "a", Weight: 2}, {Service: "b", Weight: -1}},
 		"all zero":   {{Service: "a"}, {Service: "b"}},
 		"unknown":    {{Service: "a", Weight: 1}, {Service: "c", Weight: 1}},
+		"too large":  {{Service: "a", Weight: 1 << 62}, {Service: "b", Weight: 1 << 62}},
 	} {
 		route := configurer.Route{Name: "r", Prefix: "/", Timeout: 1e9, Splits: splits}
 		_, _, err := base.With(configurer.Batch{Operation: "2", Changes: []configurer.Change{configurer.PutRoute{Route: route}}})
--- a/ctl/pkg/importer/parse.go
+++ b/ctl/pkg/importer/parse.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -14,8 +13,8 @@
 
 const (
 	maxMilliseconds = int(time.Hour / time.Millisecond)
-	maxInteger      = math.MaxInt32
-	maxRate         = 1e9
+	maxInteger      = configurer.MaxNumber
+	maxRate         = configurer.MaxRate
 )
 
 // Parse reads a sheet. If the sheet could be read but has wrong cells, the error is of type Problems.
