Refuse announcements that name no usable target

A report from elsewhere: one odd entry of another writer, very deeply nested, with a number too large or with a port out of range, ended the machines that read the list. Here no reader ends: too deep or too large JSON, and ports over 65535, were refused before. But other odd heartbeats, and announcements to POST /targets, made a target:

- with up to 2^63-1 slots: its load per slot is next to none, so requests go to it first, its slots count towards the floor, and sums of slots overflow
- with a start or sequence number that no later heartbeat of the target reaches
- with port 0, the unspecified address (this VM itself) or a group address
- with a name or service of 60 KB, which all processes of the fleet hold, or with line breaks or bytes that are not UTF-8 in it
- followed by other data, or with a field of another type that is not used here

registrar.Announcement.Check refuses these. The targets that are known stay as they are, and the refusal is logged (POST /targets did not log it).

--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -98,3 +98,20 @@
 	_, ok := r.Announcement("a")
 	assert.Assert(t, ok)
 }
+
+// TestOddAnnouncementBlocksATargetForItsLifetimeOnly has another writer announce the target, or its address, with numbers
+// that the target itself reaches much later.
+func TestOddAnnouncementBlocksATargetForItsLifetimeOnly(t *testing.T) {
+	for name, odd := range map[string]registrar.Announcement{
+		"sequence": announced("a", 5, 1<<52), "start": announced("a", 1<<52, 1), "address": announced("b", 1<<52, 1),
+	} {
+		r, _ := registrar.New(time.Minute).With(start, announced("a", 5, 3))
+		r, changed := r.With(start, odd)
+		assert.Assert(t, changed || name == "sequence", name)
+		r, _ = r.With(start.Add(50*time.Second), announced("a", 5, 4))
+		r, _ = r.WithoutExpired(start.Add(61 * time.Second))
+		r, _ = r.With(start.Add(61*time.Second), announced("a", 5, 5))
+		held, ok := r.Announcement("a")
+		assert.Assert(t, ok && held.Sequence == 5, name)
+	}
+}
--- a/node/pkg/enroller/enroller.go
+++ b/node/pkg/enroller/enroller.go
@@ -3,9 +3,10 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"log/slog"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -45,21 +46,29 @@
 }
 
 func (e *Enroller) announce(c echo.Context) error {
-	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+	if err != nil {
+		return e.refuse(registrar.Announcement{}, err)
+	}
 	var announcement registrar.Announcement
-	if err := c.Bind(&announcement); err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, "the announcement is malformed")
+	if err := json.Unmarshal(body, &announcement); err != nil {
+		return e.refuse(announcement, err)
 	}
 	if err := e.Announce(announcement); err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		return e.refuse(announcement, err)
 	}
 	return c.NoContent(http.StatusNoContent)
 }
 
-// Announce adds or updates a target. It returns an error if announcement lacks what is needed to use the target.
+func (e *Enroller) refuse(announcement registrar.Announcement, err error) error {
+	e.log.Warn("announcement refused", "target", announcement.Name, "reason", err.Error())
+	return echo.NewHTTPError(http.StatusBadRequest, "the announcement is refused: "+err.Error())
+}
+
+// Announce adds or updates a target. It returns an error if the target cannot be used (see Announcement.Check).
 func (e *Enroller) Announce(announcement registrar.Announcement) error {
-	if err := validate(announcement); err != nil {
-		return err
+	if err := announcement.Check(time.Now()); err != nil {
+		return errors.Wrap(err, "check announcement")
 	}
 	e.apply(announcement)
 	return nil
@@ -79,16 +88,6 @@
 	e.onChange(e.targets())
 }
 
-func validate(announcement registrar.Announcement) error {
-	if announcement.Name == "" || announcement.Service == "" || announcement.Slots < 1 {
-		return errors.New("an announcement needs a name, a service and at least one slot")
-	}
-	if _, err := netip.ParseAddrPort(announcement.Address); err != nil {
-		return errors.New("an announcement needs an IP address and a port")
-	}
-	return nil
-}
-
 func (e *Enroller) apply(announcement registrar.Announcement) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- /dev/null
+++ b/node/pkg/enroller/enroller_test.go
@@ -0,0 +1,47 @@
+package enroller_test
+
+import (
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"samphiremount.example/core/tracker"
+	"samphiremount.example/node/pkg/enroller"
+)
+
+// TestOddAnnouncementsNameNoTarget covers announcements of other writers. The target that is known must stay as it is.
+func TestOddAnnouncementsNameNoTarget(t *testing.T) {
+	var reported []tracker.Target
+	e := enroller.New(time.Minute, slog.New(slog.DiscardHandler), func(targets []tracker.Target) { reported = targets })
+	post := func(body string) int {
+		request := httptest.NewRequest(http.MethodPost, "/targets", strings.NewReader(body))
+		request.Header.Set("Content-Type", "application/json")
+		recorder := httptest.NewRecorder()
+		e.Handler().ServeHTTP(recorder, request)
+		return recorder.Code
+	}
+	const good = `{"name":"a","service":"s","address":"127.0.0.1:8080","slots":2,"born":5,"sequence":3}`
+	assert.Equal(t, post(good), http.StatusNoContent)
+	for name, body := range map[string]string{
+		"deeply nested":      strings.Replace(good, "{", `{"novel":`+strings.Repeat("[", 30_000)+strings.Repeat("]", 30_000)+`,`, 1),
+		"trailing data":      good + "{",
+		"port 0":             strings.Replace(good, "8080", "0", 1),
+		"port too large":     strings.Replace(good, "8080", "65536", 1),
+		"slots too large":    strings.Replace(good, `"slots":2`, `"slots":9223372036854775807`, 1),
+		"born too large":     strings.Replace(good, `"born":5`, `"born":9223372036854775807`, 1),
+		"sequence too large": strings.Replace(good, `"sequence":3`, `"sequence":18446744073709551615`, 1),
+		"number too large":   strings.Replace(good, `"slots":2`, `"slots":1e400`, 1),
+	} {
+		assert.Check(t, post(body) == http.StatusBadRequest, name)
+		assert.Check(t, post(strings.Replace(body, `"a"`, `"b"`, 1)) == http.StatusBadRequest, name)
+	}
+	assert.DeepEqual(t, reported, []tracker.Target{{Name: "a", Service: "s", Slots: 2}})
+	assert.Equal(t, post(strings.Replace(good, `"sequence":3`, `"sequence":4`, 1)), http.StatusNoContent)
+	held, ok := e.Announcement("a")
+	assert.Assert(t, ok && held.Sequence == 4)
+}
