Drop a target's own headers for load and durations

An answer could carry Samphire-High and Samphire-Mean as its target had set them, as long as the gate had no estimate of its own. The entry takes them for the durations of all requests with that objective, at all targets. By the code (not run) one absurd number makes it give up retries for lack of time and send refused callers away for long.

go test -run OwnLoad ./pkg/gatekeeper in node, before:

--- FAIL: TestTargetsOwnLoadHeadersAreDropped Samphire-High

Now ok, with -race.

--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -192,9 +192,11 @@
 }
 
 // setLoadHeaders sets the headers that tell the entry the target's load and how long requests with the objective take
-// there.
+// there. It drops those that the target set itself.
 func (g *Gatekeeper) setLoadHeaders(header http.Header, target string, objective time.Duration) {
 	header.Set(forwarder.HeaderBusy, strconv.Itoa(g.load(target)))
+	header.Del(forwarder.HeaderHigh)
+	header.Del(forwarder.HeaderMean)
 	if estimate := g.estimate(target, objective); estimate.Known() {
 		header.Set(forwarder.HeaderHigh, strconv.FormatInt(estimate.High().Milliseconds(), 10))
 		header.Set(forwarder.HeaderMean, strconv.FormatInt(estimate.Mean().Milliseconds(), 10))
--- a/node/pkg/gatekeeper/gatekeeper_test.go
+++ b/node/pkg/gatekeeper/gatekeeper_test.go
@@ -89,6 +89,22 @@
 	assert.Equal(t, runs.Load(), int64(1))
 }
 
+// TestTargetsOwnLoadHeadersAreDropped guards against a target that tells entries how long requests of all targets take.
+func TestTargetsOwnLoadHeadersAreDropped(t *testing.T) {
+	names := []string{forwarder.HeaderBusy, forwarder.HeaderHigh, forwarder.HeaderMean}
+	gate := newGate(t, func(w http.ResponseWriter, _ *http.Request) {
+		for _, name := range names {
+			w.Header().Set(name, "9999999")
+		}
+	}, 2)
+	answer, err := gate.Run(t.Context(), head("x", "w"), http.NoBody)
+	assert.NilError(t, err)
+	for _, name := range names {
+		assert.Assert(t, answer.Header.Get(name) != "9999999", name)
+	}
+	assert.NilError(t, answer.Body.Close())
+}
+
 // TestSmallWorkspaceIsServedBesideALargeBacklog fails if requests are refused at once while all slots are in use: the
 // small workspace then gets a slot only by chance.
 func TestSmallWorkspaceIsServedBesideALargeBacklog(t *testing.T) {
