--- a/node/pkg/acceptor/acceptor_test.go
+++ b/node/pkg/acceptor/acceptor_test.go
@@ -57,6 +57,21 @@
 	}
 }
 
+// TestHeadersInOtherCharsetsPass covers bytes above 0x7f in the URI and in the headers of a request and of its answer. RFC
+// 9110, section 5.5, has recipients treat them as opaque.
+func TestHeadersInOtherCharsetsPass(t *testing.T) {
+	const latin = "caf\xe9"
+	f := newFleet(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Seen", r.Header.Get("X-Sent")+"?"+r.URL.RawQuery)
+	}))
+	request := f.request(t, http.MethodPost, "/bookings")
+	request.URL.RawQuery = latin
+	request.Header.Set("X-Sent", latin)
+	reply := do(t, request)
+	assert.Equal(t, reply.status, http.StatusOK, reply.content)
+	assert.Equal(t, reply.header.Get("X-Seen"), latin+"?"+latin)
+}
+
 func TestFramingThroughTheFleet(t *testing.T) {
 	f := newFleet(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		content, _ := io.ReadAll(r.Body)
@@ -160,6 +175,60 @@
 	}
 }
 
+// TestTruncatedAnswerResetsOldCallers covers callers of HTTP/1.0, to whom an answer without length ends with the connection.
+func TestTruncatedAnswerResetsOldCallers(t *testing.T) {
+	f := newFleet(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "part")
+		_ = http.NewResponseController(w).Flush()
+		if r.URL.Path == "/catalogue" {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	for path, whole := range map[string]bool{"/bookings": true, "/catalogue": false} {
+		conn, err := net.Dial("tcp", f.entry.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "POST "+path+" HTTP/1.0\r\nHost: a\r\nAuthorization: Bearer "+f.key+"\r\nContent-Length: 0\r\n\r\n")
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+		content, err := io.ReadAll(conn)
+		assert.Equal(t, err == nil, whole, "%s: %q %v", path, content, err)
+		_ = conn.Close()
+	}
+}
+
+// TestHeadThatBreaksOffBecomesNoAnswer covers targets that close the connection in the middle of an answer's head. A caller
+// would take what is left for a whole answer.
+func TestHeadThatBreaksOffBecomesNoAnswer(t *testing.T) {
+	const answer = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\nConnection: close\r\n\r\n"
+	var size atomic.Int64
+	f := newFleet(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer[:size.Load()])
+		_ = conn.Close()
+	}))
+	for n := range len(answer) {
+		size.Store(int64(n))
+		reply := do(t, f.request(t, http.MethodPost, "/bookings"))
+		assert.Equal(t, reply.status, http.StatusGatewayTimeout, "%q", answer[:n])
+		assert.Equal(t, reply.header.Get("Samphire-Outcome"), "unknown", "%q", answer[:n])
+	}
+}
+
+// TestRequestThatBreaksOffIsNotRun covers callers that close the connection in the middle of a request.
+func TestRequestThatBreaksOffIsNotRun(t *testing.T) {
+	var runs atomic.Int64
+	f := newFleet(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	text := "POST /bookings HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + f.key + "\r\nContent-Length: 4\r\n\r\nbody"
+	for n := range len(text) {
+		line := sendRaw(t, f, text[:n])
+		assert.Assert(t, line == "" || strings.HasPrefix(line, "HTTP/1.1 4"), "%q: %s", text[:n], line)
+	}
+	assert.Equal(t, runs.Load(), int64(0))
+}
+
 func TestFailedTargetIsRetriedOnlyWhereThatIsSafe(t *testing.T) {
 	var bookings, lookups atomic.Int64
 	failing := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
