Answer a request whose answer broke off before its body

Callers saw a closed connection where a failure could still be written. A target sent the head of its answer and broke off before the first byte of the body; the entry had written the head already, so it could only cut the connection. Nothing had to be sent before the body: net/http keeps the head until the first write or flush.

The head is now written with the first chunk of the body, or with its end. After the first chunk the connection is cut as before. A slow answer is streamed as before, from its first chunk on.

--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -60,6 +60,8 @@
 	answer.Header = withoutPrefix(EndToEnd(answer.Header))
 	answer.Header.Set(headerRequest, id)
 	answer.Header.Set(headerOutcome, refuser.Ran{}.String())
-	a.Relay(c.Response(), id, answer)
+	if err := a.Relay(c.Response(), id, answer); err != nil {
+		refuse(c, id, err)
+	}
 	return nil
 }
--- a/node/pkg/acceptor/reply.go
+++ b/node/pkg/acceptor/reply.go
@@ -41,43 +41,71 @@
 	_ = c.JSON(answer.Status, refusalReply{string(refusal.Kind), answer.Message, refusal.Outcome.String(), id})
 }
 
-// Relay writes answer with its headers to the caller of the request called id. If the answer ends early, Relay aborts
-// the connection by panicking with http.ErrAbortHandler, so that the caller sees that the answer is truncated.
-func (a *Acceptor) Relay(response http.ResponseWriter, id string, answer forwarder.Answer) {
-	if err := relay(response, answer); err != nil {
+// Relay writes answer with its headers to the caller of the request called id. If the answer ends before any of its body
+// arrived, Relay writes nothing and returns a refusal. If it ends early after that, Relay aborts the connection by
+// panicking with http.ErrAbortHandler, so that the caller sees that the answer is truncated.
+func (a *Acceptor) Relay(response http.ResponseWriter, id string, answer forwarder.Answer) error {
+	started, err := relay(response, answer)
+	switch {
+	case err == nil:
+		a.RouteLog.Info("request answered", "request", id, "status", answer.Status, "outcome", refuser.Ran{})
+		return nil
+	case !started:
+		refusal := &refuser.Refusal{Kind: refuser.AnswerCut, Outcome: refuser.Ran{}, Detail: err.Error()}
+		refusal.RetryAt = a.chooser.retryAt(refusal, 0)
+		a.RouteLog.Info("request refused", "request", id, "kind", refusal.Kind, "outcome", refusal.Outcome, "detail", refusal.Detail)
+		return refusal
+	default:
 		a.RouteLog.Warn("answer cut", "request", id, "reason", err.Error())
 		panic(http.ErrAbortHandler)
 	}
-	a.RouteLog.Info("request answered", "request", id, "status", answer.Status, "outcome", refuser.Ran{})
 }
 
-// relay writes answer to the caller. It flushes each chunk, so that a slow answer is streamed.
-func relay(response http.ResponseWriter, answer forwarder.Answer) error {
+// relay writes answer to the caller. It flushes each chunk, so that a slow answer is streamed. The head is written with
+// the first chunk or the end of the body; started reports whether it was.
+func relay(response http.ResponseWriter, answer forwarder.Answer) (started bool, err error) {
 	header := response.Header()
-	maps.Copy(header, answer.Header)
-	response.WriteHeader(answer.Status)
 	buf := make([]byte, relayBufferBytes)
-	var written int64
+	var received int64
 	for {
-		n, err := answer.Body.Read(buf)
-		written += int64(n)
+		n, readErr := answer.Body.Read(buf)
+		received += int64(n)
+		ended, err := bodyEnd(answer, received, readErr)
+		if err != nil && !started {
+			return false, err
+		}
+		if !started {
+			started = true
+			maps.Copy(header, answer.Header)
+			response.WriteHeader(answer.Status)
+		}
 		if n > 0 {
 			if _, err := response.Write(buf[:n]); err != nil {
-				return errors.Wrap(err, "write to caller")
+				return true, errors.Wrap(err, "write to caller")
 			}
 			_ = http.NewResponseController(response).Flush()
 		}
-		if errors.Is(err, io.EOF) {
-			sendTrailer(header, answer.Body)
-			return nil
-		}
-		if errors.Is(err, forwarder.ErrTruncated) && strconv.FormatInt(written, 10) == answer.Header.Get("Content-Length") {
-			// The caller received the whole body and left before the end frame arrived.
-			return nil
-		}
 		if err != nil {
-			return err
+			return true, err
 		}
+		if ended {
+			sendTrailer(header, answer.Body)
+			return true, nil
+		}
+	}
+}
+
+// bodyEnd returns whether the body of answer is complete after received bytes, the last of which came with readErr, or
+// the error if it ended early.
+func bodyEnd(answer forwarder.Answer, received int64, readErr error) (ended bool, err error) {
+	switch {
+	case errors.Is(readErr, io.EOF):
+		return true, nil
+	case errors.Is(readErr, forwarder.ErrTruncated) && strconv.FormatInt(received, 10) == answer.Header.Get("Content-Length"):
+		// The whole body arrived, only the end frame did not.
+		return true, nil
+	default:
+		return false, readErr
 	}
 }
 
