Answer a request before its body has arrived

Callers whose body was still on its way got no refusal until the rest came, and a target that answered before it had read a long body of unknown length got that body with a hole in the middle, framed as whole.

Cause: before net/http writes the head of an answer, it takes the lock of the request's body and reads up to 256 KB of the rest. An attempt that reads the body at that moment holds the lock until the caller sends more; and what net/http reads is missing in what the attempt sends on. A body in chunks then still ends with a good end frame, since the frame counts what the attempt read.

net/http leaves the body alone if the answer closes its connection. An answer to a request whose body has not ended therefore has `Connection: close`. The short body of a request that nothing has read is first read for up to 20 ms, so that a refusal costs no connection where the body came with the head. EnableFullDuplex does not do: the connection is then used again while net/http reads the rest of the body, which panicked ("invalid concurrent Body.Read call") in 3 of 3 runs of the tests here.

Before, with the tests alone:

$ go test -count=1 -run 'TestAnswerDoes|TestEarlyAnswerL|TestRefusalLeaves' ./pkg/acceptor (node) --- FAIL: TestAnswerDoesNotWaitForTheRestOfTheBody/unknown_key (5.00s) i/o timeout --- FAIL: TestAnswerDoesNotWaitForTheRestOfTheBody/early_answer (5.00s) i/o timeout --- FAIL: TestAnswerDoesNotWaitForTheRestOfTheBody/early,_chunks (5.00s) i/o timeout --- FAIL: TestEarlyAnswerLeavesTheBodyWhole body_test.go:87: assertion failed: 142373 (int) != 300790 (int)

The last one is what the target read, without an error, of what the caller had sent; 124321 and 147382 in two other runs. TestRefusalLeavesTheConnectionUsable passed before, too.

--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -37,7 +37,9 @@
 		}
 	})
 	server.HTTPErrorHandler = func(err error, c echo.Context) { refuse(c, "", err) }
-	return server
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server.ServeHTTP(AllowEarlyAnswer(w, r))
+	})
 }
 
 func (a *Acceptor) serve(c echo.Context) error {
