Answer at the deadline while the caller still sends its body

Callers that had not sent their whole body by the deadline got no answer at all until they sent more: no 504 and no 503, for any time.

Cause: after each failed attempt the entry looks whether the body ended early, and waits for the read in progress. It means to do so only if the request's context has ended, which a failed read of the body causes; but the context that it looks at is that of the attempt, which has been canceled by then in every case. So the end of the attempt waited for the caller's next bytes.

The body now knows when the request itself has ended, and waits for the read in progress only then: the read has failed or is about to. Otherwise it reports what is known.

--- a/node/pkg/acceptor/body.go
+++ b/node/pkg/acceptor/body.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync"
@@ -20,6 +21,8 @@
 	current atomic.Pointer[bodyReader]
 	trailer http.Header
 	key     string
+	// requestEnded is closed when the caller's connection has failed.
+	requestEnded <-chan struct{}
 
 	mu           sync.Mutex
 	source       io.Reader
@@ -28,10 +31,10 @@
 	readErr      error
 }
 
-// newBody returns the body of call. Its trailers are available once it was read to the end. Those that contain key are
-// dropped.
-func newBody(call Call, key string) *body {
-	return &body{source: call.Body, trailer: call.Trailer, key: key}
+// newBody returns the body of call, whose context is ctx. Its trailers are available once it was read to the end. Those
+// that contain key are dropped.
+func newBody(ctx context.Context, call Call, key string) *body {
+	return &body{source: call.Body, trailer: call.Trailer, key: key, requestEnded: ctx.Done()}
 }
 
 // reader returns a reader from the start of the body for one more attempt. Readers of earlier attempts return an error
@@ -52,9 +55,17 @@
 	return b.bytesRead == len(b.replayBuffer)
 }
 
-// truncated reports whether the body ended early. It waits for a read that is in progress.
+// truncated reports whether the body ended early. It waits for a read that is in progress only if the caller's connection
+// has failed, since the caller may take any time to send the rest.
 func (b *body) truncated() bool {
-	b.mu.Lock()
+	select {
+	case <-b.requestEnded:
+		b.mu.Lock()
+	default:
+		if !b.mu.TryLock() {
+			return false
+		}
+	}
 	defer b.mu.Unlock()
 	return b.readErr != nil && !errors.Is(b.readErr, io.EOF)
 }
--- a/node/pkg/acceptor/body_test.go
+++ b/node/pkg/acceptor/body_test.go
@@ -13,8 +13,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestAnswerDoesNotWaitForTheRestOfTheBody sends a request whose body stays incomplete. The caller must get a refusal and an
-// answer of the target without it.
+// TestAnswerDoesNotWaitForTheRestOfTheBody sends a request whose body stays incomplete. The caller must get a refusal, an
+// answer of the target and the end of the deadline without it.
 func TestAnswerDoesNotWaitForTheRestOfTheBody(t *testing.T) {
 	f := newFleet(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_ = http.NewResponseController(w).EnableFullDuplex()
@@ -26,6 +26,7 @@
 		"unknown key":   {"/bookings", "Authorization: Bearer x\r\nContent-Length: 50\r\n", "401 Unauthorized"},
 		"early answer":  {"/bookings", "Authorization: Bearer " + f.key + "\r\n" + long, "200 OK"},
 		"early, chunks": {"/bookings", "Authorization: Bearer " + f.key + "\r\nTransfer-Encoding: chunked\r\n", "200 OK"},
+		"deadline":      {"/orders", "Authorization: Bearer " + f.key + "\r\nContent-Length: 50\r\n", "504 Gateway Timeout"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn, err := net.Dial("tcp", f.entry.Listener.Addr().String())
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -128,7 +128,7 @@
 		a.chargeRetry(head)
 	}
 	answer, err := a.forward(ctx, forwardedRequest{
-		head: head, body: newBody(call, admission.presentedKey), maxAttempts: admission.route.MaxAttempts, plan: plan,
+		head: head, body: newBody(ctx, call, admission.presentedKey), maxAttempts: admission.route.MaxAttempts, plan: plan,
 	})
 	return answer, head.Objective, err
 }
