Refuse operators' requests at once when a control process stops

Operators got neither an answer nor a refusal from a control process that stopped: their connection was closed when its grace ended, 1 s after SIGTERM on the users' platform.

Two causes, both in the runner of the replicated log, which ends at the same moment as the operators' listener begins to wait for its requests. A request that reached the runner after its end waited for its own timeout, 3 s for a read and 10 s for a change. And a read that a quorum had confirmed, but whose entries were not applied yet, was left without an answer, since only proposals and unconfirmed reads were answered at the end.

The end of the runner is now known to callers, who are refused at once, as not run; confirmed reads are refused too. `leader-unknown` makes operators' tools ask another process.

--- a/control/pkg/proposer/cluster_test.go
+++ b/control/pkg/proposer/cluster_test.go
@@ -1,6 +1,7 @@
 package proposer_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -30,11 +31,13 @@
 	group  *errgroup.Group
 }
 
-// cluster runs members on the loopback address. wrapDisk is applied to the data folder of each member that starts.
+// cluster runs members on the loopback address. A member listens at its address, or at the one in listenAt if it is set.
+// wrapDisk is applied to the data folder of each member that starts.
 type cluster struct {
 	tb        testing.TB
 	path      string
 	addresses map[string]string
+	listenAt  map[string]string
 	members   map[string]*member
 	wrapDisk  func(storer.Disk) storer.Disk
 	starts    int
@@ -78,7 +81,7 @@
 	assert.NilError(c.tb, err)
 	mux := messenger.Mux{}
 	m.Register(mux)
-	listener, err := net.Listen("tcp", c.addresses[name])
+	listener, err := net.Listen("tcp", cmp.Or(c.listenAt[name], c.addresses[name]))
 	assert.NilError(c.tb, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
--- a/control/pkg/proposer/proposer.go
+++ b/control/pkg/proposer/proposer.go
@@ -20,6 +20,8 @@
 	proposeTimeout   = 10 * time.Second
 	readTimeout      = 3 * time.Second
 	inputQueueLength = 2
+
+	stoppedDetail = "this process stops"
 )
 
 // Proposer accepts operators' changes to the configuration and the membership.
@@ -76,6 +78,7 @@
 	transport *transporter.Transporter
 	log       *slog.Logger
 	requests  chan request
+	stopped   chan struct{}
 	inputs    chan replicator.Input
 	status    *sharedStatus
 	stored    replicator.Stored
@@ -98,7 +101,8 @@
 	}
 	r := &Replica{
 		settings: settings, hub: hub, store: store, log: log, requests: make(chan request), stored: stored,
-		inputs: make(chan replicator.Input, inputQueueLength),
+		stopped: make(chan struct{}),
+		inputs:  make(chan replicator.Input, inputQueueLength),
 		self: replicator.Member{
 			Identity: identity, Name: settings.Name, Address: settings.Address, Region: settings.Region, Centre: settings.Centre,
 		},
@@ -170,6 +174,8 @@
 	pending := request{input: input, answer: make(chan answer, 1)}
 	select {
 	case r.requests <- pending:
+	case <-r.stopped:
+		return answer{err: refuser.Refuse(refuser.LeaderUnknown, stoppedDetail)}
 	case <-ctx.Done():
 		return answer{err: refuser.Refuse(refuser.LeaderUnknown, "this process is busy")}
 	}
--- a/control/pkg/proposer/run.go
+++ b/control/pkg/proposer/run.go
@@ -72,7 +72,11 @@
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	defer func() { _ = l.store.Close() }()
-	defer l.failAll("this process stops")
+	defer func() {
+		close(l.stopped)
+		l.failAll(stoppedDetail)
+		l.failReads(stoppedDetail)
+	}()
 	for {
 		var inputs []replicator.Input
 		select {
@@ -208,6 +212,14 @@
 	}
 }
 
+// failReads answers the confirmed reads whose entries this process will no longer apply.
+func (l *loop) failReads(detail string) {
+	for _, read := range l.reads {
+		read.answer <- answer{err: refuser.Refuse(refuser.LeaderUnknown, detail)}
+	}
+	l.reads = nil
+}
+
 // publishControls publishes the names and addresses of the voters to the nodes if they changed.
 func (l *loop) publishControls() {
 	voters := l.replicator.Members().Voters
