State no outcome for a change that may be in the log

Callers of the log (control/pkg/proposer) were told that a change had not been accepted although a later start could find it in the log.

Cause: a process whose disk fails, or that stops, answers what still waits. It took a change that is not known to be appended for one that was never appended. But the entries of a step go to the other members and to the disk before the runner learns of the appended position, so a failed sync leaves them in an unknown state. The outcome is now unknown for all that waits; a request that never reached the runner is still refused as not run.

Before, with the test alone:

$ go test -race -count=1 -run TestChangeThat ./pkg/proposer (control) --- FAIL: TestChangeThatMayBeOnDiskHasNoCertainOutcome not-run (refuser.NotRun) != unknown (refuser.Unknown): leader-unknown: this process stops

The same test finds the change in the log after the next start. Now it passes. Operators' tools were not misled: they get `leader-unknown` either way, and send the same change again.

--- a/control/pkg/proposer/run.go
+++ b/control/pkg/proposer/run.go
@@ -199,15 +199,15 @@
 	return member.Address, member.Address != ""
 }
 
-// failAll answers the proposals and the unconfirmed reads whose outcome this process will no longer learn. A proposal
-// that was appended may still be committed.
+// failAll answers the proposals and the unconfirmed reads whose outcome this process will no longer learn. A proposal may
+// still be committed, even if it is not known to be appended: its entry may be on disk or at another member by then.
 func (l *loop) failAll(detail string) {
 	for index, waiting := range l.appended {
 		waiting.answer <- answer{err: refuser.Fail(refuser.LeaderUnknown, detail)}
 		delete(l.appended, index)
 	}
 	for id, waiting := range l.waiting {
-		waiting <- answer{err: refuser.Refuse(refuser.LeaderUnknown, detail)}
+		waiting <- answer{err: refuser.Fail(refuser.LeaderUnknown, detail)}
 		delete(l.waiting, id)
 	}
 }
--- a/control/pkg/proposer/stop_test.go
+++ b/control/pkg/proposer/stop_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
+	"samphiremount.example/control/pkg/storer"
 	"samphiremount.example/core/refuser"
 )
 
@@ -120,3 +121,24 @@
 	assert.Assert(t, time.Since(stoppedAt) < time.Second, "the last read ended after %v", time.Since(stoppedAt))
 	assert.ErrorContains(t, err, "this process stops")
 }
+
+// TestChangeThatMayBeOnDiskHasNoCertainOutcome guards against a change that is told as refused although a later start may
+// find it in the log.
+func TestChangeThatMayBeOnDiskHasNoCertainOutcome(t *testing.T) {
+	var fails atomic.Bool
+	c := newCluster(t, 0)
+	c.wrapDisk = func(disk storer.Disk) storer.Disk { return failingDisk{disk, &fails} }
+	c.addresses["m0"] = "127.0.0.1:0"
+	m := c.start("m0")
+	c.waitForLeader()
+	fails.Store(true)
+	_, err := m.Propose(t.Context(), batch("first", workspace("w", 1)))
+	assert.Equal(t, refuser.From(err).Outcome, refuser.Outcome(refuser.Unknown{}), "%v", err)
+	assert.ErrorIs(t, m.group.Wait(), errDisk)
+	assert.NilError(t, m.folder.Close())
+	fails.Store(false)
+	m = c.start("m0")
+	c.waitForLeader()
+	_, known := m.hub.Configuration().Receipt("first")
+	assert.Assert(t, known, "the change was not in the log")
+}
