Refuse a request whose deadline passed in the limiter as such

Callers got `node-unreachable` for a request that had used its time while it waited for a token of its workspace's rate; and the node beside the target was avoided for a second or more, although it had not been asked.

Cause: such a request went on to choose a target, and the connect to the gate failed at once with the deadline, which was taken for an unreachable node. The deadline is now checked after the wait; the refusal is `deadline-passed`, not run.

Before, with the test alone:

$ go test -race -count=1 -run TestDeadlineThat ./pkg/acceptor (node) --- FAIL: TestDeadlineThatPassesBeforeAnyAttemptIsToldAsSuch node-unreachable (refusal.Error string) != deadline-passed (string)

Now it passes. A deadline that passes during the connect itself still looks like an unreachable node.

--- a/node/pkg/acceptor/admit.go
+++ b/node/pkg/acceptor/admit.go
@@ -20,6 +20,9 @@
 	}
 	workspace := admission.workspace.Name
 	reason, err := a.Limiter.Acquire(ctx, workspace, deadline)
+	if err == nil && !time.Now().Before(deadline) {
+		err = refuser.Refuse(refuser.DeadlinePassed, "no time was left after the admission")
+	}
 	if err != nil {
 		refusal := refuser.From(err)
 		a.AdmitLog.Info("request not admitted", "request", id, "workspace", workspace, "kind", refusal.Kind,
--- /dev/null
+++ b/node/pkg/acceptor/deadline_test.go
@@ -0,0 +1,25 @@
+package acceptor_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestDeadlineThatPassesBeforeAnyAttemptIsToldAsSuch guards against a node that is taken for unreachable because a request
+// had no time left when it was admitted.
+func TestDeadlineThatPassesBeforeAnyAttemptIsToldAsSuch(t *testing.T) {
+	var runs atomic.Int64
+	f := newFleet(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	f.limiter.wait = func(deadline time.Time) { time.Sleep(time.Until(deadline)) }
+	reply := do(t, f.request(t, http.MethodPost, "/orders"))
+	var refusal struct{ Error, Outcome string }
+	assert.NilError(t, json.Unmarshal([]byte(reply.content), &refusal))
+	assert.Equal(t, refusal.Error, "deadline-passed")
+	assert.Equal(t, refusal.Outcome, "not-run")
+	assert.Equal(t, runs.Load(), int64(0))
+}
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -39,10 +39,15 @@
 	return announcement, ok
 }
 
-// freeLimiter admits every request.
-type freeLimiter struct{}
+// freeLimiter admits every request, after wait if that is set.
+type freeLimiter struct{ wait func(deadline time.Time) }
 
-func (freeLimiter) Acquire(context.Context, string, time.Time) (string, error) { return "free", nil }
+func (l *freeLimiter) Acquire(_ context.Context, _ string, deadline time.Time) (string, error) {
+	if l.wait != nil {
+		l.wait(deadline)
+	}
+	return "free", nil
+}
 
 // generousPolicy allows every extra attempt, and free retries of requests that did not reach a target.
 func generousPolicy() retrier.Policy {
@@ -51,8 +56,9 @@
 
 // fleet is an entry and a gate in one process, with handlers as targets.
 type fleet struct {
-	entry *httptest.Server
-	key   string
+	entry   *httptest.Server
+	key     string
+	limiter *freeLimiter
 }
 
 // newFleet serves /bookings (not repeatable) and /catalogue (repeatable) for one workspace, with one target for each
@@ -123,15 +129,16 @@
 	view.Merge(tracker.Node{
 		Name: "node", Region: "r", Centre: "c", Address: listener.Addr().String(), Incarnation: 1, Sequence: 1, Targets: trackedTargets,
 	})
+	limiter := &freeLimiter{}
 	entry := acceptor.New(acceptor.Dependencies{
-		Name: "node", Viewer: view, Client: client, Limiter: freeLimiter{}, Retrier: retrier.NewWith(policy), Budget: budget,
+		Name: "node", Viewer: view, Client: client, Limiter: limiter, Retrier: retrier.NewWith(policy), Budget: budget,
 		HedgeAfter: 0.5,
 		Locality:   router.Locality{Region: "r", Centre: "c"}, Router: router.New(router.Locality{Region: "r", Centre: "c"}),
 		Random: rand.New(rand.NewPCG(1, 2)), RouteLog: log, AdmitLog: log, Watcher: healthWatcher,
 	})
 	server := httptest.NewServer(entry.Handler())
 	t.Cleanup(server.Close)
-	return &fleet{entry: server, key: key.Reveal()}
+	return &fleet{entry: server, key: key.Reveal(), limiter: limiter}
 }
 
 // request builds a request to path with the key of the workspace.
