Wait for a token no longer than until the deadline

Callers with less than 600 ms left got the refusal of a rate whose lenders were silent only after their deadline: the wait for a token had a bound of its own. It now ends at the deadline at the latest.

Now it passes, with and without a fallback quota.

--- a/node/pkg/limiter/limiter.go
+++ b/node/pkg/limiter/limiter.go
@@ -109,8 +109,9 @@
 
 // Acquire spends one token of workspace for a request with the deadline, and returns the reason for the admission.
 // Without a token it asks a lender and waits for at most acquireTimeout. If the node has no fallback quota, it waits
-// for strictWaitFraction of the time until the deadline if that is longer. It refuses with RateExceeded if all lenders
-// answered that the workspace's rate is exhausted, and with AllowanceShort if that is not known.
+// for strictWaitFraction of the time until the deadline if that is longer. It never waits past the deadline. It
+// refuses with RateExceeded if all lenders answered that the workspace's rate is exhausted, and with AllowanceShort if
+// that is not known.
 func (l *Limiter) Acquire(ctx context.Context, workspace string, deadline time.Time) (string, error) {
 	arrived := timekeeper.Now()
 	waitUntil := arrived.Add(l.waitTimeout(time.Until(deadline)))
@@ -167,10 +168,11 @@
 
 // waitTimeout returns how long a request waits for a token if remaining is the time until its deadline.
 func (l *Limiter) waitTimeout(remaining time.Duration) time.Duration {
-	if l.sources.Fallback != nil {
-		return acquireTimeout
+	timeout := acquireTimeout
+	if l.sources.Fallback == nil {
+		timeout = max(timeout, time.Duration(strictWaitFraction*float64(remaining)))
 	}
-	return max(acquireTimeout, time.Duration(strictWaitFraction*float64(remaining)))
+	return max(min(timeout, remaining), 0)
 }
 
 // tryAcquire spends or reserves a token for a request that arrived at arrived, or refuses the request, or returns what
--- a/node/pkg/limiter/limiter_test.go
+++ b/node/pkg/limiter/limiter_test.go
@@ -315,3 +315,32 @@
 	assert.Equal(t, admitted(0), burst)
 	assert.Equal(t, admitted(1), 0)
 }
+
+// silentLender does not answer before the caller gives up.
+type silentLender struct{}
+
+func (silentLender) Borrow(ctx context.Context, _ string, _ borrower.Message) (borrower.Reply, error) {
+	<-ctx.Done()
+	return borrower.Reply{}, ctx.Err()
+}
+
+// TestAcquireEndsAtTheDeadline guards against a request that waits for a token longer than its caller waits for the answer.
+func TestAcquireEndsAtTheDeadline(t *testing.T) {
+	for name, sources := range map[string]limiter.Sources{
+		"strict": {},
+		"with a fallback quota": {Fallback: func(string) allocator.FallbackQuota {
+			return allocator.FallbackQuota{Rate: 1, Burst: 1, Nodes: 1000}
+		}},
+	} {
+		sources.Lenders = func(string) []string { return []string{"near"} }
+		synctest.Test(t, func(t *testing.T) {
+			l := limiter.New(silentLender{}, sources, slog.New(slog.DiscardHandler))
+			started := time.Now()
+			_, err := l.Acquire(t.Context(), "kowhai", started.Add(100*time.Millisecond))
+			assert.Equal(t, kindOf(err), refuser.AllowanceShort, name)
+			assert.Equal(t, time.Since(started), 100*time.Millisecond, name)
+			// The message to the lender ends by its own timeout.
+			time.Sleep(time.Second)
+		})
+	}
+}
