Test what a gate's waits, connects and stops tell of a request

Places that end a request and had no test: the waits for a slot of a target (caller gone, part of the objective or of the deadline over, dropped from a full queue, no free slot) must tell not run, and nothing may run later; the deadline and the caller's leaving during the run must leave the outcome open; a connect that gets no reply must tell not run, also if its bytes come through later; a gate that stops refuses new requests as not run and ends earlier ones.

--- a/node/pkg/forwarder/forwarder_test.go
+++ b/node/pkg/forwarder/forwarder_test.go
@@ -68,18 +68,26 @@
 
 // serve runs a server for the given gate and returns a link to it.
 func serve(t *testing.T, served forwarder.Gate) *link {
+	t.Helper()
+	_, proxy := serveWith(t, served)
+	return proxy
+}
+
+// serveWith is serve, and also returns the server.
+func serveWith(t *testing.T, served forwarder.Gate) (*forwarder.Server, *link) {
 	t.Helper()
 	credentials := messenger.NewCredentials("test", []byte("0123456789abcdef"))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	mux := messenger.Mux{}
-	forwarder.NewServer(
+	server := forwarder.NewServer(
 		served, forwarder.NewClient(messenger.NewPool(credentials), new(expvar.Map), slog.New(slog.DiscardHandler)),
-	).Register(mux)
+	)
+	server.Register(mux)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = messenger.NewServer(credentials, mux, slog.New(slog.DiscardHandler)).Serve(ctx, listener) }()
-	return newLink(t, listener.Addr().String())
+	return server, newLink(t, listener.Addr().String())
 }
 
 func newClient(t *testing.T) *forwarder.Client {
--- a/node/pkg/forwarder/link_test.go
+++ b/node/pkg/forwarder/link_test.go
@@ -16,6 +16,7 @@
 	mu      sync.Mutex
 	open    []*direction
 	denials int
+	hold    bool
 }
 
 // direction is one direction of a connection. While it is stalled, it buffers the bytes that it reads.
@@ -57,6 +58,7 @@
 		}
 		forward, backward := &direction{forward: true, to: server}, &direction{to: client}
 		l.mu.Lock()
+		forward.stalled = l.hold
 		l.open = append(l.open, forward, backward)
 		l.mu.Unlock()
 		go forward.copy(client)
@@ -100,6 +102,20 @@
 	}
 }
 
+// stallNew stalls connections towards the server from their start. The function that it returns delivers the buffered
+// bytes and ends the stall.
+func (l *link) stallNew() (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hold = true
+	return func() {
+		l.mu.Lock()
+		l.hold = false
+		l.mu.Unlock()
+		l.stall(true)()
+	}
+}
+
 func (d *direction) copy(from net.Conn) {
 	buf := make([]byte, 32<<10)
 	for {
