Test that a caller's leaving is no evidence against a node

A request whose caller leaves, or a hedge whose answer is no longer needed, while the connection to the gate is opened ends as `node-unreachable`. By reading, the entry then avoids that node for a second or more and counts the failure against the target, though both may be well.

Client.attempt takes every error of the connect for an unreachable node.

--- a/node/pkg/forwarder/connect_test.go
+++ b/node/pkg/forwarder/connect_test.go
@@ -57,6 +57,16 @@
 	assert.Equal(t, runs.Load(), int64(1))
 }
 
+// TestCallerThatLeavesDuringTheConnectIsNoEvidenceAgainstTheNode guards against a node that is avoided because a caller left
+// while a connection to it was opened.
+func TestCallerThatLeavesDuringTheConnectIsNoEvidenceAgainstTheNode(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(30*time.Millisecond, cancel)
+	_, err := newClient(t).Forward(ctx, destinationOf(silentListener(t)), head("a"), http.NoBody)
+	assert.Equal(t, outcome(t, err), "not-run")
+	assert.Assert(t, refuser.From(err).Kind != refuser.NodeUnreachable, "%v", err)
+}
+
 // TestStoppingServerRefusesNewRequestsAndEndsEarlierOnes guards against a gate that stops while a target is at work, and
 // against one that waits for a request which came after its stop began.
 func TestStoppingServerRefusesNewRequestsAndEndsEarlierOnes(t *testing.T) {
