--- a/node/pkg/acceptor/body_test.go
+++ b/node/pkg/acceptor/body_test.go
@@ -130,3 +130,51 @@
 	assert.Equal(t, status, http.StatusOK)
 	return true
 }
+
+// TestRefusalReachesACallerThatIsStillSending has callers that read the answer only after they sent the whole body, which
+// takes longer than a closed connection is kept for them.
+func TestRefusalReachesACallerThatIsStillSending(t *testing.T) {
+	f := newFleet(t, http.HandlerFunc(answerReady))
+	for _, head := range []string{"Content-Length: 8000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n1f4000\r\n"} {
+		conn, err := net.Dial("tcp", f.entry.Listener.Addr().String())
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+		_, err = io.WriteString(conn, "POST /none HTTP/1.1\r\nHost: a\r\n"+head)
+		assert.NilError(t, err)
+		for range 80 {
+			if _, err := conn.Write(make([]byte, 10_000)); err != nil {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusNotFound)
+		assert.NilError(t, response.Body.Close())
+		assert.NilError(t, conn.Close())
+	}
+}
+
+// TestPipelinedRequestsAreAnsweredInOrder sends a second request before the first one is answered.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	f := newFleet(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		_, _ = io.WriteString(w, r.URL.Path)
+	}))
+	conn, err := net.Dial("tcp", f.entry.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	request := " HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer " + f.key + "\r\nContent-Length: 2\r\n\r\nhi"
+	_, err = io.WriteString(conn, "POST /bookings/1"+request+"POST /catalogue/2"+request)
+	assert.NilError(t, err)
+	reader := bufio.NewReader(conn)
+	for _, path := range []string{"/bookings/1", "/catalogue/2"} {
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		content, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, string(content), path)
+	}
+}
--- a/node/pkg/acceptor/deadline_test.go
+++ b/node/pkg/acceptor/deadline_test.go
@@ -23,3 +23,17 @@
 	assert.Equal(t, refusal.Outcome, "not-run")
 	assert.Equal(t, runs.Load(), int64(0))
 }
+
+// TestRequestThatReachesNoGateIsToldAsNotRun stops the only gate. Whatever the entry tries before it gives up, no target can
+// have run the request.
+func TestRequestThatReachesNoGateIsToldAsNotRun(t *testing.T) {
+	f := newFleet(t, http.HandlerFunc(answerReady))
+	assert.Equal(t, do(t, f.request(t, http.MethodPost, "/bookings")).status, http.StatusOK)
+	f.stopGate()
+	waitFor(t, func() bool {
+		reply := do(t, f.request(t, http.MethodPost, "/bookings"))
+		var refusal struct{ Error, Outcome string }
+		assert.NilError(t, json.Unmarshal([]byte(reply.content), &refusal))
+		return refusal.Error == "node-unreachable" && refusal.Outcome == "not-run" && reply.status == http.StatusBadGateway
+	})
+}
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -56,9 +56,10 @@
 
 // fleet is an entry and a gate in one process, with handlers as targets.
 type fleet struct {
-	entry   *httptest.Server
-	key     string
-	limiter *freeLimiter
+	entry    *httptest.Server
+	key      string
+	limiter  *freeLimiter
+	stopGate func()
 }
 
 // newFleet serves /bookings (not repeatable) and /catalogue (repeatable) for one workspace, with one target for each
@@ -138,7 +139,7 @@
 	})
 	server := httptest.NewServer(entry.Handler())
 	t.Cleanup(server.Close)
-	return &fleet{entry: server, key: key.Reveal(), limiter: limiter}
+	return &fleet{entry: server, key: key.Reveal(), limiter: limiter, stopGate: cancel}
 }
 
 // request builds a request to path with the key of the workspace.
--- a/node/pkg/connector/connector_test.go
+++ b/node/pkg/connector/connector_test.go
@@ -200,3 +200,38 @@
 	var failure *connector.Failure
 	assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%v", err)
 }
+
+// TestContextEndBeforeAnyByteSendsNothing has requests that are given up before a byte of them was written: no connection
+// was open yet, or the small body had not arrived. The target must get nothing.
+func TestContextEndBeforeAnyByteSendsNothing(t *testing.T) {
+	body, writer := io.Pipe()
+	defer func() { _ = writer.Close() }()
+	for name, test := range map[string]struct {
+		request *http.Request
+		timeout time.Duration
+	}{
+		"before the connect":   {newRequest(http.MethodPost, nil, 0), 0},
+		"during a small body":  {newRequest(http.MethodPost, body, 10), 50 * time.Millisecond},
+		"after a part of such": {newRequest(http.MethodPost, io.MultiReader(strings.NewReader("part"), body), 10), 50 * time.Millisecond},
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		received := make(chan int64, 1)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				received <- 0
+				return
+			}
+			n, _ := io.Copy(io.Discard, conn)
+			received <- n
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), test.timeout)
+		_, err = connector.New(new(expvar.Map)).Exchange(ctx, listener.Addr().String(), test.request, false) //nolint:bodyclose // it fails
+		cancel()
+		var failure *connector.Failure
+		assert.Assert(t, errors.As(err, &failure) && !failure.Sent, "%s: %v", name, err)
+		assert.NilError(t, listener.Close())
+		assert.Equal(t, <-received, int64(0), name)
+	}
+}
