End a request at the gate whose entry went silent in its body

A gate waited for the rest of a request's body without a bound of its own, since the deadline ended the exchange with the target, not the read from the entry. An entry that was cut off in the middle of a body so kept its request there, and a gate that stops waits for all requests, until the end of its grace.

The gate now closes the stream 300 ms after the request's deadline. By then the entry has given up, as its deadline is no later than that of the gate; the time between leaves room for the answer.

Before, with the test alone:

$ go test -race -count=1 -run TestGateWaitsForABody ./pkg/forwarder (node) --- FAIL: TestGateWaitsForABodyNoLongerThanUntilTheDeadline (3.50s) silence_test.go:41: the gate still waits for the body

Now it passes, 5 times of 5 with -race.

--- a/node/pkg/forwarder/server.go
+++ b/node/pkg/forwarder/server.go
@@ -12,6 +12,9 @@
 	"samphiremount.example/core/refuser"
 )
 
+// bodyGrace is how long after its deadline a request is given up whose body has not ended. It leaves time for the answer.
+const bodyGrace = 300 * time.Millisecond
+
 // Server answers the calls of other nodes' clients.
 type Server struct {
 	gate   Gate
@@ -90,6 +93,8 @@
 	defer cancel()
 	body := newBodyReader(receiveFrom(stream))
 	if head.Length != 0 {
+		// An entry that went silent does not end its body.
+		defer time.AfterFunc(time.Until(head.Deadline)+bodyGrace, func() { _ = stream.Close() }).Stop()
 		// Unread messages would block the end of the stream, and with it the next request on the connection.
 		defer body.drain()
 	}
