Test that a target which left gets nothing

The gate's refusal of a target that it does not know, or that is leaving, had no test: `target-unknown`, not run, and the target sees nothing.

--- a/node/pkg/gatekeeper/abandon_test.go
+++ b/node/pkg/gatekeeper/abandon_test.go
@@ -102,3 +102,19 @@
 	}
 	assert.Equal(t, runs.Load(), int64(2))
 }
+
+// TestTargetThatLeftGetsNothing covers targets that are unknown to their gate or leaving.
+func TestTargetThatLeftGetsNothing(t *testing.T) {
+	var runs atomic.Int64
+	gate := newGate(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }, 1)
+	gone := head("gone", "w")
+	gone.Target = "b"
+	leaving := head("leaving", "w")
+	leaving.Target = "l"
+	for _, h := range []forwarder.Head{gone, leaving} {
+		refusal := refuser.From(run(t.Context(), gate, h))
+		assert.Equal(t, refusal.Kind, refuser.TargetUnknown)
+		assert.Equal(t, refusal.Outcome, refuser.Outcome(refuser.NotRun{}))
+	}
+	assert.Equal(t, runs.Load(), int64(0))
+}
--- a/node/pkg/gatekeeper/gatekeeper_test.go
+++ b/node/pkg/gatekeeper/gatekeeper_test.go
@@ -49,7 +49,11 @@
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	known := targets{"a": {Name: "a", Service: "s", Address: server.Listener.Addr().String(), Slots: slots}}
+	address := server.Listener.Addr().String()
+	known := targets{
+		"a": {Name: "a", Service: "s", Address: address, Slots: slots},
+		"l": {Name: "l", Service: "s", Address: address, Slots: slots, Leaving: true},
+	}
 	counts := new(expvar.Map)
 	return gatekeeper.New(7, gatekeeper.DefaultProtocol{}, known, connector.New(counts), nopWatcher{}, counts, log,
 		func(string, quarantiner.Crash) {})
