--- a/control/pkg/proposer/run.go
+++ b/control/pkg/proposer/run.go
@@ -72,7 +72,11 @@
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	defer func() { _ = l.store.Close() }()
-	defer l.failAll("this process stops")
+	defer func() {
+		close(l.stopped)
+		l.failAll(stoppedDetail)
+		l.failReads(stoppedDetail)
+	}()
 	for {
 		var inputs []replicator.Input
 		select {
@@ -195,19 +199,27 @@
 	return member.Address, member.Address != ""
 }
 
-// failAll answers the proposals and the unconfirmed reads whose outcome this process will no longer learn. A proposal
-// that was appended may still be committed.
+// failAll answers the proposals and the unconfirmed reads whose outcome this process will no longer learn. A proposal may
+// still be committed, even if it is not known to be appended: its entry may be on disk or at another member by then.
 func (l *loop) failAll(detail string) {
 	for index, waiting := range l.appended {
 		waiting.answer <- answer{err: refuser.Fail(refuser.LeaderUnknown, detail)}
 		delete(l.appended, index)
 	}
 	for id, waiting := range l.waiting {
-		waiting <- answer{err: refuser.Refuse(refuser.LeaderUnknown, detail)}
+		waiting <- answer{err: refuser.Fail(refuser.LeaderUnknown, detail)}
 		delete(l.waiting, id)
 	}
 }
 
+// failReads answers the confirmed reads whose entries this process will no longer apply.
+func (l *loop) failReads(detail string) {
+	for _, read := range l.reads {
+		read.answer <- answer{err: refuser.Refuse(refuser.LeaderUnknown, detail)}
+	}
+	l.reads = nil
+}
+
 // publishControls publishes the names and addresses of the voters to the nodes if they changed.
 func (l *loop) publishControls() {
 	voters := l.replicator.Members().Voters
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -37,7 +37,9 @@
 		}
 	})
 	server.HTTPErrorHandler = func(err error, c echo.Context) { refuse(c, "", err) }
-	return server
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server.ServeHTTP(AllowEarlyAnswer(w, r))
+	})
 }
 
 func (a *Acceptor) serve(c echo.Context) error {
@@ -60,6 +62,8 @@
 	answer.Header = withoutPrefix(EndToEnd(answer.Header))
 	answer.Header.Set(headerRequest, id)
 	answer.Header.Set(headerOutcome, refuser.Ran{}.String())
-	a.Relay(c.Response(), request, id, answer)
+	if err := a.Relay(c.Response(), request, id, answer); err != nil {
+		refuse(c, id, err)
+	}
 	return nil
 }
