Let a run go on whose connection has stalled

What callers saw: 504 after 2.4 s for a request whose target was at work, if its connection delivered nothing for that time while the gate replied to questions over others. Lost packets hold up one connection for seconds, after which it recovers.

Change: only a promise ends an attempt, or a gate that neither runs it nor knows it any more. A stall makes a repeatable request go to another target beside the attempt, as silence does, without avoiding the path.

--- a/core/abandoner/abandoner.go
+++ b/core/abandoner/abandoner.go
@@ -2,8 +2,8 @@
 //
 // Silence proves nothing about the run: the entry, the gate or the link between them may be busy while the target works on
 // the request, and ending the attempt would end that run. So an entry that hears nothing asks the gate for a tombstone over
-// other connections, and only the reply can end the attempt. Without a reply the request may be sent to a second target,
-// beside the attempt, if it is repeatable.
+// other connections, and only the reply can end the attempt. If none comes, or if replies come and no frame of the attempt,
+// the request may be sent to a second target, beside the attempt, if it is repeatable.
 package abandoner
 
 import (
@@ -14,9 +14,9 @@
 )
 
 const (
-	// repliesUntilDead is the number of replies in a row, without a frame of the attempt between them, that show that the
-	// attempt's own connection delivers nothing. A reply takes the same links as the frames that the gate sent before it.
-	repliesUntilDead = 2
+	// repliesUntilStalled is the number of replies in a row, without a frame of the attempt between them, that show that the
+	// attempt's own connection has stalled. A reply takes the same links as the frames that the gate sent before it.
+	repliesUntilStalled = 2
 	// maxDoublings bounds how often the interval between two questions doubles.
 	maxDoublings = 3
 )
@@ -34,14 +34,15 @@
 // Wait keeps the attempt.
 type Wait struct{}
 
-// Assist keeps the attempt. Since nothing reaches or leaves its gate, a repeatable request may also go to another target.
-type Assist struct{}
+// Assist keeps the attempt, and a repeatable request may also go to another target. Reached tells whether the gate replied,
+// so that only the attempt's own connection has stalled, which may recover.
+type Assist struct{ Reached bool }
 
 // Withdraw ends the attempt, because the gate promised not to start it.
 type Withdraw struct{}
 
-// GiveUp ends the attempt with an unknown outcome, because its answer cannot arrive any more.
-type GiveUp struct{ Reason string }
+// GiveUp ends the attempt with an unknown outcome, because its gate neither runs it nor knows it any more.
+type GiveUp struct{}
 
 func (Wait) decision()     {}
 func (Assist) decision()   {}
@@ -55,15 +56,13 @@
 	}
 	s.replies++
 	s.unanswered = 0
-	if s.replies < repliesUntilDead {
+	if s.replies < repliesUntilStalled {
 		return s, Wait{}
 	}
-	switch state.(type) {
-	case tombstoner.Started:
-		return s, GiveUp{"the target runs it, but the connection to its gate is dead"}
-	default:
-		return s, GiveUp{"its run has ended, but the connection to its gate is dead"}
+	if state == (tombstoner.Forgotten{}) {
+		return s, GiveUp{}
 	}
+	return s, Assist{Reached: true}
 }
 
 // WithoutReply returns the silence after a question got no reply, and what follows for the attempt.
--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -69,8 +69,10 @@
 	}
 	destination := a.chooser.destination(choice.Placement, func() []string { return a.relays(view, node.Name) })
 	destination.Launch = pending.launch
-	destination.OnSilence = func() {
-		a.chooser.recordSilence(pending.placement)
+	destination.OnSilence = func(reached bool) {
+		if !reached {
+			a.chooser.recordSilence(pending.placement)
+		}
 		pending.reportSilence()
 	}
 	body := f.body.reader()
--- a/node/pkg/forwarder/client.go
+++ b/node/pkg/forwarder/client.go
@@ -92,7 +92,7 @@
 	if destination.OnSilence != nil {
 		defer time.AfterFunc(destination.connectTimeout(), func() {
 			c.log.Info("connecting takes long", "request", head.AttemptID, "target", head.Target, "timer", destination.connectTimeout())
-			destination.OnSilence()
+			destination.OnSilence(false)
 		}).Stop()
 	}
 	gateTime, err := c.gateTime(ctx, destination.Address, head.Incarnation)
--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -165,11 +165,11 @@
 	if errors.As(err, &refusal) {
 		return refusal
 	}
-	switch ended := e.decision().(type) {
+	switch e.decision().(type) {
 	case abandoner.Withdraw:
 		return refuser.Refuse(refuser.NodeUnreachable, "the gate was silent and promised not to start it")
 	case abandoner.GiveUp:
-		return refuser.Fail(refuser.OutcomeUnknown, ended.Reason)
+		return refuser.Fail(refuser.OutcomeUnknown, errForgotten.Error())
 	default:
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/node/pkg/forwarder/head.go
+++ b/node/pkg/forwarder/head.go
@@ -106,13 +106,14 @@
 // Destination describes how to reach a gate. Relays returns the addresses of other nodes that may reach the gate when
 // this node can't. ResponseTimeout is how long to wait for the first response before the gate is asked about the attempt; 0
 // means idleTimeout. OnFirstResponse may be nil. It is called with the time until the first response. OnSilence may be nil.
-// It is called when connecting takes long, and when a silent gate did not reply to that question. Launch may be nil.
+// It is called when connecting takes long, when a silent gate does not reply to that question, and, with reached set, when it
+// replies and yet no frame comes. Launch may be nil.
 type Destination struct {
 	Address         string
 	Relays          func() []string
 	ResponseTimeout time.Duration
 	OnFirstResponse func(elapsed time.Duration)
-	OnSilence       func()
+	OnSilence       func(reached bool)
 	Launch          *Launch
 }
 
--- a/node/pkg/forwarder/silence.go
+++ b/node/pkg/forwarder/silence.go
@@ -3,9 +3,14 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"samphiremount.example/core/abandoner"
 )
 
+// errForgotten is the reason for ending an attempt whose gate does not know it any more.
+var errForgotten = errors.New("the gate does not know the attempt any more")
+
 // handleTimeout is called when the gate sent no frame for the idle timeout. It asks the gate about the attempt, and then
 // waits for the next frame again unless the reply ends the attempt.
 func (e *exchange) handleTimeout() {
@@ -23,10 +28,10 @@
 		case abandoner.Withdraw:
 			e.end(decision, "the gate promised not to start it")
 		case abandoner.GiveUp:
-			e.end(decision, decision.Reason)
+			e.end(decision, errForgotten.Error())
 		case abandoner.Assist:
 			if e.destination.OnSilence != nil {
-				e.destination.OnSilence()
+				e.destination.OnSilence(decision.Reached)
 			}
 		case abandoner.Wait:
 		}
