Do not hold the end of a request's time against its node

What callers saw: a node that was avoided for a second, and longer each time, because a caller had left or a hedge was no longer needed while a connection to it was opened. And a refusal, not run, after 1.2 s of connecting to the only gate, as the first call to a gate had a bound of its own.

Change: a connect that ends with its request is told as deadline-passed, not run. The first call to a gate tries a new connection after that bound and goes on until the deadline.

--- a/node/pkg/forwarder/client.go
+++ b/node/pkg/forwarder/client.go
@@ -63,8 +63,13 @@
 	ctx, cancel := context.WithDeadline(ctx, head.Deadline)
 	stream, gateTime, err := c.connect(ctx, destination, head)
 	if err != nil {
+		kind := refuser.NodeUnreachable
+		if ctx.Err() != nil {
+			// The time was used up, or the caller left. That is no evidence against the node.
+			kind = refuser.DeadlinePassed
+		}
 		cancel()
-		return Answer{}, false, refuser.Refuse(refuser.NodeUnreachable, err.Error())
+		return Answer{}, false, refuser.Refuse(kind, err.Error())
 	}
 	head.StartBefore = startBefore(gateTime, time.Now(), head.Deadline)
 	sent := *head
--- a/node/pkg/forwarder/clock.go
+++ b/node/pkg/forwarder/clock.go
@@ -69,12 +69,9 @@
 	if gateTime, ok := c.clocks.get(address, incarnation, time.Now()); ok {
 		return gateTime, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, idleTimeout)
-	defer cancel()
-	var reply clockMessage
-	err := c.pool.Get(ctx, address).Invoke(ctx, callClock, messenger.Encoding{}, &clockMessage{}, &reply)
+	reply, err := c.readClock(ctx, address)
 	if err != nil {
-		return 0, errors.Wrap(err, "read clock of gate")
+		return 0, err
 	}
 	if reply.Incarnation != incarnation {
 		return 0, errors.New("the node was restarted")
@@ -84,6 +81,24 @@
 	return clock.Time, nil
 }
 
+// readClock asks the gate for its clock, over a new connection if a pooled one gets no reply within idleTimeout.
+func (c *Client) readClock(ctx context.Context, address string) (clockMessage, error) {
+	var reply clockMessage
+	pooledCtx, cancel := context.WithTimeout(ctx, idleTimeout)
+	defer cancel()
+	err := c.pool.Get(pooledCtx, address).Invoke(pooledCtx, callClock, messenger.Encoding{}, &clockMessage{}, &reply)
+	if err == nil || pooledCtx.Err() == nil || ctx.Err() != nil {
+		return reply, errors.Wrap(err, "read clock of gate")
+	}
+	conn, err := c.pool.Dial(ctx, address)
+	if err != nil {
+		return reply, errors.Wrap(err, "connect to read clock of gate")
+	}
+	defer func() { _ = conn.Close() }()
+	err = conn.Invoke(ctx, callClock, messenger.Encoding{}, &clockMessage{}, &reply)
+	return reply, errors.Wrap(err, "read clock of gate")
+}
+
 // startBefore returns the latest gate time at which a request with that deadline may start.
 func startBefore(gateTime tombstoner.GateTime, now, deadline time.Time) tombstoner.GateTime {
 	remaining := tombstoner.GateTime(deadline.Sub(now).Milliseconds())
--- a/node/pkg/forwarder/connect_test.go
+++ b/node/pkg/forwarder/connect_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -109,3 +110,13 @@
 	close(release)
 	assert.NilError(t, group.Wait())
 }
+
+// TestSlowConnectToTheOnlyGateIsEnded holds connections back for longer than the usual bound of the first call to a gate.
+func TestSlowConnectToTheOnlyGateIsEnded(t *testing.T) {
+	proxy := serve(t, newGate(answered(strings.NewReader("answer"))))
+	release := proxy.stallNew()
+	time.AfterFunc(1500*time.Millisecond, release)
+	answer, err := newClient(t).Forward(t.Context(), destinationOf(proxy.address()), head("a"), http.NoBody)
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+}
