Keep a target's failure until another attempt has a better result

What callers saw: 504 from the fleet in place of the 500 that the target had answered, with its body, if the request may be repeated and no other target was there or none accepted it.

Cause: the answer was dropped as soon as another attempt was allowed, before there was a target for it.

Change: the last answer of a target is kept until a later attempt has an answer, and is the result if none has.

--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -38,28 +38,64 @@
 	f.attempt = retrier.Attempt{
 		Service: f.head.Service, Number: 1, MaxAttempts: f.maxAttempts, Repeatable: f.head.Repeatable, Deadline: f.head.Deadline,
 	}
-	var last error
+	var last failure
 	for {
-		answer, sent, err := a.attempt(ctx, f)
-		if !sent && last != nil {
-			// No other target is left. The refusal of the last attempt tells more than this one.
-			return forwarder.Answer{}, last
-		}
-		if !sent {
-			return forwarder.Answer{}, err
+		first, err := a.startAttempt(ctx, f)
+		if err != nil {
+			return last.or(err)
 		}
+		answer, err := a.race(ctx, f, first)
 		if !a.shouldRetry(ctx, f, answer, err) {
-			return answer, f.withOutcome(err)
-		}
-		last = f.withOutcome(err)
-		if err == nil {
-			_ = answer.Body.Close()
-			last = refuser.Fail(refuser.OutcomeUnknown, "a target failed it, and no other answered")
+			if err == nil {
+				last.close()
+				return answer, nil
+			}
+			return last.with(answer, f.withOutcome(err)).result()
 		}
+		last = last.with(answer, f.withOutcome(err))
 		f.prepareNext()
 	}
 }
 
+// failure is the result of the attempts so far, none of which succeeded: the last answer of a target, or else the last
+// refusal. An answer is kept until a later attempt has a better one, since it tells the caller more than a refusal.
+type failure struct {
+	answer *forwarder.Answer
+	err    error
+}
+
+// with returns the failure after a further attempt that ended with answer or err.
+func (f failure) with(answer forwarder.Answer, err error) failure {
+	if err != nil {
+		f.err = err
+		return f
+	}
+	f.close()
+	return failure{answer: &answer}
+}
+
+// result returns the answer, or else the refusal.
+func (f failure) result() (forwarder.Answer, error) {
+	if f.answer != nil {
+		return *f.answer, nil
+	}
+	return forwarder.Answer{}, f.err
+}
+
+// or returns the result, or err if there was no attempt. A refusal for want of a target tells less than an attempt's result.
+func (f failure) or(err error) (forwarder.Answer, error) {
+	if f.answer == nil && f.err == nil {
+		return forwarder.Answer{}, err
+	}
+	return f.result()
+}
+
+func (f failure) close() {
+	if f.answer != nil {
+		_ = f.answer.Body.Close()
+	}
+}
+
 // prepareNext prepares the next attempt.
 func (f *forwardedRequest) prepareNext() {
 	f.attempt.Number++
@@ -67,16 +103,6 @@
 	f.head.AttemptID = fmt.Sprintf("%s.%d", f.head.RequestID, f.attempt.Number)
 }
 
-// attempt makes one attempt, which may be hedged. The result sent is false if there was no target to send it to.
-func (a *Acceptor) attempt(ctx context.Context, f *forwardedRequest) (answer forwarder.Answer, sent bool, err error) {
-	first, err := a.startAttempt(ctx, f)
-	if err != nil {
-		return forwarder.Answer{}, false, err
-	}
-	answer, err = a.race(ctx, f, first)
-	return answer, true, err
-}
-
 // chooseTarget picks a target for the next attempt in the scope that the request's plan gives. It never picks one that
 // may have run the request.
 func (a *Acceptor) chooseTarget(view *viewer.View, f *forwardedRequest) (router.Choice, error) {
