Keep a target's failure that a hedge without answer outlasts

What callers saw: 504 from the fleet in place of a target's 500, if the request had been hedged and the second attempt broke off later.

Cause: the race dropped the first attempt's answer and took the result of the other one, whatever it was.

Change: an answer is kept until the other attempt has one too; an attempt that did not run says nothing about the request.

Red before: TestFailureIsLostToAHedgeWithoutAnswer, 3 of 3 runs ("504 != 500"). Green 3 of 3.

--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -227,21 +227,28 @@
 	return r.acceptor.resolveRace(r.request, finished, result, other)
 }
 
-// resolveRace returns the result of the finished attempt if it succeeded, and otherwise waits for that of the other
-// one.
+// resolveRace returns the result of the finished attempt if it succeeded, and otherwise waits for that of the other one. A
+// target's failure is kept if the other attempt has no answer.
 func (a *Acceptor) resolveRace(f *forwardedRequest, finished *pendingAttempt, r result, other *pendingAttempt) (forwarder.Answer, error) {
 	f.head.Target = finished.head.Target
 	if r.succeeded() {
 		other.cancelAndClose()
 		return r.answer, nil
 	}
-	f.recordReached(r.err)
-	if r.err == nil {
-		_ = r.answer.Body.Close()
+	last := <-other.done
+	if last.err != nil && refuser.From(last.err).Outcome == (refuser.NotRun{}) {
+		return r.answer, r.err
 	}
-	r = <-other.done
+	f.recordReached(r.err)
 	f.head.Target = other.head.Target
-	return r.answer, r.err
+	if r.err != nil {
+		return last.answer, last.err
+	}
+	if last.err != nil {
+		return r.answer, nil
+	}
+	_ = r.answer.Body.Close()
+	return last.answer, nil
 }
 
 // hedgeTimer returns a channel that becomes ready when first is to be hedged, or nil if first must not be hedged.
