--- a/node/pkg/forwarder/tombstone.go
+++ b/node/pkg/forwarder/tombstone.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,13 +56,14 @@
 	identity := head.Identity()
 	request := tombstoneRequest{ID: identity.ID, Incarnation: identity.Incarnation, StartBefore: int64(identity.StartBefore)}
 	state, ok := c.requestTombstone(ctx, destination, request)
-	name := "no reply"
-	if ok {
-		name = tombstoner.Name(state)
+	if !ok {
+		c.counts.Add("settle_no_reply", 1)
+		c.log.Info("tombstone asked for", "request", head.AttemptID, "target", head.Target, "state", "no reply")
+		return state, false
 	}
-	c.counts.Add("settle_"+strings.ReplaceAll(name, " ", "_"), 1)
-	c.log.Info("tombstone asked for", "request", head.AttemptID, "target", head.Target, "state", name)
-	return state, ok
+	c.counts.Add("settle_"+tombstoner.Name(state), 1)
+	c.log.Info("tombstone asked for", "request", head.AttemptID, "target", head.Target, "state", tombstoner.Name(state))
+	return state, true
 }
 
 // resolveOutcome returns the error for the request of head, whose exchange failed with cause: a refusal with the
