Split updates of the configuration by size too

Nodes stopped following when operators set long texts. An update was cut into messages by the number of its records alone; with 200 names of 30 KB one message exceeded the 4 MB that a connection takes, so each subscriber lost its connection at that message, over and over, and never got the version.

Documents, which nodes do not get, are excepted.

go test -run LongTexts ./synchronizer in core, before:

--- FAIL: TestLongTextsOfOperatorsReachSubscribers (15.03s) timeout hit after 15s: version 0, not 1

Now ok, with -race. TestRefusedBatches has a name of 2 MB.

--- a/core/configurer/apply.go
+++ b/core/configurer/apply.go
@@ -129,6 +129,10 @@
 }
 
 func (c Configuration) checkChange(change Change) error {
+	record := NewRecord(change)
+	if record.Kind != kindDocument && record.Size() > MaxRecordBytes {
+		return invalid("a " + record.Kind + " has too long texts or too many services")
+	}
 	switch change := change.(type) {
 	case PutWorkspace:
 		return checkWorkspace(change.Workspace)
--- a/core/configurer/configuration_test.go
+++ b/core/configurer/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,6 +91,7 @@
 		"weight":      configurer.PutWorkspace{Workspace: configurer.Workspace{Name: "b", Rate: 1, Burst: 1, Weight: large}},
 		"floor":       configurer.PutService{Service: configurer.Service{Name: "t", Floor: large}},
 		"connections": configurer.PutService{Service: configurer.Service{Name: "t", MaxConnections: large}},
+		"name":        workspace(strings.Repeat("w", 2<<20)),
 		"attempts":    route(large, 1),
 		"route rank":  route(1, large),
 	} {
--- a/core/configurer/record.go
+++ b/core/configurer/record.go
@@ -38,6 +38,20 @@
 	Text            string  `cbor:"24,keyasint,omitempty" json:"text,omitempty"`
 }
 
+// MaxRecordBytes bounds the size of a record that is sent to nodes.
+const MaxRecordBytes = 1 << 20
+
+// Size returns an upper bound of the encoded size in bytes, as long as no number is negative.
+func (r Record) Size() int {
+	const fixedBytes, splitBytes = 256, 32
+	size := fixedBytes + len(r.Verb) + len(r.Kind) + len(r.Name) + len(r.Workspace) + len(r.Digest) + len(r.Host) + len(r.Prefix) +
+		len(r.Service) + len(r.Text)
+	for _, split := range r.Splits {
+		size += splitBytes + len(split.Service)
+	}
+	return size
+}
+
 const (
 	verbPut    = "put"
 	verbRemove = "remove"
--- a/core/synchronizer/hub.go
+++ b/core/synchronizer/hub.go
@@ -271,14 +271,30 @@
 	}
 	messages := make([]drpc.Message, 0, len(missing))
 	for _, b := range missing {
-		messages = append(messages, &updateMessage{
+		update := updateMessage{
 			Version: b.version, Operation: b.batch.Operation, Number: b.batch.Numbering.Number,
 			Records: configurer.NewRecords(withoutDocuments(b.batch.Changes)),
-		})
+		}
+		if len(update.Records) > 0 && firstMessage(update.Records) < len(update.Records) {
+			return h.snapshot.messagesFor(h.configuration)
+		}
+		messages = append(messages, &update)
 	}
 	return messages, nil
 }
 
+// firstMessage returns how many of records go into one message: at least one.
+func firstMessage(records []configurer.Record) int {
+	bytes := 0
+	for i, record := range records {
+		if i >= maxRecordsPerMessage || bytes > maxRecordBytesPerMessage {
+			return i
+		}
+		bytes += record.Size()
+	}
+	return len(records)
+}
+
 // withoutDocuments returns changes without those of documents, which nodes do not hold.
 func withoutDocuments(changes []configurer.Change) []configurer.Change {
 	return slices.DeleteFunc(slices.Clone(changes), func(change configurer.Change) bool {
@@ -303,8 +319,10 @@
 		return e.messages, nil
 	}
 	updates := []updateMessage{}
-	for chunk := range slices.Chunk(configuration.WithoutDocuments().Records(), maxRecordsPerMessage) {
-		updates = append(updates, updateMessage{Version: configuration.Version(), Snapshot: true, Records: chunk})
+	for records := configuration.WithoutDocuments().Records(); len(records) > 0; {
+		n := firstMessage(records)
+		updates = append(updates, updateMessage{Version: configuration.Version(), Snapshot: true, Records: records[:n]})
+		records = records[n:]
 	}
 	updates = append(updates, updateMessage{
 		Version: configuration.Version(), Number: configuration.Number(), Snapshot: true, Last: true,
--- a/core/synchronizer/synchronizer_test.go
+++ b/core/synchronizer/synchronizer_test.go
@@ -242,3 +242,18 @@
 		}, poll.WithTimeout(5*time.Second))
 	}
 }
+
+// TestLongTextsOfOperatorsReachSubscribers guards against updates that are too large for one message.
+func TestLongTextsOfOperatorsReachSubscribers(t *testing.T) {
+	hub := synchronizer.NewHub()
+	first := publish(t, hub, "127.0.0.1:0")
+	early := subscribe(t, first.address)
+	waitForVersion(t, early, 0)
+	var long []configurer.Change
+	for i := range 200 {
+		long = append(long, workspace(fmt.Sprintf("%030000d", i)))
+	}
+	change(t, hub, long...)
+	waitForVersion(t, early, 1)
+	waitForVersion(t, subscribe(t, first.address), 1)
+}
--- a/core/synchronizer/wire.go
+++ b/core/synchronizer/wire.go
@@ -22,8 +22,11 @@
 	maxContactAge = 1200 * time.Millisecond
 
 	maxRecordsPerMessage = 4096
-	maxNodesPerMessage   = 256
-	maxKeysPerMessage    = 4096
+	// maxRecordBytesPerMessage bounds the records of a message but for the last of them. With that, a message stays below
+	// the limit of messenger.
+	maxRecordBytesPerMessage = 1 << 20
+	maxNodesPerMessage       = 256
+	maxKeysPerMessage        = 4096
 	// publishInterval is the minimum time between two updates of a subscriber, so that changes in quick succession are
 	// sent together.
 	publishInterval = 20 * time.Millisecond
