Refuse a configuration with too many objects to restore

go test -run CannotBeRestored ./configurer in core, before:

--- FAIL: TestConfigurationThatCannotBeRestoredIsRefused decode message: cbor: exceeded max number of elements 1048576 for CBOR array

Now ok, with -race (13 s). That a process ends is read from the code (proposer's install), not run.

--- a/core/configurer/apply.go
+++ b/core/configurer/apply.go
@@ -17,6 +17,8 @@
 	MaxNumber = math.MaxInt32
 	// MaxRate bounds rates, in requests per second.
 	MaxRate = 1e9
+	// maxObjects bounds the objects of a configuration. With more, a snapshot of it could not be decoded.
+	maxObjects = 1 << 20
 	// maxWeight bounds the weights of a route's services. Their sum does not overflow.
 	maxWeight = 1 << 40
 )
@@ -45,6 +47,9 @@
 		}
 	}
 	next := draft.build(c.version + 1)
+	if next.objects() > maxObjects {
+		return c, Receipt{}, invalid("the configuration would have too many objects")
+	}
 	if err := next.check(batch.Changes); err != nil {
 		return c, Receipt{}, err
 	}
--- a/core/configurer/configuration.go
+++ b/core/configurer/configuration.go
@@ -85,9 +85,14 @@
 	return Receipt{}, false
 }
 
+// objects returns the number of all objects.
+func (c Configuration) objects() int {
+	return c.services.len() + c.workspaces.len() + c.routes.len() + c.keys.len() + c.documents.len()
+}
+
 // Records returns the changes that create the configuration from an empty one.
 func (c Configuration) Records() []Record {
-	records := make([]Record, 0, c.services.len()+c.workspaces.len()+c.routes.len()+c.keys.len()+c.documents.len())
+	records := make([]Record, 0, c.objects())
 	records = appendRecords(records, c.documents, func(d Document) Change { return PutDocument{d} })
 	records = appendRecords(records, c.services, func(s Service) Change { return PutService{s} })
 	records = appendRecords(records, c.workspaces, func(w Workspace) Change { return PutWorkspace{w} })
--- a/core/configurer/configuration_test.go
+++ b/core/configurer/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -164,3 +165,19 @@
 		})
 	})
 }
+
+// TestConfigurationThatCannotBeRestoredIsRefused guards against more objects than a snapshot can be decoded with.
+func TestConfigurationThatCannotBeRestoredIsRefused(t *testing.T) {
+	var changes []configurer.Change
+	for i := range 1<<20 + 1 {
+		changes = append(changes, configurer.PutDocument{Document: configurer.Document{Name: strconv.Itoa(i)}})
+	}
+	c, _, err := configurer.Configuration{}.With(configurer.Batch{Operation: "many", Changes: changes})
+	if err == nil {
+		data, encodeErr := c.Encode()
+		assert.NilError(t, encodeErr)
+		_, err = configurer.Decode(data)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, refuser.From(err).Kind, refuser.ChangeInvalid)
+}
