--- a/core/configurer/configuration_test.go
+++ b/core/configurer/configuration_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,6 +92,7 @@
 		"weight":      configurer.PutWorkspace{Workspace: configurer.Workspace{Name: "b", Rate: 1, Burst: 1, Weight: large}},
 		"floor":       configurer.PutService{Service: configurer.Service{Name: "t", Floor: large}},
 		"connections": configurer.PutService{Service: configurer.Service{Name: "t", MaxConnections: large}},
+		"name":        workspace(strings.Repeat("w", 2<<20)),
 		"attempts":    route(large, 1),
 		"route rank":  route(1, large),
 	} {
@@ -162,3 +165,19 @@
 		})
 	})
 }
+
+// TestConfigurationThatCannotBeRestoredIsRefused guards against more objects than a snapshot can be decoded with.
+func TestConfigurationThatCannotBeRestoredIsRefused(t *testing.T) {
+	var changes []configurer.Change
+	for i := range 1<<20 + 1 {
+		changes = append(changes, configurer.PutDocument{Document: configurer.Document{Name: strconv.Itoa(i)}})
+	}
+	c, _, err := configurer.Configuration{}.With(configurer.Batch{Operation: "many", Changes: changes})
+	if err == nil {
+		data, encodeErr := c.Encode()
+		assert.NilError(t, encodeErr)
+		_, err = configurer.Decode(data)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, refuser.From(err).Kind, refuser.ChangeInvalid)
+}
