Ask a silent gate what it knows in place of placing a tombstone

What callers saw: 502, not run, for a booking that waited for a slot, 80 ms after it was sent, if the frames of its gate were late. Found by a review.

Cause: the question about a silent attempt placed a tombstone. A request that had arrived and waited was thereby kept from starting, also if no other attempt was allowed, or if a frame came right after.

Change: the question asks for the state only (call bury with look set; a gate that does not know the field still promises). A gate tells a request that waits from one that it has not seen. Only the second is recalled by a tombstone, since the question overtook it over the same links, and only if the retry policy would send it again. A run that ended after its latest start counts as finished, not as forgotten, so that "forgotten" means another incarnation.

--- a/core/abandoner/abandoner.go
+++ b/core/abandoner/abandoner.go
@@ -1,7 +1,7 @@
 // Package abandoner decides whether an entry gives up an attempt while it hears nothing from the gate.
 //
 // Silence proves nothing about the run: the entry, the gate or the link between them may be busy while the target works on
-// the request, and ending the attempt would end that run. So an entry that hears nothing asks the gate for a tombstone over
+// the request, and ending the attempt would end that run. So an entry that hears nothing asks the gate about the attempt over
 // other connections, and only the reply can end the attempt. If none comes, or if replies come and no frame of the attempt,
 // the request may be sent to a second target, beside the attempt, if it is repeatable.
 package abandoner
@@ -28,7 +28,7 @@
 	unanswered int
 }
 
-// Decision is Wait, Assist, Withdraw or GiveUp.
+// Decision is Wait, Assist, Recall, Withdraw or GiveUp.
 type Decision interface{ decision() }
 
 // Wait keeps the attempt.
@@ -38,6 +38,10 @@
 // so that only the attempt's own connection has stalled, which may recover.
 type Assist struct{ Reached bool }
 
+// Recall asks the gate for a tombstone, if the request can be sent again after that. The attempt has not reached its gate,
+// though the question has, which was sent later over the same links.
+type Recall struct{}
+
 // Withdraw ends the attempt, because the gate promised not to start it.
 type Withdraw struct{}
 
@@ -46,6 +50,7 @@
 
 func (Wait) decision()     {}
 func (Assist) decision()   {}
+func (Recall) decision()   {}
 func (Withdraw) decision() {}
 func (GiveUp) decision()   {}
 
@@ -56,6 +61,9 @@
 	}
 	s.replies++
 	s.unanswered = 0
+	if state == (tombstoner.Unseen{}) {
+		return s, Recall{}
+	}
 	if s.replies < repliesUntilStalled {
 		return s, Wait{}
 	}
--- a/core/abandoner/abandoner_test.go
+++ b/core/abandoner/abandoner_test.go
@@ -16,7 +16,13 @@
 // promise may end it, or a gate that does not know it any more.
 func TestSilenceEndsAnAttemptThatMayBeRunning(t *testing.T) {
 	states := []tombstoner.State{
-		tombstoner.Tombstoned{}, tombstoner.Started{}, tombstoner.Finished{}, tombstoner.Refused{}, tombstoner.Forgotten{},
+		tombstoner.Tombstoned{},
+		tombstoner.Started{},
+		tombstoner.Finished{},
+		tombstoner.Refused{},
+		tombstoner.Forgotten{},
+		tombstoner.Waiting{},
+		tombstoner.Unseen{},
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		var silence abandoner.Silence
@@ -40,6 +46,8 @@
 			}
 			repliesSinceFrame++
 			switch {
+			case state == tombstoner.Unseen{}:
+				assert.Equal(t, decision, abandoner.Recall{})
 			case repliesSinceFrame < 2:
 				assert.Equal(t, decision, abandoner.Wait{})
 			case state == tombstoner.Forgotten{}:
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -115,29 +115,52 @@
 //
 // Decide must be called only for attempts that were sent, not when there was no target to choose.
 func (r *Retrier) Decide(now time.Time, event Event, attempt Attempt) Decision {
+	decision, charge := r.judge(now, event, attempt)
+	if charge == nil {
+		return decision
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	budget, ok := r.budgets[attempt.Service].WithExtraAttempt(now, *charge)
+	r.budgets[attempt.Service] = budget
+	if !ok {
+		return Stop{Reason: "the retry budget is used up", BudgetExhausted: true}
+	}
+	return decision
+}
+
+// Allows reports whether Decide would allow an extra attempt, and charges nothing.
+func (r *Retrier) Allows(now time.Time, event Event, attempt Attempt) bool {
+	decision, charge := r.judge(now, event, attempt)
+	_, ok := decision.(Retry)
+	if charge == nil || !ok {
+		return ok
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok = r.budgets[attempt.Service].WithExtraAttempt(now, *charge)
+	return ok
+}
+
+// judge returns the decision that holds if the budget allows an extra attempt, and the allowance to charge it to, or nil if
+// it is not charged.
+func (r *Retrier) judge(now time.Time, event Event, attempt Attempt) (decision Decision, charge *Allowance) {
 	policy := r.policy()
 	free := policy.FreeRetries > 0 && !mayHaveReachedTarget(event)
 	if attempt.exhausted(policy, free) {
-		return Stop{Reason: "all attempts are used"}
+		return Stop{Reason: "all attempts are used"}, nil
 	}
 	if !now.Before(attempt.Deadline) {
-		return Stop{Reason: "the deadline has passed"}
+		return Stop{Reason: "the deadline has passed"}, nil
 	}
 	reason, ok := retryable(event, attempt.Repeatable)
 	if !ok {
-		return Stop{Reason: reason}
+		return Stop{Reason: reason}, nil
 	}
 	if free || attempt.Number == 1 && targetLeft(event) {
-		return Retry{reason}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	budget, ok := r.budgets[attempt.Service].WithExtraAttempt(now, policy.Allowance)
-	r.budgets[attempt.Service] = budget
-	if !ok {
-		return Stop{Reason: "the retry budget is used up", BudgetExhausted: true}
+		return Retry{reason}, nil
 	}
-	return Retry{reason}
+	return Retry{reason}, &policy.Allowance
 }
 
 // exhausted reports whether the request has used all its attempts, whatever the budget has left. If free is set, the
--- a/core/tombstoner/outcome.go
+++ b/core/tombstoner/outcome.go
@@ -8,7 +8,7 @@
 	switch state.(type) {
 	case Tombstoned, Refused:
 		return refuser.NotRun{}
-	case Started, Finished, Forgotten:
+	case Started, Finished, Forgotten, Waiting, Unseen:
 		return refuser.Unknown{}
 	}
 	return refuser.Unknown{}
@@ -25,6 +25,10 @@
 		return "finished"
 	case Refused:
 		return "refused"
+	case Waiting:
+		return "waiting"
+	case Unseen:
+		return "unseen"
 	case Forgotten:
 	}
 	return "forgotten"
@@ -32,7 +36,7 @@
 
 // Parse returns the state with the given name. An unknown name is parsed as Forgotten, which guarantees nothing.
 func Parse(name string) State {
-	for _, state := range []State{Tombstoned{}, Started{}, Finished{}, Refused{}} {
+	for _, state := range []State{Tombstoned{}, Started{}, Finished{}, Refused{}, Waiting{}, Unseen{}} {
 		if Name(state) == name {
 			return state
 		}
--- a/core/tombstoner/tombstoner.go
+++ b/core/tombstoner/tombstoner.go
@@ -28,7 +28,7 @@
 	StartBefore GateTime
 }
 
-// State is what a gate knows about an identity. It is Tombstoned, Started, Finished, Refused or Forgotten.
+// State is what a gate knows about an identity. It is Tombstoned, Started, Finished, Refused, Forgotten, Waiting or Unseen.
 type State interface{ state() }
 
 // Tombstoned means that the identity has a tombstone: it was not started and never will be.
@@ -47,6 +47,14 @@
 // ahead, or the memory is full.
 type Forgotten struct{}
 
+// Waiting means that the request has arrived and was not started yet.
+type Waiting struct{}
+
+// Unseen means that the request has not arrived, and may still be started when it does.
+type Unseen struct{}
+
+func (Waiting) state()    {}
+func (Unseen) state()     {}
 func (Tombstoned) state() {}
 func (Started) state()    {}
 func (Finished) state()   {}
@@ -149,6 +157,21 @@
 	return Tombstoned{}
 }
 
+// Look returns what is known about identity at now, and changes nothing. An identity whose latest start has passed is
+// Finished if it is not known any more. The result Forgotten means that it is of another incarnation.
+func (t *Tombstoner) Look(now GateTime, identity Identity) State {
+	if identity.Incarnation != t.incarnation {
+		return Forgotten{}
+	}
+	if found, ok := t.records[identity.ID]; ok {
+		return found.state
+	}
+	if now >= identity.StartBefore {
+		return Finished{}
+	}
+	return Unseen{}
+}
+
 // Len returns the number of remembered identities.
 func (t *Tombstoner) Len() int {
 	return len(t.records)
--- a/node/pkg/counter/counter.go
+++ b/node/pkg/counter/counter.go
@@ -55,6 +55,18 @@
 	delete(e.counter.entries, e)
 }
 
+// Contains reports whether an entry with that id is in progress.
+func (c *Counter) Contains(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for entry := range c.entries {
+		if entry.id == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Active returns the entries in progress at now.
 func (c *Counter) Active(now time.Time) Active {
 	c.mu.Lock()
--- a/node/pkg/finisher/finisher.go
+++ b/node/pkg/finisher/finisher.go
@@ -61,6 +61,9 @@
 	}
 }
 
+// Contains reports whether the request with that id is in progress.
+func (f *Finisher) Contains(id string) bool { return f.counter.Contains(id) }
+
 // Active returns the requests in progress at now.
 func (f *Finisher) Active(now time.Time) counter.Active { return f.counter.Active(now) }
 
--- a/node/pkg/forwarder/client.go
+++ b/node/pkg/forwarder/client.go
@@ -73,8 +73,9 @@
 	}
 	head.StartBefore = startBefore(gateTime, time.Now(), head.Deadline)
 	sent := *head
-	exchange := newExchange(stream, cancel, destination, sent, c.log, func() (tombstoner.State, bool) {
-		return c.placeTombstone(ctx, destination, sent)
+	exchange := newExchange(stream, cancel, destination, sent, c.log, questions{
+		look:           func() (tombstoner.State, bool) { return c.look(ctx, destination, sent) },
+		placeTombstone: func() (tombstoner.State, bool) { return c.placeTombstone(ctx, destination, sent) },
 	})
 	answer, err := exchange.run(body)
 	if exchange.gateTime > 0 {
--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -35,11 +35,10 @@
 	group       errgroup.Group
 	answer      *bodyReader
 	idle        *idleTimer
-	// placeTombstone asks the gate over other connections not to start the request, and returns the gate's reply, if any.
-	placeTombstone func() (tombstoner.State, bool)
-	bodySent       atomic.Bool
-	heard          atomic.Bool
-	running        atomic.Bool
+	questions   questions
+	bodySent    atomic.Bool
+	heard       atomic.Bool
+	running     atomic.Bool
 
 	mu       sync.Mutex
 	silence  abandoner.Silence
@@ -51,12 +50,11 @@
 }
 
 func newExchange(
-	stream drpc.Stream, cancel context.CancelFunc, destination Destination, head Head, log *slog.Logger,
-	placeTombstone func() (tombstoner.State, bool),
+	stream drpc.Stream, cancel context.CancelFunc, destination Destination, head Head, log *slog.Logger, questions questions,
 ) *exchange {
 	e := &exchange{
 		stream: stream, cancel: cancel, destination: destination, head: head, log: log, startedAt: time.Now(),
-		placeTombstone: placeTombstone,
+		questions: questions,
 	}
 	e.idle = newIdleTimer(cmp.Or(destination.ResponseTimeout, idleTimeout), e.handleTimeout)
 	return e
--- a/node/pkg/forwarder/forwarder_test.go
+++ b/node/pkg/forwarder/forwarder_test.go
@@ -60,6 +60,12 @@
 	return g.tombstoner.PlaceTombstone(g.Clock().Time, identity)
 }
 
+func (g *gate) Look(identity tombstoner.Identity) tombstoner.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tombstoner.Look(g.Clock().Time, identity)
+}
+
 func (g *gate) RecordCrash(quarantiner.Crash) {}
 
 func (g *gate) Clock() forwarder.Clock {
--- a/node/pkg/forwarder/head.go
+++ b/node/pkg/forwarder/head.go
@@ -97,6 +97,8 @@
 	Running(id string) bool
 	// PlaceTombstone prevents the attempt with identity from starting after this call, and returns the attempt's state.
 	PlaceTombstone(identity tombstoner.Identity) tombstoner.State
+	// Look returns the attempt's state and changes nothing.
+	Look(identity tombstoner.Identity) tombstoner.State
 	// RecordCrash records a crash that another gate reported.
 	RecordCrash(crash quarantiner.Crash)
 	// Clock returns the current time of the gate's clock.
@@ -107,7 +109,8 @@
 // this node can't. ResponseTimeout is how long to wait for the first response before the gate is asked about the attempt; 0
 // means idleTimeout. OnFirstResponse may be nil. It is called with the time until the first response. OnSilence may be nil.
 // It is called when connecting takes long, when a silent gate does not reply to that question, and, with reached set, when it
-// replies and yet no frame comes. Launch may be nil.
+// replies and yet no frame comes. Launch may be nil. MayResend reports whether the request can be sent again after the gate
+// has promised not to start this attempt; nil means that it can.
 type Destination struct {
 	Address         string
 	Relays          func() []string
@@ -115,6 +118,7 @@
 	OnFirstResponse func(elapsed time.Duration)
 	OnSilence       func(reached bool)
 	Launch          *Launch
+	MayResend       func() bool
 }
 
 // Launch decides once whether an attempt is sent to its gate or withdrawn.
--- a/node/pkg/forwarder/silence.go
+++ b/node/pkg/forwarder/silence.go
@@ -6,11 +6,20 @@
 	"github.com/cockroachdb/errors"
 
 	"samphiremount.example/core/abandoner"
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/tombstoner"
 )
 
 // errForgotten is the reason for ending an attempt whose gate does not know it any more.
 var errForgotten = errors.New("the gate does not know the attempt any more")
 
+// questions ask the gate about an attempt over other connections, and return the gate's reply, if any: look what it knows, and
+// placeTombstone not to start the attempt.
+type questions struct {
+	look           func() (tombstoner.State, bool)
+	placeTombstone func() (tombstoner.State, bool)
+}
+
 // handleTimeout is called when the gate sent no frame for the idle timeout. It asks the gate about the attempt, and then
 // waits for the next frame again unless the reply ends the attempt.
 func (e *exchange) handleTimeout() {
@@ -27,6 +36,8 @@
 		switch decision := decision.(type) {
 		case abandoner.Withdraw:
 			e.end(decision, "the gate promised not to start it")
+		case abandoner.Recall:
+			e.recall()
 		case abandoner.GiveUp:
 			e.end(decision, errForgotten.Error())
 		case abandoner.Assist:
@@ -42,7 +53,7 @@
 // question asks the gate about the attempt and returns what follows. frames is the number of frames that had arrived when the
 // gate became silent. If another one has come since, the silence is over, and only a promise still counts.
 func (e *exchange) question(frames int) abandoner.Decision {
-	state, ok := e.placeTombstone()
+	state, ok := e.questions.look()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var silence abandoner.Silence
@@ -63,6 +74,17 @@
 	return decision
 }
 
+// recall ends the attempt if the request can be sent again and the gate promises not to start it.
+func (e *exchange) recall() {
+	if mayResend := e.destination.MayResend; mayResend != nil && !mayResend() {
+		return
+	}
+	state, ok := e.questions.placeTombstone()
+	if ok && tombstoner.Outcome(state) == (refuser.NotRun{}) {
+		e.end(abandoner.Withdraw{}, "the gate promised not to start it")
+	}
+}
+
 // endSilence records that a frame has arrived.
 func (e *exchange) endSilence() {
 	e.mu.Lock()
--- a/node/pkg/forwarder/tombstone.go
+++ b/node/pkg/forwarder/tombstone.go
@@ -19,13 +19,14 @@
 	tombstoneTimeout     = tombstoneCallTimeout + 100*time.Millisecond
 )
 
-// tombstoneRequest asks for a tombstone. If Address is set, the receiver relays the request to the gate at that
-// address.
+// tombstoneRequest asks for a tombstone, or only for the state of the attempt if Look is set. If Address is set, the receiver
+// relays the request to the gate at that address.
 type tombstoneRequest struct {
 	ID          string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 	StartBefore int64  `cbor:"3,keyasint"`
 	Address     string `cbor:"4,keyasint,omitempty"`
+	Look        bool   `cbor:"5,keyasint,omitempty"`
 }
 
 type tombstoneReply struct {
@@ -48,21 +49,42 @@
 	return !errors.Is(ctx.Err(), context.Canceled)
 }
 
-// placeTombstone requests a tombstone for the request of head, over a new connection to the gate and through other
-// nodes at the same time, and returns the first reply. It may outlast the deadline of the request by tombstoneTimeout.
+// placeTombstone requests a tombstone for the request of head, and returns the gate's reply.
 func (c *Client) placeTombstone(ctx context.Context, destination Destination, head Head) (tombstoner.State, bool) {
+	state, ok := c.askGate(ctx, destination, head, false)
+	c.log.Info("tombstone asked for", "request", head.AttemptID, "target", head.Target, "state", replyName(state, ok))
+	return state, ok
+}
+
+// look asks what the gate knows about the request of head, and changes nothing there.
+func (c *Client) look(ctx context.Context, destination Destination, head Head) (tombstoner.State, bool) {
+	state, ok := c.askGate(ctx, destination, head, true)
+	c.log.Info("silent gate asked", "request", head.AttemptID, "target", head.Target, "state", replyName(state, ok))
+	return state, ok
+}
+
+func replyName(state tombstoner.State, ok bool) string {
+	if !ok {
+		return "no reply"
+	}
+	return tombstoner.Name(state)
+}
+
+// askGate asks about the request of head over a new connection to the gate and through other nodes at the same time, and
+// returns the first reply. It may outlast the deadline of the request by tombstoneTimeout.
+func (c *Client) askGate(ctx context.Context, destination Destination, head Head, look bool) (tombstoner.State, bool) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), tombstoneTimeout)
 	defer cancel()
 	identity := head.Identity()
-	request := tombstoneRequest{ID: identity.ID, Incarnation: identity.Incarnation, StartBefore: int64(identity.StartBefore)}
+	request := tombstoneRequest{
+		ID: identity.ID, Incarnation: identity.Incarnation, StartBefore: int64(identity.StartBefore), Look: look,
+	}
 	state, ok := c.requestTombstone(ctx, destination, request)
 	if !ok {
 		c.counts.Add("settle_no_reply", 1)
-		c.log.Info("tombstone asked for", "request", head.AttemptID, "target", head.Target, "state", "no reply")
 		return state, false
 	}
 	c.counts.Add("settle_"+tombstoner.Name(state), 1)
-	c.log.Info("tombstone asked for", "request", head.AttemptID, "target", head.Target, "state", tombstoner.Name(state))
 	return state, true
 }
 
@@ -135,9 +157,12 @@
 		return errors.Wrap(err, "receive tombstone request")
 	}
 	var state tombstoner.State
-	if request.Address == "" {
+	switch {
+	case request.Address == "" && request.Look:
+		state = s.look(request.identity())
+	case request.Address == "":
 		state = s.gate.PlaceTombstone(request.identity())
-	} else {
+	default:
 		address := request.Address
 		request.Address = ""
 		var err error
@@ -148,3 +173,14 @@
 	reply := tombstoneReply{tombstoner.Name(state)}
 	return errors.Wrap(stream.MsgSend(&reply, messenger.Encoding{}), "send tombstone state")
 }
+
+// look returns what is known about identity.
+func (s *Server) look(identity tombstoner.Identity) tombstoner.State {
+	// A request that arrives in between counts as unseen, which a later tombstone corrects.
+	arrived := s.requests.Contains(identity.ID)
+	state := s.gate.Look(identity)
+	if arrived && state == (tombstoner.Unseen{}) {
+		return tombstoner.Waiting{}
+	}
+	return state
+}
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -100,6 +100,13 @@
 	return g.tombstoner.Running(id)
 }
 
+// Look implements forwarder.Gate.
+func (g *Gatekeeper) Look(identity tombstoner.Identity) tombstoner.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tombstoner.Look(g.gateTime(), identity)
+}
+
 // PlaceTombstone implements forwarder.Gate.
 func (g *Gatekeeper) PlaceTombstone(identity tombstoner.Identity) tombstoner.State {
 	g.mu.Lock()
