--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -16,7 +16,8 @@
 
 // forwardedRequest is one request with the state of its attempts. mayHaveRun is set once an attempt may have run; a
 // later attempt that did not run does not reset it. reachedTargets are the targets that may have run the request,
-// excluded those that the next attempt must not go to.
+// excluded those that the next attempt must not go to, and inFlight those of the attempts in progress. wake tells the race
+// that one of its attempts has news.
 type forwardedRequest struct {
 	head           forwarder.Head
 	body           *body
@@ -24,6 +25,8 @@
 	attempt        retrier.Attempt
 	excluded       []string
 	reachedTargets []string
+	inFlight       []string
+	wake           chan struct{}
 	mayHaveRun     bool
 	plan           escalator.Plan
 }
@@ -31,6 +34,7 @@
 // forward sends a request to a target, and after a failure to another one, where that is safe and within the budget.
 func (a *Acceptor) forward(ctx context.Context, request forwardedRequest) (forwarder.Answer, error) {
 	f := &request
+	f.wake = make(chan struct{}, 1)
 	a.Retrier.CountRequest(time.Now(), f.head.Service)
 	if a.Budget != nil {
 		a.Budget.CountRequest(f.head.Service)
@@ -96,6 +100,14 @@
 	}
 }
 
+// wakeRace lets the race look at its attempts.
+func (f *forwardedRequest) wakeRace() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
 // prepareNext prepares the next attempt.
 func (f *forwardedRequest) prepareNext() {
 	f.attempt.Number++
@@ -117,7 +129,7 @@
 			f.plan, retryRefused, exhausted = f.plan.WithoutTarget()
 		}
 		if retryRefused {
-			f.excluded = slices.Clone(f.reachedTargets)
+			f.excluded = slices.Concat(f.reachedTargets, f.inFlight)
 		}
 		if err == nil || exhausted {
 			return choice, err
--- a/node/pkg/acceptor/link_test.go
+++ b/node/pkg/acceptor/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,3 +116,48 @@
 	_, _ = io.Copy(to, from)
 	return to.Close()
 }
+
+// newHeldLink returns the address of a link to the address to. While held is set it delivers nothing to the entry over the
+// connections that were opened before, or over any connection if all is set.
+func newHeldLink(t *testing.T, to string, held *atomic.Bool, all bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		held.Store(false)
+		_ = listener.Close()
+	})
+	group := new(errgroup.Group)
+	group.Go(func() error {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return err
+			}
+			far, err := net.Dial("tcp", to)
+			if err != nil {
+				return err
+			}
+			holds := all || !held.Load()
+			group.Go(func() error { return pipe(near, far) })
+			group.Go(func() error { return pipe(heldConn{far, held, holds}, near) })
+		}
+	})
+	return listener.Addr().String()
+}
+
+// heldConn is a connection whose bytes wait while held is set, if holds is.
+type heldConn struct {
+	net.Conn
+
+	held  *atomic.Bool
+	holds bool
+}
+
+func (c heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	for c.holds && c.held.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	return n, err
+}
--- a/node/pkg/acceptor/silence_test.go
+++ b/node/pkg/acceptor/silence_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -99,3 +101,73 @@
 		assert.Equal(t, reply.status, http.StatusOK, reply.content)
 	}
 }
+
+// TestRequestThatWaitsAtItsGateIsGivenUp has a booking wait for a slot of the only target, while the frames of its gate are
+// late. The question about it must not end it, whether or not the policy would allow another attempt.
+func TestRequestThatWaitsAtItsGateIsGivenUp(t *testing.T) {
+	for name, policy := range map[string]func() retrier.Policy{"free retries": generousPolicy, "no retries": noExtraAttempts} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var held atomic.Bool
+			busy := make(chan struct{}, 4)
+			f := newFleetBehind(t, func(gate string) string { return newHeldLink(t, gate, &held, false) }, policy, nil,
+				http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/catalogue" {
+						busy <- struct{}{}
+						time.Sleep(700 * time.Millisecond)
+					}
+					answerReady(w, r)
+				}))
+			var group errgroup.Group
+			send := func(method, path string, count int) {
+				for range count {
+					group.Go(func() error {
+						assert.Check(t, do(t, f.request(t, method, path)).status == http.StatusOK)
+						return nil
+					})
+				}
+			}
+			// The entry opens connections and learns how long the gate takes to respond.
+			for range 5 {
+				send(http.MethodPost, "/bookings", 8)
+				assert.NilError(t, group.Wait())
+			}
+			send(http.MethodGet, "/catalogue", cap(busy))
+			waitFor(t, func() bool { return len(busy) == cap(busy) })
+			held.Store(true)
+			time.AfterFunc(250*time.Millisecond, func() { held.Store(false) })
+			send(http.MethodPost, "/bookings", 1)
+			assert.NilError(t, group.Wait())
+		})
+	}
+}
+
+// TestSecondSilentGateHoldsRequest has two of three gates fall silent at the same moment.
+func TestSecondSilentGateHoldsRequest(t *testing.T) {
+	for i := range 8 {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			t.Parallel()
+			var held atomic.Bool
+			var gate string
+			handlers := slices.Repeat([]http.Handler{http.HandlerFunc(answerReady)}, 3)
+			f := newFleetBehind(t, func(address string) string { gate = address; return address }, generousPolicy, nil, handlers...)
+			for name, target := range map[string]string{"node": "c", "x": "a", "y": "b"} {
+				address := gate
+				if name != "node" {
+					address = newHeldLink(t, gate, &held, true)
+				}
+				f.view.Merge(tracker.Node{
+					Name: name, Region: "r", Centre: "c", Address: address, Incarnation: 1, Sequence: 2,
+					Targets: []tracker.Target{{Name: target, Service: "service", Slots: 4}},
+				})
+			}
+			for range 30 + i {
+				assert.Equal(t, do(t, f.request(t, http.MethodGet, "/catalogue")).status, http.StatusOK)
+			}
+			held.Store(true)
+			began := time.Now()
+			assert.Equal(t, do(t, f.request(t, http.MethodGet, "/catalogue")).status, http.StatusOK)
+			assert.Assert(t, time.Since(began) < 5*time.Second, "%v", time.Since(began))
+		})
+	}
+}
