Remember that declined requests were forgotten for want of room

A request that a target had declined while the memory was full counted as new as soon as an older entry expired, so that a repetition of its refusal would be believed. Found by a review. Red before: TestDeclinedRequestIsNewOnceThereIsRoom.

--- a/core/decliner/decliner.go
+++ b/core/decliner/decliner.go
@@ -21,6 +21,8 @@
 type Decliner struct {
 	capacity  int
 	deadlines map[Request]time.Time
+	// forgottenUntil is the deadline of the last request that was not remembered for want of room.
+	forgottenUntil time.Time
 	// order holds the requests in the order of their deadlines. One that was declined several times appears as often.
 	order []entry
 }
@@ -38,20 +40,21 @@
 // Record remembers that the target declined the request at now.
 func (d *Decliner) Record(now time.Time, request Request) {
 	d.prune(now)
+	deadline := now.Add(lifetime)
 	if len(d.order) >= d.capacity {
+		d.forgottenUntil = deadline
 		return
 	}
-	deadline := now.Add(lifetime)
 	d.deadlines[request] = deadline
 	d.order = append(d.order, entry{request, deadline})
 }
 
 // MayHaveDeclined reports whether the target may have declined the request before now. It is true for every request
-// while the capacity is used up, because some are not remembered then.
+// as long as one that was declined may not be remembered for want of room.
 func (d *Decliner) MayHaveDeclined(now time.Time, request Request) bool {
 	d.prune(now)
 	_, ok := d.deadlines[request]
-	return ok || len(d.order) >= d.capacity
+	return ok || !now.After(d.forgottenUntil)
 }
 
 func (d *Decliner) prune(now time.Time) {
--- a/core/decliner/decliner_test.go
+++ b/core/decliner/decliner_test.go
@@ -36,3 +36,15 @@
 	}
 	assert.Assert(t, !d.MayHaveDeclined(start.Add(61*time.Second), decliner.Request{Target: "a", ID: "never sent"}))
 }
+
+// TestDeclinedRequestIsNewOnceThereIsRoom guards against a request that was not remembered for want of room and counts as new
+// when an older one expires.
+func TestDeclinedRequestIsNewOnceThereIsRoom(t *testing.T) {
+	requests := decliner.New(1)
+	now := time.Unix(1000, 0)
+	requests.Record(now, decliner.Request{Target: "t", ID: "a"})
+	late := decliner.Request{Target: "t", ID: "b"}
+	requests.Record(now.Add(59*time.Second), late)
+	assert.Assert(t, requests.MayHaveDeclined(now.Add(61*time.Second), late))
+	assert.Assert(t, !requests.MayHaveDeclined(now.Add(3*time.Minute), late))
+}
