Read the next request of a caller that has its whole answer

What callers saw: a request on a kept connection that was read only when the deadline of the request before it had passed, if the end of that one's answer was late at the entry. The caller had the whole answer by its length, and sent the next request.

Cause: the entry waits for the end frame of an answer, which carries its checksum and trailers, after the caller has the last byte. That was bounded by the time for silence, which ends no attempt any more.

Change: when the stated length was received, the end frame is awaited for 200 ms, so that the connection to the gate can be used again. Nothing can be lost by that: the run has ended and its answer is delivered.

--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -96,7 +96,7 @@
 			pending.done <- result{err: f.withBodyTruncated(ctx, err)}
 			return nil
 		}
-		answer.Body = closeNotifyBody{answer.Body, finish}
+		answer.Body = closeNotifyBody{answer.Body, finish, cancel}
 		pending.done <- result{answer: answer}
 		return nil
 	})
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -58,6 +58,7 @@
 type fleet struct {
 	entry    *httptest.Server
 	view     *viewer.Viewer
+	acceptor *acceptor.Acceptor
 	key      string
 	limiter  *freeLimiter
 	stopGate func()
@@ -148,7 +149,7 @@
 	})
 	server := httptest.NewServer(entry.Handler())
 	t.Cleanup(server.Close)
-	return &fleet{entry: server, view: view, key: key.Reveal(), limiter: limiter, stopGate: cancel}
+	return &fleet{entry: server, acceptor: entry, view: view, key: key.Reveal(), limiter: limiter, stopGate: cancel}
 }
 
 // request builds a request to path with the key of the workspace.
--- a/node/pkg/acceptor/reply.go
+++ b/node/pkg/acceptor/reply.go
@@ -17,7 +17,12 @@
 	"samphiremount.example/node/pkg/forwarder"
 )
 
-const relayBufferBytes = 32 << 10
+const (
+	relayBufferBytes = 32 << 10
+	// lastFrameWait is how long the end frame of an answer is awaited that was received in full. With it, the connection to
+	// the gate can be used again.
+	lastFrameWait = 200 * time.Millisecond
+)
 
 type refusalReply struct {
 	Error   string `json:"error"`
@@ -87,6 +92,10 @@
 	for {
 		n, readErr := answer.Body.Read(buf)
 		received += int64(n)
+		if readErr == nil && isWhole(answer, received) {
+			// The caller has its whole answer, and may send the next request on its connection.
+			defer abortAfter(answer.Body, lastFrameWait).Stop()
+		}
 		ended, err := bodyEnd(answer, received, readErr)
 		if err != nil && !started {
 			return false, err
@@ -112,13 +121,27 @@
 	}
 }
 
+// isWhole reports whether the length that the answer states was received.
+func isWhole(answer forwarder.Answer, received int64) bool {
+	return strconv.FormatInt(received, 10) == answer.Header.Get("Content-Length")
+}
+
+// abortAfter ends reads of body after wait.
+func abortAfter(body io.Reader, wait time.Duration) *time.Timer {
+	return time.AfterFunc(wait, func() {
+		if aborter, ok := body.(forwarder.Aborter); ok {
+			aborter.Abort()
+		}
+	})
+}
+
 // bodyEnd returns whether the body of answer is complete after received bytes, the last of which came with readErr, or
 // the error if it ended early.
 func bodyEnd(answer forwarder.Answer, received int64, readErr error) (ended bool, err error) {
 	switch {
 	case errors.Is(readErr, io.EOF):
 		return true, nil
-	case errors.Is(readErr, forwarder.ErrTruncated) && strconv.FormatInt(received, 10) == answer.Header.Get("Content-Length"):
+	case errors.Is(readErr, forwarder.ErrTruncated) && isWhole(answer, received):
 		// The whole body arrived, only the end frame did not.
 		return true, nil
 	default:
@@ -139,13 +162,17 @@
 	}
 }
 
-// closeNotifyBody calls done when the answer is closed.
+// closeNotifyBody calls done when the answer is closed, and cancel to end reads of it.
 type closeNotifyBody struct {
 	io.ReadCloser
 
-	done func()
+	done   func()
+	cancel func()
 }
 
+// Abort implements forwarder.Aborter.
+func (b closeNotifyBody) Abort() { b.cancel() }
+
 // Trailer implements forwarder.TrailerBody.
 func (b closeNotifyBody) Trailer() http.Header {
 	if trailed, ok := b.ReadCloser.(forwarder.TrailerBody); ok {
--- a/node/pkg/acceptor/reply_test.go
+++ b/node/pkg/acceptor/reply_test.go
@@ -4,9 +4,14 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"samphiremount.example/node/pkg/forwarder"
 )
 
 // TestAnswerCutBeforeItsFirstByteIsAFailure guards against a connection that is closed without an answer. The target
@@ -54,3 +59,41 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(content)+string(rest), "firstsecond")
 }
+
+// unendedBody is a whole body whose end is not heard of until reads are aborted.
+type unendedBody struct {
+	io.Reader
+
+	aborted chan struct{}
+}
+
+func (b unendedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	<-b.aborted
+	return 0, forwarder.ErrTruncated
+}
+
+func (b unendedBody) Abort()       { close(b.aborted) }
+func (b unendedBody) Close() error { return nil }
+
+// TestNextRequestWaitsForTheEndOfAnAnswer guards against a kept connection whose next request is not read, because the end of
+// an answer that the caller has in full is late.
+func TestNextRequestWaitsForTheEndOfAnAnswer(t *testing.T) {
+	f := newFleet(t, http.HandlerFunc(answerReady))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body := unendedBody{strings.NewReader("ready"), make(chan struct{})}
+		header := http.Header{"Content-Length": {"5"}}
+		assert.Check(t, f.acceptor.Relay(w, r, "a", forwarder.Answer{Status: http.StatusOK, Header: header, Body: body}) == nil)
+	}))
+	t.Cleanup(server.Close)
+	began := time.Now()
+	for range 3 {
+		request, err := http.NewRequest(http.MethodGet, server.URL, http.NoBody)
+		assert.NilError(t, err)
+		assert.Equal(t, do(t, request).content, "ready")
+	}
+	assert.Assert(t, time.Since(began) < 3*time.Second, "%v", time.Since(began))
+}
--- a/node/pkg/forwarder/body.go
+++ b/node/pkg/forwarder/body.go
@@ -28,6 +28,11 @@
 	Trailer() http.Header
 }
 
+// Aborter is a body whose reads can be ended from elsewhere. They then return ErrTruncated.
+type Aborter interface {
+	Abort()
+}
+
 // sendBody sends body in chunks, followed by the end frame. If reading body fails, no end frame is sent, so that the
 // receiver sees a truncated body.
 func sendBody(stream drpc.Stream, body io.Reader) error {
