Log which budget pays an extra attempt, and at which level

The logs could not tell who had paid for an attempt that reaches a target beyond the first of its request. The entry now names the payer and its counts, the shared budget its level, and the gate whether the run that starts repeats another one. The decisions of the shared budget move from its client and server into plain values (Tally, Ledger, Runs), so that a test can run a whole fleet of them; none of them changes.

--- a/core/budgeter/client.go
+++ b/core/budgeter/client.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -28,22 +26,21 @@
 	owner func(service string) (address string, ok bool)
 	log   *slog.Logger
 
-	mu       sync.Mutex
-	requests map[string]int
-	charged  map[string]float64
+	mu    sync.Mutex
+	tally *Tally
 }
 
 // NewClient returns a client. The function owner returns the address of the control process that holds the bucket of a
 // service; it must return the same one on all nodes.
 func NewClient(pool *messenger.Pool, owner func(service string) (string, bool), log *slog.Logger) *Client {
-	return &Client{pool: pool, owner: owner, log: log, requests: make(map[string]int), charged: make(map[string]float64)}
+	return &Client{pool: pool, owner: owner, log: log, tally: NewTally()}
 }
 
 // CountRequest counts a request of service for the next report.
 func (c *Client) CountRequest(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests[service]++
+	c.tally.CountRequest(service)
 }
 
 // Charge counts an attempt of service that was sent without a grant. probability is the probability that
@@ -51,7 +48,7 @@
 func (c *Client) Charge(service string, probability float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.charged[service] += probability
+	c.tally.Charge(service, probability)
 }
 
 // Acquire reports whether the shared budget allows an extra attempt for a request of service. It returns false if there
@@ -71,10 +68,9 @@
 		return false, errors.New("no control process is known for the service")
 	}
 	c.mu.Lock()
-	message := acquireMessage{Service: service, Requests: c.requests[service], Charged: c.charged[service], Acquire: acquire}
-	delete(c.requests, service)
-	delete(c.charged, service)
+	report := c.tally.Take(service)
 	c.mu.Unlock()
+	message := acquireMessage{Service: service, Requests: report.Requests, Charged: report.Charged, Acquire: acquire}
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	var reply acquireReply
@@ -98,5 +94,5 @@
 func (c *Client) unreported() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Collect(maps.Keys(c.requests))
+	return c.tally.Services()
 }
--- a/core/budgeter/server.go
+++ b/core/budgeter/server.go
@@ -29,16 +29,15 @@
 // Server holds the buckets of one control process. All nodes use the same control process for a service. If they change
 // to another one, its bucket starts empty.
 type Server struct {
-	allowance Allowance
-	log       *slog.Logger
+	log *slog.Logger
 
-	mu      sync.Mutex
-	buckets map[string]Bucket
+	mu     sync.Mutex
+	ledger *Ledger
 }
 
 // NewServer returns a server that grants within allowance for each service.
 func NewServer(allowance Allowance, log *slog.Logger) *Server {
-	return &Server{allowance: allowance, log: log, buckets: make(map[string]Bucket)}
+	return &Server{log: log, ledger: NewLedger(allowance)}
 }
 
 // Register adds the handler of requests for extra attempts to mux.
@@ -56,13 +55,11 @@
 func (s *Server) acquire(now time.Time, message acquireMessage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	bucket := s.buckets[message.Service].WithRequests(now, s.allowance, max(message.Requests, 0))
-	bucket = bucket.WithCharge(s.allowance, max(message.Charged, 0))
-	granted := false
-	if message.Acquire {
-		bucket, granted = bucket.Acquire(now, s.allowance)
-		s.log.Info("further send decided", "service", message.Service, "granted", granted)
+	s.ledger.Apply(now, Report{Service: message.Service, Requests: message.Requests, Charged: message.Charged})
+	if !message.Acquire {
+		return false
 	}
-	s.buckets[message.Service] = bucket
+	granted := s.ledger.Acquire(now, message.Service)
+	s.log.Info("further send decided", "service", message.Service, "granted", granted, "level", s.ledger.Level(message.Service))
 	return granted
 }
--- a/core/retrier/budget.go
+++ b/core/retrier/budget.go
@@ -47,18 +47,23 @@
 // are removed.
 func (b Budget) WithExtraAttempt(now time.Time, allowance Allowance) (Budget, bool) {
 	b = b.at(now, allowance)
-	var total count
-	for _, c := range b.counts {
-		total.requests += c.requests
-		total.extraAttempts += c.extraAttempts
-	}
-	if float64(total.extraAttempts+1) > allowance.Ratio*float64(total.requests)+allowance.Slack {
+	requests, extraAttempts := b.counted()
+	if float64(extraAttempts+1) > allowance.Ratio*float64(requests)+allowance.Slack {
 		return b, false
 	}
 	b.counts[b.index()].extraAttempts++
 	return b, true
 }
 
+// counted returns the requests and the extra attempts in the window.
+func (b Budget) counted() (requests, extraAttempts int) {
+	for _, c := range b.counts {
+		requests += c.requests
+		extraAttempts += c.extraAttempts
+	}
+	return requests, extraAttempts
+}
+
 // at returns the budget without the buckets that have left the window at now. After a step back of the clock, counts go
 // into the newest bucket.
 func (b Budget) at(now time.Time, allowance Allowance) Budget {
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -67,11 +67,25 @@
 	decision()
 }
 
-// Retry allows one extra attempt of the request. Any charge to the budget has already been made.
+// Retry allows one extra attempt of the request. Any charge to the budget has already been made: Payer made it, of the
+// Requests and ExtraAttempts that the node has counted in its window, this attempt included.
 type Retry struct {
-	Reason string
+	Reason        string
+	Payer         Payer
+	Requests      int
+	ExtraAttempts int
 }
 
+// Payer is the budget that an extra attempt is charged to.
+type Payer string
+
+// The payers. Free attempts are charged to no budget.
+const (
+	Free         Payer = "free"
+	NodeBudget   Payer = "node"
+	SharedBudget Payer = "shared"
+)
+
 // Stop ends the request with the result of its last attempt. BudgetExhausted is set if the only obstacle to an extra
 // attempt is the budget of this node.
 type Stop struct {
@@ -126,6 +140,11 @@
 	if !ok {
 		return Stop{Reason: "the retry budget is used up", BudgetExhausted: true}
 	}
+	if retry, ok := decision.(Retry); ok {
+		retry.Payer = NodeBudget
+		retry.Requests, retry.ExtraAttempts = budget.counted()
+		return retry
+	}
 	return decision
 }
 
@@ -158,9 +177,9 @@
 		return Stop{Reason: reason}, nil
 	}
 	if free || attempt.Number == 1 && targetLeft(event) {
-		return Retry{reason}, nil
+		return Retry{Reason: reason, Payer: Free}, nil
 	}
-	return Retry{reason}, &policy.Allowance
+	return Retry{Reason: reason}, &policy.Allowance
 }
 
 // exhausted reports whether the request has used all its attempts, whatever the budget has left. If free is set, the
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -151,7 +151,7 @@
 		a.RouteLog.Info("request given up", "request", f.head.AttemptID, "target", f.head.Target, "reason", "too little time is left")
 		return false
 	}
-	switch decision := a.decide(ctx, event, f.attempt).(type) {
+	switch decision := a.decide(ctx, f.head.AttemptID, event, f.attempt).(type) {
 	case retrier.Retry:
 		a.RouteLog.Info("request sent again", "request", f.head.AttemptID, "target", f.head.Target, "reason", decision.Reason)
 		return true
@@ -163,11 +163,15 @@
 	return false
 }
 
-// decide asks the node's own budget first, and then the shared one.
-func (a *Acceptor) decide(ctx context.Context, event retrier.Event, attempt retrier.Attempt) retrier.Decision {
+// decide asks the node's own budget first, and then the shared one. It logs which of them paid for the extra attempt.
+func (a *Acceptor) decide(ctx context.Context, id string, event retrier.Event, attempt retrier.Attempt) retrier.Decision {
 	decision := a.Retrier.Decide(time.Now(), event, attempt)
 	if stop, ok := decision.(retrier.Stop); ok && stop.BudgetExhausted && a.Budget != nil && a.Budget.Acquire(ctx, attempt.Service) {
-		return retrier.Retry{Reason: "the shared budget granted it"}
+		decision = retrier.Retry{Reason: "the shared budget granted it", Payer: retrier.SharedBudget}
+	}
+	if retry, ok := decision.(retrier.Retry); ok && retry.Payer != retrier.Free {
+		a.RouteLog.Info("extra attempt paid", "request", id, "service", attempt.Service, "payer", retry.Payer,
+			"requests", retry.Requests, "extra", retry.ExtraAttempts)
 	}
 	return decision
 }
--- a/node/pkg/acceptor/race.go
+++ b/node/pkg/acceptor/race.go
@@ -155,7 +155,7 @@
 	answer := make(chan bool, 1)
 	var group errgroup.Group
 	group.Go(func() error {
-		stop, stopped := a.decide(ctx, event, attempt).(retrier.Stop)
+		stop, stopped := a.decide(ctx, id, event, attempt).(retrier.Stop)
 		if stopped {
 			a.RouteLog.Info("request not hedged", "request", id, "reason", stop.Reason)
 		}
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"samphiremount.example/core/breaker"
+	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/decliner"
 	"samphiremount.example/core/estimator"
 	"samphiremount.example/core/observer"
@@ -51,11 +52,10 @@
 	tombstoner *tombstoner.Tombstoner
 	decliner   *decliner.Decliner
 
-	protocol          Protocol
-	runningRepeatable int
-	runningRetries    int
-	quarantiner       *quarantiner.Quarantiner
-	broadcastCrash    func(service string, crash quarantiner.Crash)
+	protocol       Protocol
+	runs           budgeter.Runs
+	quarantiner    *quarantiner.Quarantiner
+	broadcastCrash func(service string, crash quarantiner.Crash)
 }
 
 var _ forwarder.Gate = (*Gatekeeper)(nil)
@@ -227,27 +227,31 @@
 func (g *Gatekeeper) RetryFraction() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return float64(g.runningRetries) / float64(max(g.runningRepeatable, 1))
+	return g.runs.RepeatFraction()
 }
 
 // countRepeatable counts the request if it is repeatable, until the returned function is called. A repeatable request
 // that needs a healthy target is one that was sent to another target before.
 func (g *Gatekeeper) countRepeatable(head forwarder.Head) func() {
-	retry := 0
-	if head.HealthyOnly {
-		retry = 1
-	}
 	if !head.Repeatable {
 		return func() {}
 	}
-	count := func(sign int) {
+	repeat := repeatShare(head)
+	update := func(change func(budgeter.Runs, float64) budgeter.Runs) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.runningRepeatable += sign
-		g.runningRetries += sign * retry
+		g.runs = change(g.runs, repeat)
 	}
-	count(1)
-	return func() { count(-1) }
+	update(budgeter.Runs.WithStart)
+	return func() { update(budgeter.Runs.WithEnd) }
+}
+
+// repeatShare returns the probability that the run of head repeats an earlier one.
+func repeatShare(head forwarder.Head) float64 {
+	if head.Repeatable && head.HealthyOnly {
+		return 1
+	}
+	return 0
 }
 
 // checkResponse returns a refusal if the target did not run the request, or if the answer may belong to another request.
@@ -285,7 +289,8 @@
 	verdict := g.tombstoner.Start(g.gateTime(), head.Identity())
 	g.mu.Unlock()
 	if verdict == tombstoner.Go {
-		g.log.Info("request started", "request", head.AttemptID, "workspace", head.Workspace, "target", head.Target)
+		g.log.Info("request started", "request", head.AttemptID, "workspace", head.Workspace, "target", head.Target,
+			"service", head.Service, "repeat", repeatShare(head))
 		return nil
 	}
 	g.counts.Add("denied_"+string(verdict), 1)
