Pay for the calls of a repeat before it is sent

Cause: runs of bookings call catalogue. A repeat of bookings was paid at bookings alone, but the limit of catalogue counts the calls that it makes. They were charged there after they had been made, as a debt that stopped only the shared grants of catalogue, and was forgotten beyond the slack; repeats of bookings went on. They also counted as requests of catalogue, and so allowed still more.

Evidence: turnover: 455 to 507 such calls in 10 s, beside 136 to 208 other extra arrivals; 0 to 83 were granted.

Change: one control process keeps the budgets of all services. A granted repeat takes tokens at its own service and, for the calls that a run makes on average, at the services that it calls, or is denied. Calls of repeats that nobody paid become a debt, of one window's allowance at most. They no longer count as requests. The probability that a run is a repeat goes with the request, so that calls of calls, and repeats after a target has declined the request, are counted too.

--- a/core/budgeter/bucket_test.go
+++ b/core/budgeter/bucket_test.go
@@ -31,10 +31,10 @@
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "interval")) * time.Millisecond)
 			step := event{at: now, requests: rapid.IntRange(0, 40).Draw(t, "requests")}
-			bucket = bucket.WithRequests(now, allowance, step.requests)
+			bucket = bucket.WithRequests(now, allowance, float64(step.requests))
 			for range rapid.IntRange(0, 60).Draw(t, "attempts") {
 				var ok bool
-				if bucket, ok = bucket.Acquire(now, allowance); ok {
+				if bucket, ok = bucket.Acquire(now, allowance, 1); ok {
 					step.granted++
 				}
 			}
@@ -53,7 +53,7 @@
 }
 
 func TestNewBucketGrantsNothing(t *testing.T) {
-	_, ok := budgeter.Bucket{}.Acquire(start, allowance)
+	_, ok := budgeter.Bucket{}.Acquire(start, allowance, 1)
 	assert.Assert(t, !ok)
 }
 
@@ -61,7 +61,7 @@
 	full := budgeter.Bucket{}.WithRequests(start, allowance, 1000)
 	grants := func(bucket budgeter.Bucket) (count int) {
 		for ok := true; ok; {
-			if bucket, ok = bucket.Acquire(start, allowance); ok {
+			if bucket, ok = bucket.Acquire(start, allowance, 1); ok {
 				count++
 			}
 		}
--- a/core/budgeter/client.go
+++ b/core/budgeter/client.go
@@ -17,60 +17,52 @@
 	// round trips.
 	acquireTimeout = 400 * time.Millisecond
 	// reportInterval is the time between reports of requests that no other message has reported.
-	reportInterval = 2 * time.Second
+	reportInterval = time.Second
 )
 
 // Client reports the requests of one node to the shared budget and acquires extra attempts from it.
 type Client struct {
-	pool  *messenger.Pool
-	owner func(service string) (address string, ok bool)
-	log   *slog.Logger
+	pool   *messenger.Pool
+	holder func() (address string, ok bool)
+	log    *slog.Logger
 
 	mu    sync.Mutex
 	tally *Tally
 }
 
-// NewClient returns a client. The function owner returns the address of the control process that holds the bucket of a
-// service; it must return the same one on all nodes.
-func NewClient(pool *messenger.Pool, owner func(service string) (string, bool), log *slog.Logger) *Client {
-	return &Client{pool: pool, owner: owner, log: log, tally: NewTally()}
+// NewClient returns a client. The function holder returns the address of the control process that holds the budget; it
+// must return the same one on all nodes.
+func NewClient(pool *messenger.Pool, holder func() (string, bool), log *slog.Logger) *Client {
+	return &Client{pool: pool, holder: holder, log: log, tally: NewTally()}
 }
 
-// CountRequest counts a request of service for the next report.
-func (c *Client) CountRequest(service string) {
+// CountRequest counts request for the next report.
+func (c *Client) CountRequest(request Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.tally.CountRequest(service)
-}
-
-// Charge counts an attempt of service that was sent without a grant. probability is the probability that
-// it was an extra one.
-func (c *Client) Charge(service string, probability float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.tally.Charge(service, probability)
+	c.tally.CountRequest(request)
 }
 
 // Acquire reports whether the shared budget allows an extra attempt for a request of service. It returns false if there
 // is no answer in time.
 func (c *Client) Acquire(ctx context.Context, service string) bool {
-	granted, err := c.send(ctx, service, true)
+	granted, err := c.send(ctx, service)
 	if err != nil {
 		c.log.Info("extra attempt not granted", "service", service, "reason", err.Error())
 	}
 	return granted
 }
 
-// send reports what was counted of service since its last message and, if acquire is set, asks for an extra attempt.
-func (c *Client) send(ctx context.Context, service string, acquire bool) (bool, error) {
-	address, ok := c.owner(service)
+// send reports what was counted since the last message and asks for an extra attempt of service, or for none if service
+// is empty. A report that does not arrive is lost.
+func (c *Client) send(ctx context.Context, service string) (bool, error) {
+	address, ok := c.holder()
 	if !ok {
-		return false, errors.New("no control process is known for the service")
+		return false, errors.New("no control process is known")
 	}
 	c.mu.Lock()
-	report := c.tally.Take(service)
+	message := newMessage(c.tally.Take(), service)
 	c.mu.Unlock()
-	message := acquireMessage{Service: service, Requests: report.Requests, Charged: report.Charged, Acquire: acquire}
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	var reply acquireReply
@@ -78,21 +70,21 @@
 	return reply.Granted, errors.Wrap(err, "call the shared retry budget")
 }
 
-// Run reports counted requests until ctx ends. A report that does not arrive is lost, which makes the budget smaller.
+// Run reports what was counted until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	ticker.Every(ctx, reportInterval, func(time.Time) {
-		for _, service := range c.unreported() {
-			if _, err := c.send(ctx, service, false); err != nil {
-				c.log.Debug("requests not reported", "service", service, "reason", err.Error())
-			}
+		if c.isReported() {
+			return
+		}
+		if _, err := c.send(ctx, ""); err != nil {
+			c.log.Debug("requests not reported", "reason", err.Error())
 		}
 	})
 	return nil
 }
 
-// unreported returns the services with requests that were not reported yet.
-func (c *Client) unreported() []string {
+func (c *Client) isReported() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tally.Services()
+	return c.tally.Empty()
 }
--- a/core/budgeter/fleet_test.go
+++ b/core/budgeter/fleet_test.go
@@ -21,7 +21,7 @@
 	nodeShare   = 0.25
 	sharedShare = 0.6
 
-	reportInterval = 2 * time.Second
+	reportInterval = time.Second
 	fleetDuration  = 60 * time.Second
 )
 
@@ -154,19 +154,16 @@
 	s.after(time.Duration(s.random.ExpFloat64()/rate*float64(time.Second)), func() {
 		n := s.nodes[s.random.IntN(len(s.nodes))]
 		s.requests[service] = append(s.requests[service], s.now)
-		s.count(n, service, 0)
+		s.count(n, budgeter.Request{Service: service, Repeatable: true})
 		s.send(n, service, 0)
 		s.arrive(service, rate)
 	})
 }
 
-// count counts a request at its entry, as the acceptor does. A call is a repeat with the probability repeat.
-func (s *simulation) count(n *node, service string, repeat float64) {
-	n.retrier.CountRequest(s.now, service)
-	n.tally.CountRequest(service)
-	if repeat > 0 {
-		n.tally.Charge(service, repeat)
-	}
+// count counts a request at its entry, as the acceptor does.
+func (s *simulation) count(n *node, request budgeter.Request) {
+	n.retrier.CountRequest(s.now, request.Service, request.Repeat)
+	n.tally.CountRequest(request)
 }
 
 // send sends a request of service from n. After a time without answer it is sent to a second target, if a budget pays for
@@ -195,7 +192,7 @@
 		return true
 	}
 	s.report(n)
-	granted := s.ledger.Acquire(s.now, service)
+	granted, _ := s.ledger.Acquire(s.now, service)
 	if granted {
 		s.granted++
 	}
@@ -230,14 +227,12 @@
 	} else {
 		s.requests[callee] = append(s.requests[callee], s.now)
 	}
-	s.count(n, callee, n.runs.RepeatFraction())
+	s.count(n, budgeter.Request{Service: callee, Caller: caller, Repeatable: true, Repeat: n.runs.RepeatFraction()})
 	s.send(n, callee, repeat)
 }
 
 func (s *simulation) report(n *node) {
-	for _, service := range n.tally.Services() {
-		s.ledger.Apply(s.now, n.tally.Take(service))
-	}
+	s.ledger.Apply(s.now, n.tally.Take())
 }
 
 // checkLimit checks the limit as it is counted at targets: in each window, the extra arrivals against the requests of that
--- a/core/budgeter/server.go
+++ b/core/budgeter/server.go
@@ -13,21 +13,40 @@
 
 const callAcquire = "draw"
 
-// acquireMessage reports the requests of Service since the last message and the estimated number of extra attempts that
-// were sent without a grant (Charged). If Acquire is set, it asks for one extra attempt.
+// acquireMessage is a report. If Service is set, it also asks for one extra attempt of that service.
 type acquireMessage struct {
-	Service  string  `cbor:"1,keyasint"`
-	Requests int     `cbor:"2,keyasint,omitempty"`
-	Acquire  bool    `cbor:"3,keyasint,omitempty"`
-	Charged  float64 `cbor:"4,keyasint,omitempty"`
+	Service  string                  `cbor:"1,keyasint,omitempty"`
+	Requests map[string]RequestCount `cbor:"2,keyasint,omitempty"`
+	Calls    []callMessage           `cbor:"3,keyasint,omitempty"`
+}
+
+type callMessage struct {
+	Edge  Edge      `cbor:"1,keyasint"`
+	Count CallCount `cbor:"2,keyasint"`
 }
 
 type acquireReply struct {
 	Granted bool `cbor:"1,keyasint,omitempty"`
 }
 
-// Server holds the buckets of one control process. All nodes use the same control process for a service. If they change
-// to another one, its bucket starts empty.
+func newMessage(report Report, service string) acquireMessage {
+	message := acquireMessage{Service: service, Requests: report.Requests}
+	for edge, count := range report.Calls {
+		message.Calls = append(message.Calls, callMessage{edge, count})
+	}
+	return message
+}
+
+func (m acquireMessage) report() Report {
+	report := Report{Requests: m.Requests, Calls: make(map[Edge]CallCount)}
+	for _, call := range m.Calls {
+		report.Calls[call.Edge] = call.Count
+	}
+	return report
+}
+
+// Server holds the ledger of one control process. All nodes use the same control process. If they change to another one,
+// its buckets start empty.
 type Server struct {
 	log *slog.Logger
 
@@ -55,11 +74,12 @@
 func (s *Server) acquire(now time.Time, message acquireMessage) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ledger.Apply(now, Report{Service: message.Service, Requests: message.Requests, Charged: message.Charged})
-	if !message.Acquire {
+	s.ledger.Apply(now, message.report())
+	if message.Service == "" {
 		return false
 	}
-	granted := s.ledger.Acquire(now, message.Service)
-	s.log.Info("further send decided", "service", message.Service, "granted", granted, "level", s.ledger.Level(message.Service))
+	granted, lacking := s.ledger.Acquire(now, message.Service)
+	s.log.Info("further send decided", "service", message.Service, "granted", granted, "lacking", lacking,
+		"level", s.ledger.Level(message.Service))
 	return granted
 }
--- a/core/budgeter/tally.go
+++ b/core/budgeter/tally.go
@@ -1,39 +1,51 @@
 package budgeter
 
-import (
-	"maps"
-	"slices"
-)
-
-// Tally is what a node has counted and not yet reported, by service.
+// Tally is what a node has counted and not yet reported.
 type Tally struct {
-	reports map[string]Report
+	report Report
 }
 
 // NewTally returns an empty tally.
-func NewTally() *Tally { return &Tally{reports: make(map[string]Report)} }
+func NewTally() *Tally { return &Tally{newReport()} }
+
+func newReport() Report {
+	return Report{Requests: make(map[string]RequestCount), Calls: make(map[Edge]CallCount)}
+}
 
-// CountRequest counts a request of service.
-func (t *Tally) CountRequest(service string) {
-	report := t.reports[service]
-	report.Requests++
-	t.reports[service] = report
+// Request is a new request as the budgets count it. Caller is the service whose target sent it, or empty if a caller of
+// the fleet did. Repeat is the probability that a run which is a repeat has sent it: the limits count such a call among
+// the extra attempts, and not among the requests.
+type Request struct {
+	Service    string
+	Caller     string
+	Repeatable bool
+	Repeat     float64
 }
 
-// Charge counts an attempt of service that was sent without a grant and is an extra one with the given probability.
-func (t *Tally) Charge(service string, probability float64) {
-	report := t.reports[service]
-	report.Charged += probability
-	t.reports[service] = report
+// CountRequest counts request.
+func (t *Tally) CountRequest(request Request) {
+	count := t.report.Requests[request.Service]
+	count.Requests += 1 - request.Repeat
+	if request.Repeatable {
+		count.Repeatable++
+	}
+	t.report.Requests[request.Service] = count
+	if request.Caller == "" {
+		return
+	}
+	edge := Edge{request.Caller, request.Service}
+	calls := t.report.Calls[edge]
+	calls.Calls++
+	calls.Repeats += request.Repeat
+	t.report.Calls[edge] = calls
 }
 
-// Take returns what was counted of service, and begins anew for it.
-func (t *Tally) Take(service string) Report {
-	report := t.reports[service]
-	delete(t.reports, service)
-	report.Service = service
+// Take returns what was counted and begins anew.
+func (t *Tally) Take() Report {
+	report := t.report
+	t.report = newReport()
 	return report
 }
 
-// Services returns the services of which something was counted.
-func (t *Tally) Services() []string { return slices.Sorted(maps.Keys(t.reports)) }
+// Empty reports whether nothing was counted.
+func (t *Tally) Empty() bool { return len(t.report.Requests) == 0 }
--- a/core/retrier/budget.go
+++ b/core/retrier/budget.go
@@ -31,14 +31,14 @@
 
 // count is what was counted in one bucket.
 type count struct {
-	requests      int
+	requests      float64
 	extraAttempts int
 }
 
-// WithRequest returns the budget after a new request at now.
-func (b Budget) WithRequest(now time.Time, allowance Allowance) Budget {
+// WithRequest returns the budget after a new request at now, which counts as the fraction weight of one.
+func (b Budget) WithRequest(now time.Time, allowance Allowance, weight float64) Budget {
 	b = b.at(now, allowance)
-	b.counts[b.index()].requests++
+	b.counts[b.index()].requests += weight
 	return b
 }
 
@@ -48,7 +48,7 @@
 func (b Budget) WithExtraAttempt(now time.Time, allowance Allowance) (Budget, bool) {
 	b = b.at(now, allowance)
 	requests, extraAttempts := b.counted()
-	if float64(extraAttempts+1) > allowance.Ratio*float64(requests)+allowance.Slack {
+	if float64(extraAttempts+1) > allowance.Ratio*requests+allowance.Slack {
 		return b, false
 	}
 	b.counts[b.index()].extraAttempts++
@@ -56,7 +56,7 @@
 }
 
 // counted returns the requests and the extra attempts in the window.
-func (b Budget) counted() (requests, extraAttempts int) {
+func (b Budget) counted() (requests float64, extraAttempts int) {
 	for _, c := range b.counts {
 		requests += c.requests
 		extraAttempts += c.extraAttempts
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -72,7 +72,7 @@
 type Retry struct {
 	Reason        string
 	Payer         Payer
-	Requests      int
+	Requests      float64
 	ExtraAttempts int
 }
 
@@ -114,10 +114,11 @@
 }
 
 // CountRequest counts a new request of service at now. It is called once for each request, before its first attempt.
-func (r *Retrier) CountRequest(now time.Time, service string) {
+// repeat is the probability that it is a call which a repeat has made; such a call allows no extra attempt.
+func (r *Retrier) CountRequest(now time.Time, service string, repeat float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.budgets[service] = r.budgets[service].WithRequest(now, r.policy().Allowance)
+	r.budgets[service] = r.budgets[service].WithRequest(now, r.policy().Allowance, 1-repeat)
 }
 
 // Decide returns whether the request of attempt gets an extra attempt after event at now. A request that is not
@@ -165,7 +166,7 @@
 // it is not charged.
 func (r *Retrier) judge(now time.Time, event Event, attempt Attempt) (decision Decision, charge *Allowance) {
 	policy := r.policy()
-	free := policy.FreeRetries > 0 && !mayHaveReachedTarget(event)
+	free := policy.FreeRetries > 0 && !MayHaveReachedTarget(event)
 	if attempt.exhausted(policy, free) {
 		return Stop{Reason: "all attempts are used"}, nil
 	}
@@ -198,9 +199,9 @@
 	return a.Reached >= maxAttempts || a.Number > policy.FreeRetries
 }
 
-// mayHaveReachedTarget reports whether the attempt may have reached a target. A target that declines a request was
+// MayHaveReachedTarget reports whether the attempt may have reached a target. A target that declines a request was
 // reached, although the request was not run.
-func mayHaveReachedTarget(event Event) bool {
+func MayHaveReachedTarget(event Event) bool {
 	refused, ok := event.(Refused)
 	if !ok {
 		return true
--- a/core/retrier/retrier_test.go
+++ b/core/retrier/retrier_test.go
@@ -52,7 +52,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := retrier.New()
 			for range 10 {
-				r.CountRequest(start, "bookings")
+				r.CountRequest(start, "bookings", 0)
 			}
 			decision := r.Decide(start, c.event, retrier.Attempt{
 				Service: "bookings", Number: c.number, Repeatable: c.repeatable, Deadline: start.Add(c.remaining),
@@ -84,7 +84,7 @@
 		for range rapid.IntRange(1, 300).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "interval")) * time.Millisecond / 4)
 			node := rapid.SampledFrom(nodes).Draw(t, "node")
-			node.CountRequest(now, "bookings")
+			node.CountRequest(now, "bookings", 0)
 			requests++
 			attempt := retrier.Attempt{Service: "bookings", Repeatable: rapid.Bool().Draw(t, "repeatable")}
 			attempt.Deadline = now.Add(time.Second)
@@ -105,7 +105,7 @@
 	now, extra := start, 0
 	for range 10_000 {
 		now = now.Add(3 * time.Second)
-		r.CountRequest(now, "bookings")
+		r.CountRequest(now, "bookings", 0)
 		attempt := retrier.Attempt{Service: "bookings", Number: 1, Deadline: now.Add(time.Second)}
 		if _, retry := r.Decide(now, failures[0], attempt).(retrier.Retry); retry {
 			extra++
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/escalator"
 	"samphiremount.example/core/refuser"
@@ -33,8 +34,8 @@
 	Watcher  Watcher
 	// Budget grants extra attempts that the node's own budget does not cover; nil grants none.
 	Budget Budget
-	// RetryFraction returns the fraction of the repeatable requests now running on the targets of this VM that were
-	// sent to another target before. Calls that such a request makes count as retries too.
+	// RetryFraction returns the fraction of the runs now in progress on the targets of this VM that are repeats. Calls that
+	// such a run makes count as repeats too.
 	RetryFraction func() (fraction float64)
 	// Refuses reports whether requests that arrive at now are refused because the node stops; nil refuses none.
 	Refuses func(now time.Time) bool
@@ -47,10 +48,8 @@
 
 // Budget is the shared part of the retry budget, which all nodes spend from.
 type Budget interface {
-	// CountRequest counts a request of service.
-	CountRequest(service string)
-	// Charge counts an attempt that was not asked for; fraction is the probability that it is an extra one.
-	Charge(service string, fraction float64)
+	// CountRequest counts a request.
+	CountRequest(request budgeter.Request)
 	// Acquire reports whether an extra attempt is granted.
 	Acquire(ctx context.Context, service string) bool
 }
@@ -128,9 +127,7 @@
 	if head.Objective > 0 {
 		plan = escalator.New(a.chooser.largeAnswers(head.Objective))
 	}
-	if head.Nested {
-		a.chargeRetry(head)
-	}
+	head.Repeat = a.repeatProbability(head)
 	answer, err := a.forward(ctx, forwardedRequest{
 		head: head, body: newBody(ctx, call, admission.presentedKey), maxAttempts: admission.route.MaxAttempts, plan: plan,
 	})
@@ -145,16 +142,29 @@
 	return checkCall(call)
 }
 
-// chargeRetry charges a nested call to the shared retry budget, with the probability that the request which made it is
-// a retry.
-func (a *Acceptor) chargeRetry(head forwarder.Head) {
-	if a.RetryFraction == nil || a.Budget == nil {
-		return
+// repeatProbability returns the probability that a request is a call which a repeat has made.
+func (a *Acceptor) repeatProbability(head forwarder.Head) float64 {
+	if !head.Nested || a.RetryFraction == nil {
+		return 0
 	}
-	if fraction := a.RetryFraction(); fraction > 0 {
+	fraction := a.RetryFraction()
+	if fraction > 0 {
 		a.RouteLog.Info("nested call charged to the retry budget", "request", head.AttemptID, "service", head.Service, "part", fraction)
-		a.Budget.Charge(head.Service, fraction)
 	}
+	return fraction
+}
+
+// countRequest counts the request of head in both budgets.
+func (a *Acceptor) countRequest(head forwarder.Head) {
+	a.Retrier.CountRequest(time.Now(), head.Service, head.Repeat)
+	if a.Budget == nil {
+		return
+	}
+	request := budgeter.Request{Service: head.Service, Repeatable: head.Repeatable, Repeat: head.Repeat}
+	if head.Nested {
+		request.Caller = head.Origin
+	}
+	a.Budget.CountRequest(request)
 }
 
 // rank returns the rank of a request: first by the rank of its workspace, then by that of its route.
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -35,10 +35,7 @@
 func (a *Acceptor) forward(ctx context.Context, request forwardedRequest) (forwarder.Answer, error) {
 	f := &request
 	f.wake = make(chan struct{}, 1)
-	a.Retrier.CountRequest(time.Now(), f.head.Service)
-	if a.Budget != nil {
-		a.Budget.CountRequest(f.head.Service)
-	}
+	a.countRequest(f.head)
 	f.attempt = retrier.Attempt{
 		Service: f.head.Service, Number: 1, MaxAttempts: f.maxAttempts, Repeatable: f.head.Repeatable, Deadline: f.head.Deadline,
 	}
@@ -144,6 +141,9 @@
 		event = retrier.Refused{Refusal: refuser.From(err)}
 	}
 	f.recordReached(err)
+	if retrier.MayHaveReachedTarget(event) {
+		f.head.Repeat = 1
+	}
 	if ctx.Err() != nil || !f.body.replayable() {
 		return false
 	}
--- a/node/pkg/acceptor/hedge_test.go
+++ b/node/pkg/acceptor/hedge_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/retrier"
 )
 
@@ -61,8 +62,7 @@
 // slowBudget takes 5 s to refuse an extra attempt.
 type slowBudget struct{}
 
-func (slowBudget) CountRequest(string)    {}
-func (slowBudget) Charge(string, float64) {}
+func (slowBudget) CountRequest(budgeter.Request) {}
 
 func (slowBudget) Acquire(ctx context.Context, _ string) bool {
 	select {
--- a/node/pkg/acceptor/race.go
+++ b/node/pkg/acceptor/race.go
@@ -169,7 +169,7 @@
 func (r *race) startExtra(ctx context.Context) {
 	a, f := r.acceptor, r.request
 	f.prepareNext()
-	f.head.HealthyOnly = true
+	f.head.HealthyOnly, f.head.Repeat = true, 1
 	extra, err := a.startAttempt(ctx, f)
 	if err != nil {
 		a.RouteLog.Info("request not hedged", "request", f.head.AttemptID, "reason", err.Error())
--- a/node/pkg/forwarder/frame.go
+++ b/node/pkg/forwarder/frame.go
@@ -84,6 +84,7 @@
 	HealthyOnly       bool                `cbor:"22,keyasint,omitempty"`
 	Immediate         bool                `cbor:"23,keyasint,omitempty"`
 	Nested            bool                `cbor:"24,keyasint,omitempty"`
+	Repeat            float64             `cbor:"25,keyasint,omitempty"`
 }
 
 type answerMessage struct {
--- a/node/pkg/forwarder/head.go
+++ b/node/pkg/forwarder/head.go
@@ -63,6 +63,9 @@
 	Immediate bool
 	// Nested is true if the request is taken for a call that a target makes while it runs a request of a caller.
 	Nested bool
+	// Repeat is the probability that a run of the request repeats an earlier run: of the same request, or of the one whose
+	// run made this call. Limits on repeats count the calls that such a run makes.
+	Repeat float64
 	// AllowSuspect sends the request to the target even if its gate considers it suspect, because no other target is
 	// left.
 	AllowSuspect bool
@@ -143,6 +146,7 @@
 		Trailer: h.Trailer, Weight: h.Weight, RequestID: h.RequestID, Origin: h.Origin, Rank: int(h.Rank),
 		ObjectiveDeadline: h.ObjectiveDeadline.Sub(now).Milliseconds(), AllowSuspect: h.AllowSuspect,
 		HealthyOnly: h.HealthyOnly, Immediate: h.Immediate, Objective: h.Objective.Milliseconds(), Nested: h.Nested,
+		Repeat: h.Repeat,
 	}
 }
 
@@ -153,7 +157,7 @@
 		URI: m.URI, Host: m.Host, Header: m.Header, Length: m.Length, StartBefore: tombstoner.GateTime(m.StartBefore),
 		Trailer: m.Trailer, Weight: m.Weight, RequestID: m.RequestID, Origin: m.Origin, Rank: configurer.Rank(m.Rank),
 		ObjectiveDeadline: now.Add(time.Duration(m.ObjectiveDeadline) * time.Millisecond), AllowSuspect: m.AllowSuspect,
-		HealthyOnly: m.HealthyOnly, Immediate: m.Immediate, Nested: m.Nested,
+		HealthyOnly: m.HealthyOnly, Immediate: m.Immediate, Nested: m.Nested, Repeat: min(max(m.Repeat, 0), 1),
 		Objective: time.Duration(m.Objective) * time.Millisecond,
 	}
 }
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -159,7 +159,7 @@
 		release()
 		return forwarder.Answer{}, err
 	}
-	defer g.countRepeatable(head)()
+	defer g.countRun(head)()
 	g.protocol.Prepare(request.Header, head, target, time.Until(head.Deadline))
 	recordResult := g.trackAttempt(target, head)
 	response, err := g.connector.Exchange(exchangeContext, target.Address, request, g.reuse(head)) //nolint:bodyclose // slotBody closes it
@@ -222,38 +222,28 @@
 	}
 }
 
-// RetryFraction returns the fraction of the repeatable requests now running here that were sent to another target
-// before, or 0 if none runs.
+// RetryFraction returns the fraction of the runs now in progress here that repeat an earlier run, or 0 if none is.
 func (g *Gatekeeper) RetryFraction() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.runs.RepeatFraction()
 }
 
-// countRepeatable counts the request if it is repeatable, until the returned function is called. A repeatable request
-// that needs a healthy target is one that was sent to another target before.
-func (g *Gatekeeper) countRepeatable(head forwarder.Head) func() {
-	if !head.Repeatable {
+// countRun counts the run until the returned function is called. First runs of requests that are not repeatable are left
+// out, so that they do not hide the repeats among the others.
+func (g *Gatekeeper) countRun(head forwarder.Head) func() {
+	if !head.Repeatable && head.Repeat == 0 {
 		return func() {}
 	}
-	repeat := repeatShare(head)
 	update := func(change func(budgeter.Runs, float64) budgeter.Runs) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.runs = change(g.runs, repeat)
+		g.runs = change(g.runs, head.Repeat)
 	}
 	update(budgeter.Runs.WithStart)
 	return func() { update(budgeter.Runs.WithEnd) }
 }
 
-// repeatShare returns the probability that the run of head repeats an earlier one.
-func repeatShare(head forwarder.Head) float64 {
-	if head.Repeatable && head.HealthyOnly {
-		return 1
-	}
-	return 0
-}
-
 // checkResponse returns a refusal if the target did not run the request, or if the answer may belong to another request.
 // In the latter case the body stays unread, because the connection must not be reused. abort ends the exchange.
 func (g *Gatekeeper) checkResponse(head forwarder.Head, response connector.Answer, abort func()) *refuser.Refusal {
@@ -290,7 +280,7 @@
 	g.mu.Unlock()
 	if verdict == tombstoner.Go {
 		g.log.Info("request started", "request", head.AttemptID, "workspace", head.Workspace, "target", head.Target,
-			"service", head.Service, "repeat", repeatShare(head))
+			"service", head.Service, "repeat", head.Repeat)
 		return nil
 	}
 	g.counts.Add("denied_"+string(verdict), 1)
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -129,6 +129,9 @@
 	return n
 }
 
+// retryBudget is the name under which one control process owns the retry budgets of all services.
+const retryBudget = "retries"
+
 // noControls is a resolver.Source without control processes.
 type noControls struct{}
 
@@ -154,7 +157,7 @@
 	n.client = synchronizer.NewClient(n.pool, n.publishers(controls), n.Viewer, n.reporter, n.log.Part("subscribe"))
 	n.watcher = watcher.New(n.pool, controls.Addresses, func() []tracker.Target { return n.reporter.Node().Targets }, n.log.Part("eject"))
 	n.lender = n.newLender(hub, controls)
-	n.budget = budgeter.NewClient(n.pool, controls.Owner, n.log.Part("budget"))
+	n.budget = budgeter.NewClient(n.pool, func() (string, bool) { return controls.Owner(retryBudget) }, n.log.Part("budget"))
 	n.limiter = limiter.New(borrower.NewClient(n.pool), n.tokenSources(hub, controls), n.log.Part("admit"))
 	if n.lender == nil {
 		borrower.RegisterProxier(n.mux, n.limiter)
