Show that nodes without lender exceed the limit of a workspace

Real lenders and limiters in virtual time, with the fallback quota that the platform's nodes have. A workspace asks for eight times its rate while the nodes of two of four data centres reach no lender.

--- a/standin/allowances/fleet_test.go
+++ b/standin/allowances/fleet_test.go
@@ -1,6 +1,6 @@
 // Package allowances_test measures how well the fleet limits the request rates of workspaces. The real lenders and limiters
-// run in virtual time on a simulated network of four data centres in two regions. Nodes have no fallback quota, so they
-// admit requests by leased tokens alone.
+// run in virtual time on a simulated network of four data centres in two regions. Unless a test says
+// otherwise, nodes have no fallback quota, so they admit requests by leased tokens alone.
 package allowances_test
 
 import (
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"samphiremount.example/core/allocator"
 	"samphiremount.example/core/borrower"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/lender"
@@ -40,6 +41,8 @@
 // messages, the reports in them, and the messages between regions.
 type network struct {
 	partitioned atomic.Bool
+	// isolated cuts the nodes of the first isolatedCentres data centres off from all lenders.
+	isolated atomic.Bool
 	// dropReplies loses every third reply, after the lender has acted on the message.
 	dropReplies atomic.Bool
 	messages    atomic.Int64
@@ -80,13 +83,17 @@
 	}
 }
 
-// endpoint connects a process in a data centre to the network.
+// endpoint connects a process in a data centre to the network. node is set for those of nodes.
 type endpoint struct {
 	*network
 
 	centre int
+	node   bool
 }
 
+// isolatedCentres is the number of data centres whose nodes isolated cuts off.
+const isolatedCentres = 2
+
 // lenderNames holds the lender of each data centre. The names also serve as addresses; their last digit is the data centre.
 var lenderNames = []string{"control0", "control1", "control2", "control3"}
 
@@ -95,6 +102,10 @@
 	to := int(address[len(address)-1] - '0')
 	e.messages.Add(1)
 	e.reports.Add(int64(len(message.Reports)))
+	if e.node && e.centre < isolatedCentres && e.isolated.Load() {
+		<-ctx.Done()
+		return borrower.Reply{}, errors.Wrap(ctx.Err(), "no lender reached")
+	}
 	if err := e.transmit(ctx, e.centre, to); err != nil {
 		return borrower.Reply{}, err
 	}
@@ -125,6 +136,8 @@
 	group         errgroup.Group
 	configuration configurer.Configuration
 	stops         map[string]context.CancelFunc
+	// fallback returns the fallback quota of the nodes. If it is nil, they have none.
+	fallback func(workspace configurer.Workspace) allocator.FallbackQuota
 }
 
 func newFleet(ctx context.Context, configuration configurer.Configuration) *fleet {
@@ -160,7 +173,7 @@
 	started := lender.New(time.Now(), lender.Dependencies{
 		Name: lenderNames[centre], Lenders: func() []string { return lenderNames }, Peers: func() []string { return otherLenders(centre) },
 		Configuration: fixedConfiguration{f.configuration},
-		Borrower:      endpoint{f.network, centre}, Log: slog.New(slog.DiscardHandler),
+		Borrower:      endpoint{f.network, centre, false}, Log: slog.New(slog.DiscardHandler),
 	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -181,7 +194,13 @@
 func (f *fleet) startNode(centre int) rateLimiter {
 	addresses := append([]string{lenderNames[centre]}, otherLenders(centre)...)
 	sources := limiter.Sources{Lenders: func(string) []string { return addresses }}
-	started := limiter.New(endpoint{f.network, centre}, sources, slog.New(slog.DiscardHandler))
+	if f.fallback != nil {
+		sources.Fallback = func(name string) allocator.FallbackQuota {
+			workspace, _ := f.configuration.Workspace(name)
+			return f.fallback(workspace)
+		}
+	}
+	started := limiter.New(endpoint{f.network, centre, true}, sources, slog.New(slog.DiscardHandler))
 	f.group.Go(func() error { return started.Run(f.ctx) })
 	return started
 }
--- a/standin/allowances/measure_test.go
+++ b/standin/allowances/measure_test.go
@@ -161,7 +161,7 @@
 		case divisionStrategy:
 			return &staticDivision{configuration: configuration, node: node, buckets: make(map[string]*bucket)}
 		default:
-			return counterClient{endpoint{r.fleet.network, centreOf(node)}, r.counter}
+			return counterClient{endpoint{r.fleet.network, centreOf(node), true}, r.counter}
 		}
 	}
 	for node := range nodes {
