Keep a workspace's limit while some nodes reach no lender

Cause: a node that reached no lender admitted an even share of the whole rate, while the lenders lent the whole rate to the nodes that they still reached: the same tokens, granted twice. It could not know better, but it took silence for a proof that nobody lends.

Change: silence allows only what the platform tolerates beyond the rate and burst, divided among the nodes. The even share of the rate is used where all lenders state that they lend to nobody, as they do for 2 s after a start. While lenders answer, the bucket of that margin does not fill beyond its share, so that a cut does not begin with a full one. Callers of cut nodes are refused more often, unless a peer passes their node's messages on.

--- a/core/allocator/fallback.go
+++ b/core/allocator/fallback.go
@@ -16,12 +16,41 @@
 }
 
 // FallbackQuota is the rate and burst of a workspace that Nodes nodes share while no lender answers. Slack is the
-// number of requests that all of them together may admit beyond the burst.
+// number of requests that all of them together may admit beyond the burst. Overage is the rate that they may admit
+// beside lenders that lend all of Rate to other nodes.
 type FallbackQuota struct {
-	Rate  configurer.PerSecond
-	Burst int
-	Slack float64
-	Nodes int
+	Rate    configurer.PerSecond
+	Overage configurer.PerSecond
+	Burst   int
+	Slack   float64
+	Nodes   int
+}
+
+// Margin is what the nodes together may admit of a workspace beyond its rate and burst: in any Window, Overage times
+// (rate x Window + burst), plus Tolerance requests. Without a Window there is none.
+type Margin struct {
+	Overage   float64
+	Tolerance float64
+	Window    time.Duration
+}
+
+// slackShare is the fraction of the tolerance of a Margin that may be admitted at once.
+const slackShare = 0.5
+
+// FallbackQuota returns the quota that nodes share of workspace.
+func (m Margin) FallbackQuota(workspace configurer.Workspace, nodes int) FallbackQuota {
+	quota := FallbackQuota{Rate: workspace.Rate, Burst: workspace.Burst, Slack: slackShare * m.Tolerance, Nodes: nodes}
+	if m.Window > 0 {
+		beside := (m.Overage*float64(workspace.Burst) + (1-slackShare)*m.Tolerance) / m.Window.Seconds()
+		quota.Overage = configurer.PerSecond(m.Overage)*workspace.Rate + configurer.PerSecond(beside)
+	}
+	return quota
+}
+
+// BesideLenders returns the quota for nodes that do not know whether the lenders lend to others.
+func (q FallbackQuota) BesideLenders() FallbackQuota {
+	q.Rate, q.Burst = min(q.Rate, q.Overage), 0
+	return q
 }
 
 // perNode returns the capacity of one node's bucket, which is at least one token, and its refill in tokens per second.
@@ -47,6 +76,13 @@
 	return b, now.Add(time.Duration(missing / refill * float64(time.Second))), true
 }
 
+// WithContact returns the bucket after a lender answered at now. What is in the bucket above the node's share of the slack
+// is dropped: the lenders lend that rate.
+func (b FallbackBucket) WithContact(now time.Time, quota FallbackQuota) FallbackBucket {
+	b.level, b.updated = min(b.at(now, quota), quota.Slack/float64(max(quota.Nodes, 1))), now
+	return b
+}
+
 // Full reports whether the bucket is full at now.
 func (b FallbackBucket) Full(now time.Time, quota FallbackQuota) bool {
 	capacity, _ := quota.perNode()
--- a/node/pkg/limiter/limiter.go
+++ b/node/pkg/limiter/limiter.go
@@ -94,6 +94,8 @@
 	denial   borrower.Reply
 	fallback allocator.FallbackBucket
 	lastUsed time.Time
+	// lendersIdle is set while all lenders have answered that they do not lend yet.
+	lendersIdle bool
 
 	partialGrant bool
 	askingOthers bool
@@ -260,7 +262,7 @@
 	if l.sources.Fallback == nil {
 		return "", time.Time{}, false
 	}
-	quota := l.fallbackQuota(workspace)
+	quota := l.fallbackQuota(workspace, a)
 	a.fallback, at, ok = a.fallback.Reserve(timekeeper.Now(), latest, quota)
 	if !ok {
 		return "", time.Time{}, false
@@ -269,12 +271,15 @@
 	return "share of " + strconv.Itoa(quota.Nodes) + " nodes, since no lender lends", at, true
 }
 
-// fallbackQuota returns how the rate of workspace is divided while no lender grants tokens. The burst is included only
-// for a process that never borrowed: after a power loss all processes start at once, and none has used the burst. A
-// process that has borrowed may be partitioned from lenders that grant the burst to other nodes. The caller holds the
-// lock.
-func (l *Limiter) fallbackQuota(workspace string) allocator.FallbackQuota {
+// fallbackQuota returns how the rate of workspace is divided while no lender grants tokens. A process that reaches no
+// lender may be partitioned from lenders that lend the whole rate to other nodes, so it gets the whole rate only while all
+// lenders state that they lend to nobody. The burst is included only for a process that never borrowed: after a power loss
+// all processes start at once, and none has used the burst. The caller holds the lock.
+func (l *Limiter) fallbackQuota(workspace string, a *account) allocator.FallbackQuota {
 	quota := l.sources.Fallback(workspace)
+	if !a.lendersIdle {
+		return quota.BesideLenders()
+	}
 	if l.borrowed {
 		quota.Burst = 0
 	}
@@ -330,10 +335,11 @@
 func (l *Limiter) fetch(workspace string, a *account, wanted int) {
 	a.fetching = make(chan struct{})
 	l.group.Go(func() error {
-		askedAt, reply := l.borrow(borrower.Message{Workspace: workspace, Wanted: wanted})
+		askedAt, reply, idle := l.borrow(borrower.Message{Workspace: workspace, Wanted: wanted})
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.addGrants(a, askedAt, reply)
+		l.addGrants(workspace, a, askedAt, reply)
+		a.lendersIdle = idle
 		a.partialGrant = 4*reply.Tokens() < wanted
 		if len(reply.Grants) == 0 {
 			a.denial = reply
@@ -351,10 +357,10 @@
 func (l *Limiter) fetchFromOthers(workspace string, a *account, wanted int) {
 	a.askingOthers = true
 	l.group.Go(func() error {
-		askedAt, reply := l.borrow(borrower.Message{Workspace: workspace, Wanted: wanted, AskPeers: true})
+		askedAt, reply, _ := l.borrow(borrower.Message{Workspace: workspace, Wanted: wanted, AskPeers: true})
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.addGrants(a, askedAt, reply)
+		l.addGrants(workspace, a, askedAt, reply)
 		a.askingOthers = false
 		if len(reply.Grants) == 0 {
 			a.askOthersAt = reply.RetryAt
@@ -364,29 +370,37 @@
 }
 
 // addGrants adds the leases granted by reply to a. The caller holds the lock.
-func (l *Limiter) addGrants(a *account, askedAt time.Time, reply borrower.Reply) {
+func (l *Limiter) addGrants(workspace string, a *account, askedAt time.Time, reply borrower.Reply) {
 	l.borrowed = l.borrowed || len(reply.Grants) > 0
 	for _, grant := range reply.Grants {
 		a.leases = a.leases.With(allocator.NewLease(askedAt, grant.Lender, grant.ID, grant.Tokens))
 	}
+	if l.sources.Fallback != nil && (len(reply.Grants) > 0 || reply.Exhausted) {
+		a.fallback = a.fallback.WithContact(timekeeper.Now(), l.sources.Fallback(workspace).BesideLenders())
+	}
 }
 
 // borrow asks the lenders in turn until one grants tokens or answers that the rate is exhausted. It also returns the
-// time just before it asked that lender, at which the leases start, or zero if no lender gave such an answer.
-func (l *Limiter) borrow(message borrower.Message) (time.Time, borrower.Reply) {
+// time just before it asked that lender, at which the leases start, or zero if no lender gave such an answer. idle is set
+// if all lenders answered that they do not lend yet.
+func (l *Limiter) borrow(message borrower.Message) (askedAt time.Time, reply borrower.Reply, idle bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), acquireTimeout)
 	defer cancel()
 	lastReply := borrower.Reply{Reason: "no lender answered", RetryAt: timekeeper.Now().Add(noAnswerBackoff)}
-	for _, address := range l.order(message.Workspace) {
+	addresses := l.order(message.Workspace)
+	idle = len(addresses) > 0
+	for _, address := range addresses {
 		askedAt := timekeeper.Now()
 		reply, err := l.send(ctx, address, message)
 		if err != nil {
+			idle = false
 			continue
 		}
 		if reply.Tokens() > 0 || reply.Exhausted {
-			return askedAt, reply
+			return askedAt, reply, false
 		}
+		idle = idle && reply.Reason == string(allocator.Starting)
 		lastReply = reply
 	}
-	return time.Time{}, lastReply
+	return time.Time{}, lastReply, idle
 }
--- a/node/pkg/limiter/report.go
+++ b/node/pkg/limiter/report.go
@@ -74,7 +74,7 @@
 // fallbackFull reports whether the account can be dropped without a change to the node's fallback quota, because its
 // bucket is unused or full again. The caller holds the lock.
 func (l *Limiter) fallbackFull(now time.Time, workspace string, a *account) bool {
-	return l.sources.Fallback == nil || a.fallback == (allocator.FallbackBucket{}) || a.fallback.Full(now, l.fallbackQuota(workspace))
+	return l.sources.Fallback == nil || a.fallback == (allocator.FallbackBucket{}) || a.fallback.Full(now, l.fallbackQuota(workspace, a))
 }
 
 func (l *Limiter) flushReports(ctx context.Context) {
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -73,12 +73,11 @@
 	// UseLostNodes and HedgeAfter are passed to acceptor.Dependencies.
 	UseLostNodes bool
 	HedgeAfter   float64
-	// UseFallbackQuota lets a node admit an equal fraction of a workspace's rate while no lender answers it. The
-	// nodes together may then slightly exceed the rate if some of them still reach a lender.
+	// UseFallbackQuota lets a node admit requests of a workspace while no lender answers it, within an equal fraction of
+	// FallbackMargin, or of the workspace's rate while all lenders state that they lend to nobody.
 	UseFallbackQuota bool
-	// FallbackSlack is the number of requests of a workspace that all nodes together may admit at once beyond its
-	// burst while they use the fallback quota.
-	FallbackSlack float64
+	// FallbackMargin is what the nodes that use the fallback quota may admit of a workspace beside the lenders.
+	FallbackMargin allocator.Margin
 }
 
 // Node is one node without the listeners and handlers for callers and targets.
@@ -248,9 +247,7 @@
 	if n.options.UseFallbackQuota {
 		sources.Fallback = func(name string) allocator.FallbackQuota {
 			workspace, _ := hub.Configuration().Workspace(name)
-			return allocator.FallbackQuota{
-				Rate: workspace.Rate, Burst: workspace.Burst, Slack: n.options.FallbackSlack, Nodes: hub.Directory().Len(),
-			}
+			return n.options.FallbackMargin.FallbackQuota(workspace, hub.Directory().Len())
 		}
 	}
 	return sources
--- a/standin/allowances/cut_test.go
+++ b/standin/allowances/cut_test.go
@@ -34,7 +34,7 @@
 			ctx, stop := context.WithCancel(t.Context())
 			r := &run{load: l, fleet: newFleet(ctx, configurationOf(l)), duration: 24 * time.Second}
 			r.fleet.fallback = func(workspace configurer.Workspace) allocator.FallbackQuota {
-				return allocator.FallbackQuota{Rate: workspace.Rate, Burst: workspace.Burst, Slack: quotaTolerance / 2, Nodes: nodes}
+				return allocator.Margin{Overage: quotaOverage, Tolerance: quotaTolerance, Window: quotaWindow}.FallbackQuota(workspace, nodes)
 			}
 			for node := range nodes {
 				r.limiters = append(r.limiters, r.fleet.startNode(centreOf(node)))
