Count a node's extra attempts over the whole window

The budget of a node counted twelve parts of the window, the newest of which is not complete, and so forgot attempts up to a twelfth of the window too early. The parts now span the window without the newest.

Red before: TestWindowOfANodeIsCutShort, 11 sent within 9.2s.

--- a/core/retrier/budget.go
+++ b/core/retrier/budget.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// bucketCount is the number of time buckets into which the window is divided.
+// bucketCount is the number of time buckets that are counted. The newest is not complete, so the others span the window.
 const bucketCount = 12
 
 // Allowance bounds the extra attempts (retries and hedges) of a service: in any Window, at most Ratio times the
@@ -67,7 +67,7 @@
 // at returns the budget without the buckets that have left the window at now. After a step back of the clock, counts go
 // into the newest bucket.
 func (b Budget) at(now time.Time, allowance Allowance) Budget {
-	epoch := now.UnixNano() / int64(allowance.Window/bucketCount)
+	epoch := now.UnixNano() / int64(allowance.Window/(bucketCount-1))
 	if epoch-b.epoch >= bucketCount {
 		return Budget{epoch: epoch}
 	}
--- a/core/retrier/retrier_test.go
+++ b/core/retrier/retrier_test.go
@@ -113,3 +113,24 @@
 	}
 	assert.Assert(t, extra >= 800, "%d extra attempts", extra)
 }
+
+// TestWindowOfANodeIsCutShort spends whatever a node's budget allows, and counts it in each window.
+func TestWindowOfANodeIsCutShort(t *testing.T) {
+	allowance := retrier.Allowance{Slack: 10, Window: 10 * time.Second}
+	r := retrier.NewWith(func() retrier.Policy { return retrier.Policy{FreeRetries: 8, Allowance: allowance} })
+	var sent []time.Time
+	// The first attempts come at the end of a part of the window.
+	for elapsed := 800 * time.Millisecond; elapsed < time.Minute; elapsed += 10 * time.Millisecond {
+		now := start.Add(elapsed)
+		attempt := retrier.Attempt{Service: "bookings", Number: 1, Reached: 1, Repeatable: true, Deadline: now.Add(time.Second)}
+		if _, ok := r.Decide(now, retrier.Slow{}, attempt).(retrier.Retry); !ok {
+			continue
+		}
+		sent = append(sent, now)
+		if len(sent) > int(allowance.Slack) {
+			span := now.Sub(sent[len(sent)-1-int(allowance.Slack)])
+			assert.Assert(t, span >= allowance.Window, "%d sent within %v", int(allowance.Slack)+1, span)
+		}
+	}
+	assert.Assert(t, len(sent) >= 5*int(allowance.Slack), "%d sent", len(sent))
+}
