Keep targets within the limit that they name

Change: core/regulator holds a token bucket for each target that names a limit. All requests for a target pass through the gate beside it, so one bucket there limits the whole fleet, whatever is cut. A gate that has restarted does not know the limit: entries keep what answers to them have named, and send it with each request. The gate refuses at once, says when there will be a token, and the entry leaves the target out until then. An answer that names no limit lifts it; at least one request in 4 s goes to a target whose limit is 0, to find out.

TestArrivalsStayWithinTheLimit draws restarts, reports and waits at the gate.

--- a/core/refuser/kind.go
+++ b/core/refuser/kind.go
@@ -23,6 +23,7 @@
 	InProgress         Kind = "in-progress"
 	CapacityShort      Kind = "capacity-short"
 	TargetUnknown      Kind = "target-unknown"
+	TargetLimited      Kind = "target-limited"
 	TargetSuspect      Kind = "target-suspect"
 	TargetDeclined     Kind = "target-declined"
 	TargetUnreachable  Kind = "target-unreachable"
--- a/core/refuser/table.go
+++ b/core/refuser/table.go
@@ -23,6 +23,7 @@
 	InProgress:         {http.StatusConflict, "a request with this idempotency key is in progress", true},
 	CapacityShort:      {http.StatusServiceUnavailable, "no target has capacity", true},
 	TargetUnknown:      {http.StatusServiceUnavailable, "the chosen target is not known to its node", true},
+	TargetLimited:      {http.StatusServiceUnavailable, "the target limits the requests that it takes", true},
 	TargetSuspect:      {http.StatusServiceUnavailable, "the target fails too many requests at the moment", true},
 	TargetDeclined:     {http.StatusServiceUnavailable, "the target declined the request", true},
 	TargetUnreachable:  {http.StatusBadGateway, "the target accepts no connection", true},
--- a/core/retrier/retrier.go
+++ b/core/retrier/retrier.go
@@ -242,7 +242,7 @@
 func targetSpecific(kind refuser.Kind) bool {
 	switch kind {
 	case refuser.CapacityShort, refuser.TargetUnknown, refuser.TargetUnreachable, refuser.NodeUnreachable,
-		refuser.TargetSuspect, refuser.TargetDeclined,
+		refuser.TargetSuspect, refuser.TargetLimited, refuser.TargetDeclined,
 		refuser.NodeStopping, refuser.DeadlinePassed, refuser.AnswerCut, refuser.OutcomeUnknown, refuser.Internal:
 		return true
 	default:
--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -63,7 +63,7 @@
 	target, node := choice.Placement.Target, choice.Placement.Node
 	f.excluded = append(f.excluded, target.Name)
 	f.inFlight = append(f.inFlight, target.Name)
-	f.head.Target, f.head.Incarnation = target.Name, node.Incarnation
+	f.head.Target, f.head.Incarnation, f.head.Limit = target.Name, node.Incarnation, a.chooser.limit(target.Name)
 	ctx, cancel := context.WithCancel(ctx)
 	pending := &pendingAttempt{
 		head: f.head, placement: choice.Placement, trial: choice.Trial, cancel: cancel, done: make(chan result, 1),
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/ejector"
 	"samphiremount.example/core/monitor"
+	"samphiremount.example/core/regulator"
 	"samphiremount.example/core/router"
 	"samphiremount.example/core/sampler"
 	"samphiremount.example/core/throttler"
@@ -43,12 +45,16 @@
 	watcher  Watcher
 	useLost  bool
 
-	mu            sync.Mutex
-	random        *rand.Rand
-	inFlight      map[string]int
-	reports       map[string]router.Report
-	paths         map[string]monitor.Path
-	suspectUntil  map[string]time.Time
+	mu           sync.Mutex
+	random       *rand.Rand
+	inFlight     map[string]int
+	reports      map[string]router.Report
+	paths        map[string]monitor.Path
+	suspectUntil map[string]time.Time
+	// limitedUntil is the time before which the gate of a target refuses requests because of the target's limit, and limits
+	// are the limits themselves.
+	limitedUntil  map[string]time.Time
+	limits        map[string]regulator.Limit
 	lost          map[string]time.Time
 	highDurations map[time.Duration]time.Duration
 	meanDurations map[time.Duration]time.Duration
@@ -70,7 +76,7 @@
 		name: dependencies.Name, locality: dependencies.Locality, router: dependencies.Router,
 		log: dependencies.RouteLog, watcher: dependencies.Watcher, useLost: dependencies.UseLostNodes, random: dependencies.Random,
 		inFlight: make(map[string]int), reports: make(map[string]router.Report), paths: make(map[string]monitor.Path),
-		suspectUntil: make(map[string]time.Time), lost: make(map[string]time.Time),
+		suspectUntil: make(map[string]time.Time), limitedUntil: make(map[string]time.Time), limits: make(map[string]regulator.Limit), lost: make(map[string]time.Time),
 		highDurations: make(map[time.Duration]time.Duration), meanDurations: make(map[time.Duration]time.Duration),
 		meanSizes: make(map[time.Duration]float64), ejections: make(map[string]map[string]ejector.Ejection),
 		throttles: make(map[string]throttler.Throttle), trials: make(map[string]sampler.Pace),
@@ -124,7 +130,7 @@
 	}
 	var suspects []tracker.Placement
 	for _, placement := range view.Directory.Placements(head.Service) {
-		suspect := now.Before(c.suspectUntil[placement.Target.Name]) && !placement.Target.Leaving
+		suspect := now.Before(c.suspectUntil[placement.Target.Name]) && !placement.Target.Leaving && !now.Before(c.limitedUntil[placement.Target.Name])
 		if suspect && !c.isRemote(placement) && !c.paths[placement.Node.Name].Avoided(now) {
 			suspects = append(suspects, placement)
 		}
@@ -151,7 +157,7 @@
 	for _, placement := range placements {
 		name := placement.Target.Name
 		avoided := c.paths[placement.Node.Name].Avoided(now) || now.Before(c.suspectUntil[name])
-		if avoided && !head.AllowSuspect {
+		if avoided && !head.AllowSuspect || now.Before(c.limitedUntil[name]) {
 			continue
 		}
 		candidates = append(candidates, router.Candidate{
@@ -275,6 +281,7 @@
 	nodes := view.Directory.Nodes()
 	var serving []string
 	reports := make(map[string]router.Report, len(c.reports))
+	limits := make(map[string]regulator.Limit, len(c.limits))
 	paths := make(map[string]monitor.Path, len(c.paths))
 	for _, node := range nodes {
 		paths[node.Name] = c.paths[node.Name]
@@ -286,16 +293,17 @@
 			if report, ok := c.reports[target.Name]; ok {
 				reports[target.Name] = report
 			}
+			if limit, ok := c.limits[target.Name]; ok {
+				limits[target.Name] = limit
+			}
 		}
 	}
 	c.warmups.Update(now, serving)
-	c.view, c.reports, c.paths, c.lost = view, reports, paths, c.lostSince(now, nodes)
+	c.view, c.reports, c.limits, c.paths, c.lost = view, reports, limits, paths, c.lostSince(now, nodes)
 	c.fleet = router.CountNodes(c.locality, nodes)
 	c.subsets = make(map[string][]tracker.Placement)
-	for target, until := range c.suspectUntil {
-		if !now.Before(until) {
-			delete(c.suspectUntil, target)
-		}
+	for _, times := range []map[string]time.Time{c.suspectUntil, c.limitedUntil} {
+		maps.DeleteFunc(times, func(_ string, until time.Time) bool { return !now.Before(until) })
 	}
 }
 
--- a/node/pkg/acceptor/record.go
+++ b/node/pkg/acceptor/record.go
@@ -8,6 +8,7 @@
 
 	"samphiremount.example/core/pacer"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/regulator"
 	"samphiremount.example/core/router"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/forwarder"
@@ -34,6 +35,8 @@
 			c.reports[target.Name] = router.Report{InFlight: max(target.Slots, refuser.From(err).Load), At: now}
 		case refuser.TargetSuspect:
 			c.suspectUntil[target.Name] = now.Add(suspectBackoff)
+		case refuser.TargetLimited:
+			c.limitedUntil[target.Name] = refuser.From(err).RetryAt
 		case refuser.NodeUnreachable:
 			c.recordPathFailure(now, placement.Node.Name, err)
 			c.watcher.RecordUnreachable(target.Name, target.Service)
@@ -42,12 +45,30 @@
 		return
 	}
 	c.recordAnswer(head.Objective, answer)
+	c.recordLimit(target.Name, answer)
 	if busy, err := strconv.Atoi(answer.Header.Get(forwarder.HeaderBusy)); err == nil {
 		// The slot of this answer is about to become free.
 		c.reports[target.Name] = router.Report{InFlight: max(busy-1, 0), At: now}
 	}
 }
 
+// recordLimit records the limit that the target called name has stated in answer, or that it has stated none.
+func (c *chooser) recordLimit(name string, answer forwarder.Answer) {
+	rate, err := strconv.ParseFloat(answer.Header.Get(forwarder.HeaderLimit), 64)
+	if err != nil {
+		delete(c.limits, name)
+		return
+	}
+	c.limits[name] = regulator.Limit{Rate: rate, Named: true}
+}
+
+// limit returns the limit that the target called name stated in its last answer to this node.
+func (c *chooser) limit(name string) regulator.Limit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits[name]
+}
+
 // errSilent is the reason for avoiding the path to a gate that gives no sign of life.
 var errSilent = errors.New("the gate gives no sign of life")
 
--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -137,10 +137,14 @@
 			return Answer{}, err
 		}
 		e.gateTime, e.refused = tombstoner.GateTime(refusal.GateTime), true
-		return Answer{}, &refuser.Refusal{
+		received := &refuser.Refusal{
 			Kind: refuser.Kind(refusal.Kind), Outcome: refuser.ParseOutcome(refusal.Outcome), Detail: refusal.Detail,
 			Load: refusal.Load,
 		}
+		if refusal.RetryAfter > 0 {
+			received.RetryAt = time.Now().Add(time.Duration(refusal.RetryAfter) * time.Millisecond)
+		}
+		return Answer{}, received
 	case frameAnswer:
 		var answer answerMessage
 		if err := messenger.Unmarshal(first.data, &answer); err != nil {
--- a/node/pkg/forwarder/frame.go
+++ b/node/pkg/forwarder/frame.go
@@ -49,6 +49,8 @@
 	Detail   string `cbor:"3,keyasint,omitempty"`
 	GateTime int64  `cbor:"4,keyasint"`
 	Load     int    `cbor:"5,keyasint,omitempty"`
+	// RetryAfter is in milliseconds, or 0 if the gate does not know when a retry may succeed.
+	RetryAfter int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // progressMessage shows that the connection and the gate are alive. Running is true once the request went to the
@@ -85,6 +87,8 @@
 	Immediate         bool                `cbor:"23,keyasint,omitempty"`
 	Nested            bool                `cbor:"24,keyasint,omitempty"`
 	Repeat            float64             `cbor:"25,keyasint,omitempty"`
+	Limited           bool                `cbor:"26,keyasint,omitempty"`
+	Limit             float64             `cbor:"27,keyasint,omitempty"`
 }
 
 type answerMessage struct {
--- a/node/pkg/forwarder/head.go
+++ b/node/pkg/forwarder/head.go
@@ -9,6 +9,7 @@
 
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/quarantiner"
+	"samphiremount.example/core/regulator"
 	"samphiremount.example/core/tombstoner"
 )
 
@@ -20,6 +21,8 @@
 	HeaderHigh = "Samphire-High"
 	// HeaderMean is the mean latency of requests of this kind, in milliseconds.
 	HeaderMean = "Samphire-Mean"
+	// HeaderLimit is the limit that the target named in the answer, in requests per second.
+	HeaderLimit = "Samphire-Limit"
 )
 
 // Head describes a request that is forwarded to a target. AttemptID identifies this attempt in the whole fleet, and
@@ -66,6 +69,8 @@
 	// Repeat is the probability that a run of the request repeats an earlier run: of the same request, or of the one whose
 	// run made this call. Limits on repeats count the calls that such a run makes.
 	Repeat float64
+	// Limit is the limit that the target named in its last answer to the sender.
+	Limit regulator.Limit
 	// AllowSuspect sends the request to the target even if its gate considers it suspect, because no other target is
 	// left.
 	AllowSuspect bool
@@ -146,7 +151,7 @@
 		Trailer: h.Trailer, Weight: h.Weight, RequestID: h.RequestID, Origin: h.Origin, Rank: int(h.Rank),
 		ObjectiveDeadline: h.ObjectiveDeadline.Sub(now).Milliseconds(), AllowSuspect: h.AllowSuspect,
 		HealthyOnly: h.HealthyOnly, Immediate: h.Immediate, Objective: h.Objective.Milliseconds(), Nested: h.Nested,
-		Repeat: h.Repeat,
+		Repeat: h.Repeat, Limited: h.Limit.Named, Limit: h.Limit.Rate,
 	}
 }
 
@@ -158,6 +163,7 @@
 		Trailer: m.Trailer, Weight: m.Weight, RequestID: m.RequestID, Origin: m.Origin, Rank: configurer.Rank(m.Rank),
 		ObjectiveDeadline: now.Add(time.Duration(m.ObjectiveDeadline) * time.Millisecond), AllowSuspect: m.AllowSuspect,
 		HealthyOnly: m.HealthyOnly, Immediate: m.Immediate, Nested: m.Nested, Repeat: min(max(m.Repeat, 0), 1),
+		Limit:     regulator.Limit{Rate: m.Limit, Named: m.Limited},
 		Objective: time.Duration(m.Objective) * time.Millisecond,
 	}
 }
--- a/node/pkg/forwarder/server.go
+++ b/node/pkg/forwarder/server.go
@@ -104,10 +104,14 @@
 }
 
 func (s *Server) refuse(stream drpc.Stream, refusal *refuser.Refusal) error {
-	return send(stream, frameRefusal, refusalMessage{
+	message := refusalMessage{
 		Kind: string(refusal.Kind), Outcome: refusal.Outcome.String(), Detail: refusal.Detail, GateTime: s.gateTime(),
 		Load: refusal.Load,
-	})
+	}
+	if !refusal.RetryAt.IsZero() {
+		message.RetryAfter = max(time.Until(refusal.RetryAt).Milliseconds(), 1)
+	}
+	return send(stream, frameRefusal, message)
 }
 
 func (s *Server) gateTime() int64 {
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -216,6 +216,10 @@
 	header.Set(forwarder.HeaderBusy, strconv.Itoa(g.load(target)))
 	header.Del(forwarder.HeaderHigh)
 	header.Del(forwarder.HeaderMean)
+	header.Del(forwarder.HeaderLimit)
+	if limit := g.protocol.Limit(header); limit.Named {
+		header.Set(forwarder.HeaderLimit, strconv.FormatFloat(limit.Rate, 'f', -1, 64))
+	}
 	if estimate := g.estimate(target, objective); estimate.Known() {
 		header.Set(forwarder.HeaderHigh, strconv.FormatInt(estimate.High().Milliseconds(), 10))
 		header.Set(forwarder.HeaderMean, strconv.FormatInt(estimate.Mean().Milliseconds(), 10))
@@ -252,6 +256,7 @@
 		if response.Reused && g.mayHaveDeclined(head) {
 			return g.mismatch()
 		}
+		g.recordLimit(head.Target, response.Header)
 		g.recordDecline(head)
 		timer := time.AfterFunc(maxDrainTime, abort)
 		drain(response.Body)
@@ -260,6 +265,7 @@
 	case Mismatched:
 		return g.mismatch()
 	case Ran:
+		g.recordLimit(head.Target, response.Header)
 	}
 	return nil
 }
--- /dev/null
+++ b/node/pkg/gatekeeper/limit.go
@@ -0,0 +1,33 @@
+package gatekeeper
+
+import (
+	"net/http"
+	"time"
+
+	"samphiremount.example/core/refuser"
+	"samphiremount.example/node/pkg/forwarder"
+)
+
+// recordLimit records the limit that the target called name states in the head of an answer, or that it states none.
+func (g *Gatekeeper) recordLimit(name string, header http.Header) {
+	limit := g.protocol.Limit(header)
+	g.updateTarget(name, func(now time.Time, state *targetState) {
+		if limit != state.loggedLimit {
+			g.log.Info("limit of target changed", "target", name, "named", limit.Named, "rate", limit.Rate)
+			state.loggedLimit = limit
+		}
+		state.regulator = state.regulator.WithAnswer(now, limit)
+	})
+}
+
+// checkLimit takes a token of the limit that the target has named, and refuses the request at once if there is none.
+func (s *targetState) checkLimit(now time.Time, head forwarder.Head) error {
+	next, retryAt, ok := s.regulator.WithReport(now, head.Limit).Admit(now)
+	s.regulator = next
+	if ok {
+		return nil
+	}
+	return &refuser.Refusal{
+		Kind: refuser.TargetLimited, Outcome: refuser.NotRun{}, Detail: "the target gets as many requests as it takes", RetryAt: retryAt,
+	}
+}
--- a/node/pkg/gatekeeper/protocol.go
+++ b/node/pkg/gatekeeper/protocol.go
@@ -7,6 +7,7 @@
 
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/regulator"
 	"samphiremount.example/node/pkg/forwarder"
 )
 
@@ -20,6 +21,8 @@
 	// Classify returns what the head of an answer states about the request. If reused is set, the connection has carried an
 	// earlier request, whose answer may have been repeated or come late.
 	Classify(header http.Header, status int, head forwarder.Head, reused bool) Verdict
+	// Limit returns the limit that the target names in the head of an answer.
+	Limit(header http.Header) regulator.Limit
 }
 
 // Verdict is what a target's answer states about the request. It is Ran, Declined or Mismatched.
@@ -64,5 +67,8 @@
 // RequestID implements Protocol.
 func (DefaultProtocol) RequestID(forwarder.Head) string { return "" }
 
+// Limit implements Protocol.
+func (DefaultProtocol) Limit(http.Header) regulator.Limit { return regulator.Limit{} }
+
 // Classify implements Protocol.
 func (DefaultProtocol) Classify(http.Header, int, forwarder.Head, bool) Verdict { return Ran{} }
--- a/node/pkg/gatekeeper/target.go
+++ b/node/pkg/gatekeeper/target.go
@@ -12,6 +12,7 @@
 	"samphiremount.example/core/queuer"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/regulator"
 	"samphiremount.example/core/reserver"
 	"samphiremount.example/node/pkg/forwarder"
 )
@@ -126,10 +127,16 @@
 // of slots has changed. The caller holds the lock.
 func (g *Gatekeeper) stateOf(target registrar.Announcement) *targetState {
 	state, ok := g.states[target.Name]
-	if !ok || state.slots != target.Slots && state.inFlight == 0 && len(state.waiting) == 0 {
+	switch {
+	case !ok || state.startedAt != target.StartedAt && state.isIdle():
+		state = newTargetState(target.Slots)
+	case state.slots != target.Slots && state.isIdle():
+		limit := state.regulator
 		state = newTargetState(target.Slots)
-		g.states[target.Name] = state
+		state.regulator = limit
 	}
+	state.startedAt = target.StartedAt
+	g.states[target.Name] = state
 	return state
 }
 
@@ -163,12 +170,15 @@
 // targetState holds the slots of one target, the queue of requests that wait for them and the evidence on its health.
 // loggedVerdict is the name of the verdict that was logged last.
 type targetState struct {
+	startedAt     int64
 	slots         int
 	inFlight      int
 	breaker       *breaker.Breaker
 	loggedVerdict string
 	estimates     map[time.Duration]estimator.Estimate
 	reserver      reserver.Reserver
+	regulator     regulator.Regulator
+	loggedLimit   regulator.Limit
 	queue         *queuer.Queuer
 	waiting       map[string]chan bool
 	lastTicket    uint64
@@ -177,6 +187,9 @@
 	exclusive        bool
 }
 
+// isIdle reports whether no request runs on the target or waits for it.
+func (s *targetState) isIdle() bool { return s.inFlight == 0 && len(s.waiting) == 0 }
+
 func newTargetState(slots int) *targetState {
 	return &targetState{
 		slots: slots, breaker: breaker.New(), loggedVerdict: breaker.Name(breaker.Healthy{}),
@@ -270,38 +283,42 @@
 	if err == nil {
 		err = state.checkCapacity(now, head)
 	}
+	if err == nil {
+		err = state.checkLimit(now, head)
+	}
 	if err != nil {
 		g.mu.Unlock()
 		return err
 	}
 	ticket, granted := state.enqueue(now, head, alone)
 	g.mu.Unlock()
+	if g.awaitSlot(ctx, state, head, ticket, granted) {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state.regulator = state.regulator.WithReturn()
+	return refuser.Refuse(refuser.CapacityShort, "no slot of the target came free in time")
+}
+
+// awaitSlot waits until the request with the ticket is granted a slot, and reports whether it was.
+func (g *Gatekeeper) awaitSlot(ctx context.Context, state *targetState, head forwarder.Head, ticket string, granted <-chan bool) bool {
 	select {
 	case ok := <-granted:
-		return slotError(ok)
+		return ok
 	default:
 	}
 	timer := time.NewTimer(time.Until(waitDeadline(time.Now(), head)))
 	defer timer.Stop()
 	select {
 	case ok := <-granted:
-		return slotError(ok)
+		return ok
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if state.dequeue(time.Now(), ticket) {
-		return slotError(false)
-	}
-	return slotError(<-granted)
-}
-
-func slotError(granted bool) error {
-	if granted {
-		return nil
-	}
-	return refuser.Refuse(refuser.CapacityShort, "no slot of the target came free in time")
+	return !state.dequeue(time.Now(), ticket) && <-granted
 }
 
 func (g *Gatekeeper) release(name string, alone bool) {
