Believe a target that says in an answer that it leaves

Change: the gate that sees it treats it as the target's departure, which control spreads, and refuses further requests. Each entry that passes such an answer on leaves that start of the target out from then on, whatever its directory says: it may be cut off from control, and a gate that restarts forgets. The record of a target now has its start time for that; TestOddAnnouncementsNameNoTarget expects it there.

--- a/core/tracker/record.go
+++ b/core/tracker/record.go
@@ -1,12 +1,14 @@
 // Package tracker keeps the directory of the nodes and of the targets on their VMs.
 package tracker
 
-// Target is one target as its node reports it. Slots is the number of requests that it can run at a time.
+// Target is one target as its node reports it. Slots is the number of requests that it can run at a time. StartedAt is the
+// start time that the target states, in milliseconds since 1970, or 0.
 type Target struct {
-	Name    string `cbor:"1,keyasint" json:"name"`
-	Service string `cbor:"2,keyasint" json:"service"`
-	Slots   int    `cbor:"3,keyasint" json:"slots"`
-	Leaving bool   `cbor:"4,keyasint,omitempty" json:"leaving,omitempty"`
+	Name      string `cbor:"1,keyasint" json:"name"`
+	Service   string `cbor:"2,keyasint" json:"service"`
+	Slots     int    `cbor:"3,keyasint" json:"slots"`
+	Leaving   bool   `cbor:"4,keyasint,omitempty" json:"leaving,omitempty"`
+	StartedAt int64  `cbor:"5,keyasint,omitempty" json:"born,omitempty"`
 }
 
 // Node is the record that a node publishes about itself. Incarnation grows with each start of the node, and Sequence with
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -31,6 +31,9 @@
 	suspectBackoff = 300 * time.Millisecond
 	// trialFraction is the fraction of the requests with a hedge that go to a suspect target, if there is one.
 	trialFraction = 0.4
+	// departureLifetime is how long a target is avoided that has stated in an answer that it leaves. The directory may show
+	// it for as long: a gate that has restarted does not know.
+	departureLifetime = 5 * time.Minute
 	// lostLifetime is how long the targets of a node that the control process has declared lost may still be used.
 	lostLifetime = 30 * time.Second
 )
@@ -55,6 +58,7 @@
 	// are the limits themselves.
 	limitedUntil  map[string]time.Time
 	limits        map[string]regulator.Limit
+	leaving       map[string]departure
 	lost          map[string]time.Time
 	highDurations map[time.Duration]time.Duration
 	meanDurations map[time.Duration]time.Duration
@@ -71,12 +75,19 @@
 	subsets map[string][]tracker.Placement
 }
 
+// departure is what is known of a target that has stated that it leaves: its start, and until when that counts.
+type departure struct {
+	startedAt int64
+	until     time.Time
+}
+
 func newChooser(dependencies Dependencies) *chooser {
 	return &chooser{
 		name: dependencies.Name, locality: dependencies.Locality, router: dependencies.Router,
 		log: dependencies.RouteLog, watcher: dependencies.Watcher, useLost: dependencies.UseLostNodes, random: dependencies.Random,
 		inFlight: make(map[string]int), reports: make(map[string]router.Report), paths: make(map[string]monitor.Path),
-		suspectUntil: make(map[string]time.Time), limitedUntil: make(map[string]time.Time), limits: make(map[string]regulator.Limit), lost: make(map[string]time.Time),
+		suspectUntil: make(map[string]time.Time), limitedUntil: make(map[string]time.Time), limits: make(map[string]regulator.Limit),
+		leaving: make(map[string]departure), lost: make(map[string]time.Time),
 		highDurations: make(map[time.Duration]time.Duration), meanDurations: make(map[time.Duration]time.Duration),
 		meanSizes: make(map[time.Duration]float64), ejections: make(map[string]map[string]ejector.Ejection),
 		throttles: make(map[string]throttler.Throttle), trials: make(map[string]sampler.Pace),
@@ -130,7 +141,7 @@
 	}
 	var suspects []tracker.Placement
 	for _, placement := range view.Directory.Placements(head.Service) {
-		suspect := now.Before(c.suspectUntil[placement.Target.Name]) && !placement.Target.Leaving && !now.Before(c.limitedUntil[placement.Target.Name])
+		suspect := now.Before(c.suspectUntil[placement.Target.Name]) && !placement.Target.Leaving && !c.isBarred(now, placement.Target)
 		if suspect && !c.isRemote(placement) && !c.paths[placement.Node.Name].Avoided(now) {
 			suspects = append(suspects, placement)
 		}
@@ -157,7 +168,7 @@
 	for _, placement := range placements {
 		name := placement.Target.Name
 		avoided := c.paths[placement.Node.Name].Avoided(now) || now.Before(c.suspectUntil[name])
-		if avoided && !head.AllowSuspect || now.Before(c.limitedUntil[name]) {
+		if avoided && !head.AllowSuspect || c.isBarred(now, placement.Target) {
 			continue
 		}
 		candidates = append(candidates, router.Candidate{
@@ -167,6 +178,16 @@
 	return candidates
 }
 
+// isBarred reports whether target has itself ruled out requests at now: it has stated that it leaves, or its limit is used
+// up.
+func (c *chooser) isBarred(now time.Time, target tracker.Target) bool {
+	if now.Before(c.limitedUntil[target.Name]) {
+		return true
+	}
+	departure, ok := c.leaving[target.Name]
+	return ok && departure.startedAt == target.StartedAt && now.Before(departure.until)
+}
+
 // recentlyLost returns the placements on nodes that were declared lost less than lostLifetime ago.
 func (c *chooser) recentlyLost(now time.Time, placements []tracker.Placement) []tracker.Placement {
 	var usable []tracker.Placement
@@ -302,6 +323,7 @@
 	c.view, c.reports, c.limits, c.paths, c.lost = view, reports, limits, paths, c.lostSince(now, nodes)
 	c.fleet = router.CountNodes(c.locality, nodes)
 	c.subsets = make(map[string][]tracker.Placement)
+	maps.DeleteFunc(c.leaving, func(_ string, d departure) bool { return !now.Before(d.until) })
 	for _, times := range []map[string]time.Time{c.suspectUntil, c.limitedUntil} {
 		maps.DeleteFunc(times, func(_ string, until time.Time) bool { return !now.Before(until) })
 	}
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -39,6 +39,8 @@
 	return announcement, ok
 }
 
+func (targets) RecordLeaving(registrar.Announcement) {}
+
 // freeLimiter admits every request, after wait if that is set.
 type freeLimiter struct{ wait func(deadline time.Time) }
 
--- a/node/pkg/acceptor/record.go
+++ b/node/pkg/acceptor/record.go
@@ -46,6 +46,9 @@
 	}
 	c.recordAnswer(head.Objective, answer)
 	c.recordLimit(target.Name, answer)
+	if answer.Header.Get(forwarder.HeaderLeaving) != "" {
+		c.leaving[target.Name] = departure{startedAt: target.StartedAt, until: now.Add(departureLifetime)}
+	}
 	if busy, err := strconv.Atoi(answer.Header.Get(forwarder.HeaderBusy)); err == nil {
 		// The slot of this answer is about to become free.
 		c.reports[target.Name] = router.Report{InFlight: max(busy-1, 0), At: now}
--- a/node/pkg/enroller/enroller.go
+++ b/node/pkg/enroller/enroller.go
@@ -88,6 +88,14 @@
 	e.onChange(e.targets())
 }
 
+// RecordLeaving removes the target of announcement, which has stated in an answer that it leaves, unless it has started
+// again since.
+func (e *Enroller) RecordLeaving(announcement registrar.Announcement) {
+	if held, ok := e.Announcement(announcement.Name); ok && held.StartedAt == announcement.StartedAt {
+		e.Leave(announcement.Name)
+	}
+}
+
 func (e *Enroller) apply(announcement registrar.Announcement) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -130,7 +138,7 @@
 func (e *Enroller) targets() []tracker.Target {
 	var targets []tracker.Target
 	for _, a := range e.registrar.Announcements() {
-		targets = append(targets, tracker.Target{Name: a.Name, Service: a.Service, Slots: a.Slots, Leaving: a.Leaving})
+		targets = append(targets, tracker.Target{Name: a.Name, Service: a.Service, Slots: a.Slots, Leaving: a.Leaving, StartedAt: a.StartedAt})
 	}
 	return targets
 }
--- a/node/pkg/enroller/enroller_test.go
+++ b/node/pkg/enroller/enroller_test.go
@@ -40,7 +40,7 @@
 		assert.Check(t, post(body) == http.StatusBadRequest, name)
 		assert.Check(t, post(strings.Replace(body, `"a"`, `"b"`, 1)) == http.StatusBadRequest, name)
 	}
-	assert.DeepEqual(t, reported, []tracker.Target{{Name: "a", Service: "s", Slots: 2}})
+	assert.DeepEqual(t, reported, []tracker.Target{{Name: "a", Service: "s", Slots: 2, StartedAt: 5}})
 	assert.Equal(t, post(strings.Replace(good, `"sequence":3`, `"sequence":4`, 1)), http.StatusNoContent)
 	held, ok := e.Announcement("a")
 	assert.Assert(t, ok && held.Sequence == 4)
--- a/node/pkg/forwarder/head.go
+++ b/node/pkg/forwarder/head.go
@@ -23,6 +23,8 @@
 	HeaderMean = "Samphire-Mean"
 	// HeaderLimit is the limit that the target named in the answer, in requests per second.
 	HeaderLimit = "Samphire-Limit"
+	// HeaderLeaving is set if the target stated in the answer that it leaves.
+	HeaderLeaving = "Samphire-Leaving"
 )
 
 // Head describes a request that is forwarded to a target. AttemptID identifies this attempt in the whole fleet, and
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -27,9 +27,10 @@
 	"samphiremount.example/node/pkg/forwarder"
 )
 
-// Targets looks up the targets of this VM by name.
+// Targets looks up the targets of this VM by name, and records that a target has stated in an answer that it leaves.
 type Targets interface {
 	Announcement(name string) (registrar.Announcement, bool)
+	RecordLeaving(announcement registrar.Announcement)
 }
 
 // Watcher records attempts on targets as evidence of their health.
@@ -175,7 +176,7 @@
 		g.registerFinish(head.AttemptID, refusal.Outcome != refuser.NotRun{})
 		return forwarder.Answer{}, refusal
 	}
-	if refusal := g.checkResponse(head, response, abort); refusal != nil {
+	if refusal := g.checkResponse(target, head, response, abort); refusal != nil {
 		recordResult(observer.Answered{Status: http.StatusServiceUnavailable})
 		_ = response.Body.Close()
 		release()
@@ -217,6 +218,10 @@
 	header.Del(forwarder.HeaderHigh)
 	header.Del(forwarder.HeaderMean)
 	header.Del(forwarder.HeaderLimit)
+	header.Del(forwarder.HeaderLeaving)
+	if g.protocol.Leaving(header) {
+		header.Set(forwarder.HeaderLeaving, "1")
+	}
 	if limit := g.protocol.Limit(header); limit.Named {
 		header.Set(forwarder.HeaderLimit, strconv.FormatFloat(limit.Rate, 'f', -1, 64))
 	}
@@ -250,13 +255,15 @@
 
 // checkResponse returns a refusal if the target did not run the request, or if the answer may belong to another request.
 // In the latter case the body stays unread, because the connection must not be reused. abort ends the exchange.
-func (g *Gatekeeper) checkResponse(head forwarder.Head, response connector.Answer, abort func()) *refuser.Refusal {
+func (g *Gatekeeper) checkResponse(
+	target registrar.Announcement, head forwarder.Head, response connector.Answer, abort func(),
+) *refuser.Refusal {
 	switch verdict := g.protocol.Classify(response.Header, response.StatusCode, head, response.Reused).(type) {
 	case Declined:
 		if response.Reused && g.mayHaveDeclined(head) {
 			return g.mismatch()
 		}
-		g.recordLimit(head.Target, response.Header)
+		g.recordStatements(target, response.Header)
 		g.recordDecline(head)
 		timer := time.AfterFunc(maxDrainTime, abort)
 		drain(response.Body)
@@ -265,7 +272,7 @@
 	case Mismatched:
 		return g.mismatch()
 	case Ran:
-		g.recordLimit(head.Target, response.Header)
+		g.recordStatements(target, response.Header)
 	}
 	return nil
 }
--- a/node/pkg/gatekeeper/gatekeeper_test.go
+++ b/node/pkg/gatekeeper/gatekeeper_test.go
@@ -35,6 +35,8 @@
 	return announcement, ok
 }
 
+func (targets) RecordLeaving(registrar.Announcement) {}
+
 // nopWatcher discards all evidence.
 type nopWatcher struct{}
 
--- a/node/pkg/gatekeeper/limit.go
+++ b/node/pkg/gatekeeper/limit.go
@@ -5,15 +5,19 @@
 	"time"
 
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/core/registrar"
 	"samphiremount.example/node/pkg/forwarder"
 )
 
-// recordLimit records the limit that the target called name states in the head of an answer, or that it states none.
-func (g *Gatekeeper) recordLimit(name string, header http.Header) {
+// recordStatements records what target states about itself in the head of an answer: a limit or none, and that it leaves.
+func (g *Gatekeeper) recordStatements(target registrar.Announcement, header http.Header) {
+	if g.protocol.Leaving(header) {
+		g.targets.RecordLeaving(target)
+	}
 	limit := g.protocol.Limit(header)
-	g.updateTarget(name, func(now time.Time, state *targetState) {
+	g.updateTarget(target.Name, func(now time.Time, state *targetState) {
 		if limit != state.loggedLimit {
-			g.log.Info("limit of target changed", "target", name, "named", limit.Named, "rate", limit.Rate)
+			g.log.Info("limit of target changed", "target", target.Name, "named", limit.Named, "rate", limit.Rate)
 			state.loggedLimit = limit
 		}
 		state.regulator = state.regulator.WithAnswer(now, limit)
--- a/node/pkg/gatekeeper/protocol.go
+++ b/node/pkg/gatekeeper/protocol.go
@@ -23,6 +23,8 @@
 	Classify(header http.Header, status int, head forwarder.Head, reused bool) Verdict
 	// Limit returns the limit that the target names in the head of an answer.
 	Limit(header http.Header) regulator.Limit
+	// Leaving reports whether the target states in the head of an answer that it leaves.
+	Leaving(header http.Header) bool
 }
 
 // Verdict is what a target's answer states about the request. It is Ran, Declined or Mismatched.
@@ -70,5 +72,8 @@
 // Limit implements Protocol.
 func (DefaultProtocol) Limit(http.Header) regulator.Limit { return regulator.Limit{} }
 
+// Leaving implements Protocol.
+func (DefaultProtocol) Leaving(http.Header) bool { return false }
+
 // Classify implements Protocol.
 func (DefaultProtocol) Classify(http.Header, int, forwarder.Head, bool) Verdict { return Ran{} }
