--- a/control/pkg/proposer/cluster_test.go
+++ b/control/pkg/proposer/cluster_test.go
@@ -45,8 +45,13 @@
 
 func newCluster(tb testing.TB, size int) *cluster {
 	tb.Helper()
-	c := &cluster{tb: tb, path: tb.TempDir(), addresses: make(map[string]string), members: make(map[string]*member)}
-	c.wrapDisk = func(disk storer.Disk) storer.Disk { return disk }
+	return newClusterWith(tb, size, func(disk storer.Disk) storer.Disk { return disk })
+}
+
+// newClusterWith is newCluster with a function that is applied to the data folder of each member that starts.
+func newClusterWith(tb testing.TB, size int, wrapDisk func(storer.Disk) storer.Disk) *cluster {
+	tb.Helper()
+	c := &cluster{tb: tb, path: tb.TempDir(), addresses: make(map[string]string), members: make(map[string]*member), wrapDisk: wrapDisk}
 	for i := range size {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(tb, err)
