Wait for room on a full disk in place of ending the process

Cause: every failed write was final. For want of room it need not be: the record can be cut off and written again.

Change: such a write returns ErrFull and changes nothing. The member waits and refuses operators' requests at once, so that they go to another process; the others elect a leader meanwhile. A failed sync stays final.

--- a/control/pkg/proposer/run.go
+++ b/control/pkg/proposer/run.go
@@ -6,8 +6,10 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"samphiremount.example/control/pkg/storer"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/replicator"
 	"samphiremount.example/core/timekeeper"
@@ -17,6 +19,8 @@
 const (
 	tickPeriod       = replicator.HeartbeatPeriod / 4
 	maxInputsPerSync = 256
+	// fullDiskInterval is the time between two writes to a disk that is full.
+	fullDiskInterval = 50 * time.Millisecond
 )
 
 // loop is the state that only one goroutine of Run accesses. waiting holds, by ID, the requests whose entry is not yet in
@@ -93,7 +97,7 @@
 			l.compactor.finished(input)
 			inputs = append(inputs, input)
 		}
-		if err := l.process(l.collect(inputs)); err != nil {
+		if err := l.process(ctx, l.collect(inputs)); err != nil && ctx.Err() == nil {
 			return err
 		}
 	}
@@ -122,7 +126,7 @@
 
 // process steps the replicator through inputs. It sends the resulting messages at once, persists the saves of all inputs
 // with one sync, and then handles the rest of the outputs.
-func (l *loop) process(inputs []replicator.Input) error {
+func (l *loop) process(ctx context.Context, inputs []replicator.Input) error {
 	wasLeader, term := l.replicator.Leads(), l.replicator.Term()
 	for len(inputs) > 0 {
 		var outputs []replicator.Output
@@ -133,7 +137,7 @@
 			l.send(output.Messages)
 			outputs = append(outputs, output)
 		}
-		sequence, err := l.save(outputs)
+		sequence, err := l.save(ctx, outputs)
 		if err != nil {
 			return err
 		}
@@ -155,13 +159,13 @@
 	return nil
 }
 
-func (l *loop) save(outputs []replicator.Output) (uint64, error) {
+func (l *loop) save(ctx context.Context, outputs []replicator.Output) (uint64, error) {
 	var sequence uint64
 	for _, output := range outputs {
 		if output.Save == nil {
 			continue
 		}
-		if err := l.store.Write(*output.Save); err != nil {
+		if err := l.write(ctx, *output.Save); err != nil {
 			return 0, err
 		}
 		sequence = output.Save.Sequence
@@ -178,6 +182,29 @@
 	return sequence, nil
 }
 
+// write writes save. While the disk is full, it waits and refuses requests: the other members then elect another leader, and
+// this one goes on where it was as soon as there is room.
+func (l *loop) write(ctx context.Context, save replicator.Save) error {
+	err := l.store.Write(save)
+	if errors.Is(err, storer.ErrFull) {
+		l.log.Warn("waiting for room on the disk", "reason", err.Error())
+		defer l.log.Info("wait for room on the disk ended")
+	}
+	retry := time.NewTicker(fullDiskInterval)
+	defer retry.Stop()
+	for errors.Is(err, storer.ErrFull) {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "wait for room on the disk")
+		case pending := <-l.requests:
+			pending.answer <- answer{err: refuser.Refuse(refuser.LeaderUnknown, storer.ErrFull.Error())}
+		case <-retry.C:
+			err = l.store.Write(save)
+		}
+	}
+	return err
+}
+
 // send passes messages to the transport. A message to a process without a known address is dropped.
 func (l *loop) send(messages []replicator.Message) {
 	for _, message := range messages {
--- a/control/pkg/storer/storer.go
+++ b/control/pkg/storer/storer.go
@@ -1,10 +1,12 @@
 // Package storer persists the log, the term and the snapshot of a member in one data folder. Records are checksummed, and
 // durable only once they are synced. A failed write or sync is final: what the disk holds is unknown after it, so the
-// process must exit and read the folder again at its next start.
+// process must exit and read the folder again at its next start. A write for which the disk has no room is not: it changes
+// nothing and may be repeated.
 package storer
 
 import (
 	"io/fs"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,7 +20,10 @@
 	newSuffix    = ".new"
 )
 
-// Storer writes the saves of one member. size is the length of the log and synced the part of it that was synced, in
+// ErrFull is returned by Write if the disk has no room.
+var ErrFull = errors.New("the disk is full")
+
+// Storer writes the saves of one member. torn is set if the log may end with a part of a record. size is the length of the log and synced the part of it that was synced, in
 // bytes. failure is the error of the write or sync that failed. A Storer is not safe for concurrent use.
 type Storer struct {
 	disk    Disk
@@ -26,6 +31,7 @@
 	size    int64
 	synced  int64
 	failure error
+	torn    bool
 }
 
 // logRecord is the payload of one record of the log. Entries replace the entries of earlier records that have the index of
@@ -172,7 +178,7 @@
 		return err
 	}
 	if err := s.replace(snapshotName, save.Snapshot); err != nil {
-		return s.fail(err)
+		return s.failUnlessFull(err)
 	}
 	return s.rewriteLog(next)
 }
@@ -182,9 +188,16 @@
 	if err != nil {
 		return s.fail(err)
 	}
+	if s.torn {
+		if err := s.log.Truncate(s.size); err != nil {
+			return s.failUnlessFull(errors.Wrap(err, "truncate log"))
+		}
+		s.torn = false
+	}
 	buf := appendRecord(nil, payload, s.synced)
 	if _, err := s.log.Write(buf); err != nil {
-		return s.fail(errors.Wrap(err, "write log"))
+		s.torn = true
+		return s.failUnlessFull(errors.Wrap(err, "write log"))
 	}
 	s.size += int64(len(buf))
 	return nil
@@ -212,8 +225,9 @@
 
 func (s *Storer) rewriteLog(contents logRecord) error {
 	if err := s.replace(logName, contents); err != nil {
-		return s.fail(err)
+		return s.failUnlessFull(err)
 	}
+	s.torn = false
 	if s.log != nil {
 		_ = s.log.Close()
 	}
@@ -225,6 +239,14 @@
 	return nil
 }
 
+// failUnlessFull returns ErrFull if err says that the disk has no room. Any other error is final.
+func (s *Storer) failUnlessFull(err error) error {
+	if errors.Is(err, syscall.ENOSPC) {
+		return errors.CombineErrors(ErrFull, err)
+	}
+	return s.fail(err)
+}
+
 // fail makes err final: all later writes and syncs return it.
 func (s *Storer) fail(err error) error {
 	s.failure = errors.Wrap(err, "the data folder failed")
