--- a/control/pkg/storer/storer.go
+++ b/control/pkg/storer/storer.go
@@ -23,8 +23,9 @@
 // ErrFull is returned by Write if the disk has no room.
 var ErrFull = errors.New("the disk is full")
 
-// Storer writes the saves of one member. torn is set if the log may end with a part of a record. size is the length of the log and synced the part of it that was synced, in
-// bytes. failure is the error of the write or sync that failed. A Storer is not safe for concurrent use.
+// Storer writes the saves of one member. size is the length of the log and synced the part of it that was synced, in
+// bytes. failure is the error of the write or sync that failed. torn is set if the log may end with a part of a record. A
+// Storer is not safe for concurrent use.
 type Storer struct {
 	disk    Disk
 	log     File
--- a/core/budgeter/fleet_test.go
+++ b/core/budgeter/fleet_test.go
@@ -178,7 +178,7 @@
 		if *answered || !s.pay(n, service) {
 			return
 		}
-		s.after(time.Duration(s.random.Int64N(int64(s.conditions.delay)+1)), func() {
+		s.after(time.Duration(s.random.Int64N(int64(s.delay)+1)), func() {
 			s.extra[service] = append(s.extra[service], s.now)
 			s.start(service, 1)
 		})
@@ -204,12 +204,12 @@
 	answered = new(bool)
 	n := s.nodes[s.random.IntN(len(s.nodes))]
 	n.runs = n.runs.WithStart(repeat)
-	if s.random.Float64() < s.conditions.hang {
+	if s.random.Float64() < s.hang {
 		s.after(3*time.Second, func() { n.runs = n.runs.WithEnd(repeat) })
 		return answered
 	}
 	if service == caller {
-		for i := range s.conditions.calls {
+		for i := range s.calls {
 			s.after(time.Duration(i+1)*100*time.Millisecond, func() { s.call(n, repeat) })
 		}
 	}
