--- a/core/budgeter/fleet_test.go
+++ b/core/budgeter/fleet_test.go
@@ -33,7 +33,8 @@
 
 // conditions is what a fleet runs under. hang is the fraction of attempts that hang, and calls the number of calls that
 // each other run of caller makes. A granted attempt reaches its target up to delay later. The holder of the shared budget
-// is replaced every moveEvery, and a node every restartEvery, if these are set.
+// is replaced every moveEvery, and a node every restartEvery, if these are set. lost is the fraction of reports that do not
+// arrive. Each stepEvery the time of day of half of the nodes steps forward by clockStep, and back a while later.
 type conditions struct {
 	name         string
 	nodes        int
@@ -44,8 +45,13 @@
 	delay        time.Duration
 	moveEvery    time.Duration
 	restartEvery time.Duration
+	lost         float64
+	stepEvery    time.Duration
 }
 
+// clockStep is by how much the time of day steps.
+const clockStep = 4 * time.Second
+
 // scheduled is something that happens in a fleet at a time.
 type scheduled struct {
 	at time.Time
@@ -69,6 +75,7 @@
 	retrier *retrier.Retrier
 	tally   *budgeter.Tally
 	runs    budgeter.Runs
+	step    time.Duration
 }
 
 // simulation runs the budgets of a fleet in virtual time. It records the arrivals at targets that the limit counts as
@@ -95,7 +102,7 @@
 	for i := range conditions.nodes {
 		s.nodes = append(s.nodes, nil)
 		s.replaceNode(i)
-		s.every(reportInterval, func() { s.report(s.nodes[i]) })
+		s.every(reportInterval, func() { _ = s.report(s.nodes[i]) })
 	}
 	s.arrive(caller, conditions.callerRate)
 	s.arrive(callee, conditions.calleeRate)
@@ -105,9 +112,21 @@
 	if conditions.restartEvery > 0 {
 		s.every(conditions.restartEvery, func() { s.replaceNode(s.random.IntN(conditions.nodes)) })
 	}
+	if conditions.stepEvery > 0 {
+		s.every(conditions.stepEvery, s.stepClocks)
+	}
 	return s
 }
 
+func (s *simulation) stepClocks() {
+	for i, n := range s.nodes {
+		if i%2 == 0 {
+			n.step = clockStep
+			s.after(clockStep, func() { n.step = 0 })
+		}
+	}
+}
+
 func (s *simulation) replaceLedger() {
 	s.ledger = budgeter.NewLedger(budgeter.Allowance{
 		Ratio: sharedShare * fleetRatio, Slack: sharedShare * fleetSlack, Window: fleetWindow,
@@ -162,7 +181,7 @@
 
 // count counts a request at its entry, as the acceptor does.
 func (s *simulation) count(n *node, request budgeter.Request) {
-	n.retrier.CountRequest(s.now, request.Service, request.Repeat)
+	n.retrier.CountRequest(s.now.Add(n.step), request.Service, request.Repeat)
 	n.tally.CountRequest(request)
 }
 
@@ -187,11 +206,14 @@
 
 // pay reports whether the budget of n or the shared one pays for an extra attempt.
 func (s *simulation) pay(n *node, service string) bool {
-	attempt := retrier.Attempt{Service: service, Number: 1, Reached: 1, Repeatable: true, Deadline: s.now.Add(time.Second)}
-	if _, ok := n.retrier.Decide(s.now, retrier.Slow{}, attempt).(retrier.Retry); ok {
+	now := s.now.Add(n.step)
+	attempt := retrier.Attempt{Service: service, Number: 1, Reached: 1, Repeatable: true, Deadline: now.Add(time.Second)}
+	if _, ok := n.retrier.Decide(now, retrier.Slow{}, attempt).(retrier.Retry); ok {
 		return true
 	}
-	s.report(n)
+	if !s.report(n) {
+		return false
+	}
 	granted, _ := s.ledger.Acquire(s.now, service)
 	if granted {
 		s.granted++
@@ -231,8 +253,14 @@
 	s.send(n, callee, repeat)
 }
 
-func (s *simulation) report(n *node) {
-	s.ledger.Apply(s.now, n.tally.Take())
+// report sends what n has counted, and reports whether it arrived.
+func (s *simulation) report(n *node) bool {
+	report := n.tally.Take()
+	if s.random.Float64() < s.lost {
+		return false
+	}
+	s.ledger.Apply(s.now, report)
+	return true
 }
 
 // checkLimit checks the limit as it is counted at targets: in each window, the extra arrivals against the requests of that
@@ -270,6 +298,8 @@
 		{name: "late arrivals", nodes: 20, callerRate: 40, calleeRate: 15, hang: 0.4, calls: 1, delay: time.Second},
 		{name: "holder moves", nodes: 20, callerRate: 40, calleeRate: 15, hang: 0.4, calls: 1, moveEvery: 7 * time.Second},
 		{name: "nodes restart", nodes: 20, callerRate: 40, calleeRate: 15, hang: 0.4, calls: 1, restartEvery: 300 * time.Millisecond},
+		{name: "reports lost", nodes: 20, callerRate: 40, calleeRate: 15, hang: 0.4, calls: 2, lost: 0.5},
+		{name: "clocks step", nodes: 20, callerRate: 40, calleeRate: 15, hang: 0.4, calls: 2, stepEvery: 7 * time.Second},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
