--- a/core/allocator/fallback.go
+++ b/core/allocator/fallback.go
@@ -16,14 +16,14 @@
 }
 
 // FallbackQuota is the rate and burst of a workspace that Nodes nodes share while no lender answers. Slack is the
-// number of requests that all of them together may admit beyond the burst. Overage is the rate that they may admit
+// number of requests that all of them together may admit beyond the burst. MarginRate is the rate that they may admit
 // beside lenders that lend all of Rate to other nodes.
 type FallbackQuota struct {
-	Rate    configurer.PerSecond
-	Overage configurer.PerSecond
-	Burst   int
-	Slack   float64
-	Nodes   int
+	Rate       configurer.PerSecond
+	MarginRate configurer.PerSecond
+	Burst      int
+	Slack      float64
+	Nodes      int
 }
 
 // Margin is what the nodes together may admit of a workspace beyond its rate and burst: in any Window, Overage times
@@ -42,14 +42,14 @@
 	quota := FallbackQuota{Rate: workspace.Rate, Burst: workspace.Burst, Slack: slackShare * m.Tolerance, Nodes: nodes}
 	if m.Window > 0 {
 		beside := (m.Overage*float64(workspace.Burst) + (1-slackShare)*m.Tolerance) / m.Window.Seconds()
-		quota.Overage = configurer.PerSecond(m.Overage)*workspace.Rate + configurer.PerSecond(beside)
+		quota.MarginRate = configurer.PerSecond(m.Overage)*workspace.Rate + configurer.PerSecond(beside)
 	}
 	return quota
 }
 
 // BesideLenders returns the quota for nodes that do not know whether the lenders lend to others.
 func (q FallbackQuota) BesideLenders() FallbackQuota {
-	q.Rate, q.Burst = min(q.Rate, q.Overage), 0
+	q.Rate, q.Burst = min(q.Rate, q.MarginRate), 0
 	return q
 }
 
