Take uploads as a kind of route

What callers saw: on both Petra sites nothing was served. Every request was answered 503 and no node was ever ready.

Cause: the operators' first configuration has routes of the type upload. The translator refused it as an unknown type, so that no configuration came in force.

Change: a route of the product has the property upload, in the sheet, on the command line and in records. Uploads run at most once; a route that is both repeatable and for uploads is refused. TestObjectsKeepTheirNamesInJSON and the tests of the sheet name the new field as well and check all that they did.

--- a/core/configurer/apply.go
+++ b/core/configurer/apply.go
@@ -205,6 +205,9 @@
 	if max(route.MaxAttempts, int(route.Rank)) > MaxNumber {
 		return invalid("route " + route.Name + " has a number that is too large")
 	}
+	if route.Repeatable && route.Upload {
+		return invalid("route " + route.Name + " is repeatable and for uploads, which run at most once")
+	}
 	return c.checkServices(route)
 }
 
--- a/core/configurer/objects.go
+++ b/core/configurer/objects.go
@@ -41,7 +41,8 @@
 }
 
 // Route sends the requests with a host and path prefix to Service, or to the services of Splits by their weights. An
-// empty Host matches every host. Open routes need no key. Requests of Repeatable routes may be retried and hedged.
+// empty Host matches every host. Open routes need no key. Requests of Repeatable routes may be retried and hedged. Those of
+// Upload routes have large bodies and run at most once; such a route is never Repeatable.
 // Timeout bounds the time of a request. Objective is the time within which an answer has its full value to the caller.
 // An Objective of 0 means that the route has none. MaxAttempts bounds the targets that one request is sent to; 0 means
 // the default of the fleet. The JSON names are those of an exported sheet.
@@ -52,6 +53,7 @@
 	Service     string
 	Open        bool
 	Repeatable  bool
+	Upload      bool
 	Timeout     time.Duration `json:"Limit"`
 	Splits      []Split
 	Objective   time.Duration
--- a/core/configurer/objects_test.go
+++ b/core/configurer/objects_test.go
@@ -14,7 +14,7 @@
 func TestObjectsKeepTheirNamesInJSON(t *testing.T) {
 	route, err := json.Marshal(configurer.Route{})
 	assert.NilError(t, err)
-	assert.Equal(t, string(route), `{"Name":"","Host":"","Prefix":"","Service":"","Open":false,"Repeatable":false,"Limit":0,`+
+	assert.Equal(t, string(route), `{"Name":"","Host":"","Prefix":"","Service":"","Open":false,"Repeatable":false,"Upload":false,"Limit":0,`+
 		`"Splits":null,"Objective":0,"Attempts":0,"Rank":0}`)
 	service, err := json.Marshal(configurer.Service{})
 	assert.NilError(t, err)
--- a/core/configurer/record.go
+++ b/core/configurer/record.go
@@ -36,6 +36,7 @@
 	FloorShare      float64 `cbor:"22,keyasint,omitempty" json:"share,omitempty"`
 	MaxConnections  int     `cbor:"23,keyasint,omitempty" json:"connections,omitempty"`
 	Text            string  `cbor:"24,keyasint,omitempty" json:"text,omitempty"`
+	Upload          bool    `cbor:"25,keyasint,omitempty" json:"upload,omitempty"`
 }
 
 // MaxRecordBytes bounds the size of a record that is sent to nodes.
@@ -105,14 +106,14 @@
 func routeRecord(r Route) Record {
 	return Record{
 		Verb: verbPut, Kind: kindRoute, Name: r.Name, Host: r.Host, Prefix: r.Prefix, Service: r.Service,
-		Open: r.Open, Repeatable: r.Repeatable, TimeoutMillis: r.Timeout.Milliseconds(), Splits: r.Splits,
+		Open: r.Open, Repeatable: r.Repeatable, Upload: r.Upload, TimeoutMillis: r.Timeout.Milliseconds(), Splits: r.Splits,
 		ObjectiveMillis: r.Objective.Milliseconds(), MaxAttempts: r.MaxAttempts, Rank: r.Rank,
 	}
 }
 
 func (r Record) route() Route {
 	return Route{
-		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Service: r.Service, Open: r.Open, Repeatable: r.Repeatable,
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Service: r.Service, Open: r.Open, Repeatable: r.Repeatable, Upload: r.Upload,
 		Timeout: time.Duration(r.TimeoutMillis) * time.Millisecond, Splits: r.Splits,
 		Objective: time.Duration(r.ObjectiveMillis) * time.Millisecond, MaxAttempts: r.MaxAttempts, Rank: r.Rank,
 	}
--- a/ctl/pkg/commander/objects.go
+++ b/ctl/pkg/commander/objects.go
@@ -81,6 +81,7 @@
 	Service    string `json:"service"`
 	Open       bool   `json:"open"`
 	Repeatable bool   `json:"repeatable"`
+	Upload     bool   `json:"upload"`
 	TimeoutMS  int64  `json:"milliseconds"`
 }
 
@@ -93,17 +94,17 @@
 	found := []routeRow{}
 	for _, r := range sheet.Routes {
 		limit := r.Timeout.Milliseconds()
-		found = append(found, routeRow{r.Name, r.Host, r.Prefix, r.Service, r.Open, r.Repeatable, limit})
+		found = append(found, routeRow{r.Name, r.Host, r.Prefix, r.Service, r.Open, r.Repeatable, r.Upload, limit})
 	}
 	return c.show(found, func() error {
 		var rows [][]string
 		for _, r := range found {
 			rows = append(rows, []string{
 				r.Name, orDash(r.Host), r.Prefix, r.Service, strconv.FormatBool(r.Open), strconv.FormatBool(r.Repeatable),
-				strconv.FormatInt(r.TimeoutMS, 10),
+				strconv.FormatBool(r.Upload), strconv.FormatInt(r.TimeoutMS, 10),
 			})
 		}
-		return c.table("ROUTE HOST PREFIX SERVICE OPEN REPEATABLE MILLISECONDS", rows)
+		return c.table("ROUTE HOST PREFIX SERVICE OPEN REPEATABLE UPLOAD MILLISECONDS", rows)
 	})
 }
 
--- a/ctl/pkg/importer/importer_test.go
+++ b/ctl/pkg/importer/importer_test.go
@@ -20,7 +20,7 @@
 	want, err := importer.Parse(strings.NewReader(plain))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, want, importer.Sheet{
-		Missing:    []string{"weight", "keys", "host", "open", "repeatable"},
+		Missing:    []string{"weight", "keys", "host", "open", "repeatable", "upload"},
 		Services:   []configurer.Service{{Name: "bookings", Floor: 5}},
 		Workspaces: []importer.Workspace{{Workspace: configurer.Workspace{Name: "kowhai", Rate: 2.5, Burst: 400}, Keys: -1}},
 		Routes:     []configurer.Route{{Name: "bookings", Prefix: "/bookings", Service: "bookings", Timeout: 10 * time.Second}},
@@ -46,12 +46,12 @@
 }
 
 func TestParseNamesEveryWrongCell(t *testing.T) {
-	const sheet = "kind;name;rate;burst;prefix;service;milliseconds;floor;flor\n" +
+	const sheet = "kind;name;rate;burst;prefix;service;milliseconds;floor;flor;repeatable;upload\n" +
 		"service;bookings;;;;;;many\n" +
 		"\n" +
 		"workspace;;NaN;0;;;;\n" +
-		"workspace;a;-1;1.5;;;;7;;left over\n" +
-		"route;r;;;nowhere;rooms;3600001;\n" +
+		"workspace;a;-1;1.5;;;;7;;;;left over\n" +
+		"route;r;;;nowhere;rooms;3600001;;;yes;yes\n" +
 		"target;x;;;;;;\n" +
 		"service;bookings;;;;;;1\n"
 	_, err := importer.Parse(strings.NewReader(sheet))
@@ -64,12 +64,13 @@
 		`line 4, column rate: "NaN" is not a number`,
 		`line 4, column rate: "NaN" is not a rate above 0 and at most 1e9`,
 		`line 4, column burst: "0" is not a whole number from 1 to 2147483647`,
-		`line 5, column 10: the cell holds "left over", but its column has no name`,
+		`line 5, column 12: the cell holds "left over", but its column has no name`,
 		`line 5, column rate: "-1" is not a rate above 0 and at most 1e9`,
 		`line 5, column burst: "1.5" is not a whole number from 1 to 2147483647`,
 		`line 5, column floor: a workspace row must leave column floor empty`,
 		`line 6, column prefix: "nowhere" does not start with /`,
 		`line 6, column milliseconds: "3600001" is not a whole number from 1 to 3600000`,
+		`line 6, column upload: the route is repeatable; an upload runs at most once`,
 		`line 6, column service: service rooms is not defined in the sheet`,
 		`line 7, column kind: "target" is not workspace, route or service`,
 		`line 8, column name: service bookings is already defined on line 2`,
@@ -105,12 +106,13 @@
 			})
 		}
 		for _, route := range rapid.SliceOfNDistinct(name, 0, 4, rapid.ID).Draw(t, "routes") {
+			kind := rapid.SampledFrom([]string{"plain", "repeatable", "upload"}).Draw(t, "kind")
 			sheet.Routes = append(sheet.Routes, configurer.Route{
 				Name: route, Host: rapid.StringMatching(`([a-z]{1,5}\.nz)?`).Draw(t, "host"),
 				Prefix:  "/" + rapid.StringMatching(`[a-z/]{0,6}`).Draw(t, "prefix"),
 				Service: rapid.SampledFrom(services).Draw(t, "service"), Open: rapid.Bool().Draw(t, "open"),
-				Repeatable: rapid.Bool().Draw(t, "repeatable"),
-				Timeout:    time.Duration(rapid.IntRange(1, 3600000).Draw(t, "limit")) * time.Millisecond,
+				Repeatable: kind == "repeatable", Upload: kind == "upload",
+				Timeout: time.Duration(rapid.IntRange(1, 3600000).Draw(t, "limit")) * time.Millisecond,
 			})
 		}
 		var out bytes.Buffer
--- a/ctl/pkg/importer/parse.go
+++ b/ctl/pkg/importer/parse.go
@@ -161,9 +161,13 @@
 		r.addProblem(ColumnPrefix, "%q does not start with /", prefix)
 	}
 	r.required(ColumnMilliseconds)
-	return configurer.Route{
+	route := configurer.Route{
 		Name: name, Host: r.text(ColumnHost), Prefix: prefix, Service: r.required(ColumnService), Open: r.boolean(ColumnOpen),
-		Repeatable: r.boolean(ColumnRepeatable),
-		Timeout:    time.Duration(r.integer(ColumnMilliseconds, 0, 1, maxMilliseconds)) * time.Millisecond,
+		Repeatable: r.boolean(ColumnRepeatable), Upload: r.boolean(ColumnUpload),
+		Timeout: time.Duration(r.integer(ColumnMilliseconds, 0, 1, maxMilliseconds)) * time.Millisecond,
 	}
+	if route.Repeatable && route.Upload {
+		r.addProblem(ColumnUpload, "the route is repeatable; an upload runs at most once")
+	}
+	return route
 }
--- a/ctl/pkg/importer/sheet.go
+++ b/ctl/pkg/importer/sheet.go
@@ -22,6 +22,7 @@
 	ColumnService      = "service"
 	ColumnOpen         = "open"
 	ColumnRepeatable   = "repeatable"
+	ColumnUpload       = "upload"
 	ColumnMilliseconds = "milliseconds"
 	ColumnFloor        = "floor"
 )
@@ -37,7 +38,7 @@
 func Columns() []string {
 	return []string{
 		ColumnKind, ColumnName, ColumnRate, ColumnBurst, ColumnWeight, ColumnKeys, ColumnHost, ColumnPrefix, ColumnService,
-		ColumnOpen, ColumnRepeatable, ColumnMilliseconds, ColumnFloor,
+		ColumnOpen, ColumnRepeatable, ColumnUpload, ColumnMilliseconds, ColumnFloor,
 	}
 }
 
@@ -46,7 +47,7 @@
 	KindWorkspace: {ColumnRate: true, ColumnBurst: true, ColumnWeight: true, ColumnKeys: true},
 	KindRoute: {
 		ColumnHost: true, ColumnPrefix: true, ColumnService: true, ColumnOpen: true, ColumnRepeatable: true,
-		ColumnMilliseconds: true,
+		ColumnUpload: true, ColumnMilliseconds: true,
 	},
 	KindService: {ColumnFloor: true},
 }
--- a/ctl/pkg/importer/write.go
+++ b/ctl/pkg/importer/write.go
@@ -24,6 +24,7 @@
 		rows = append(rows, orderedCells(map[string]string{
 			ColumnKind: KindRoute, ColumnName: route.Name, ColumnHost: route.Host, ColumnPrefix: route.Prefix,
 			ColumnService: route.Service, ColumnOpen: yesNo(route.Open), ColumnRepeatable: yesNo(route.Repeatable),
+			ColumnUpload:       yesNo(route.Upload),
 			ColumnMilliseconds: strconv.FormatInt(route.Timeout.Milliseconds(), 10),
 		}))
 	}
--- a/ctl/pkg/planner/keep.go
+++ b/ctl/pkg/planner/keep.go
@@ -26,6 +26,7 @@
 	keepIfMissing(missing, importer.ColumnHost, &route.Host, old.Host)
 	keepIfMissing(missing, importer.ColumnOpen, &route.Open, old.Open)
 	keepIfMissing(missing, importer.ColumnRepeatable, &route.Repeatable, old.Repeatable)
+	keepIfMissing(missing, importer.ColumnUpload, &route.Upload, old.Upload)
 	route.Objective, route.MaxAttempts, route.Rank = old.Objective, old.MaxAttempts, old.Rank
 	return route
 }
