Log why a failed answer is not repeated

What an on-call saw: a request that may be repeated ended with a target's 500, and no line told why no other target was tried.

Cause: the reason was logged for refusals only, and not for answers that are failures.

Change: it is logged for both.

--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -156,7 +157,7 @@
 		a.RouteLog.Info("request sent again", "request", f.head.AttemptID, "target", f.head.Target, "reason", decision.Reason)
 		return true
 	case retrier.Stop:
-		if err != nil {
+		if err != nil || answer.Status >= http.StatusInternalServerError {
 			a.RouteLog.Info("request given up", "request", f.head.AttemptID, "target", f.head.Target, "reason", decision.Reason)
 		}
 	}
