Keep large bodies at their entry until a gate grants them

What callers saw: a body travelled with its request. A gate that refused had been sent it already, often from another data centre; and since an entry keeps 64 KB, an upload that is larger could not be sent to the next target: its caller got 503 although targets were free.

Cause: nothing told the entry whether the gate would take the request.

Change: core/granter decides which bodies are withheld. The gate grants one once the request has a slot, in its progress frames. Until then the entry may withdraw the request and knows that it has not run, whatever happens to the gate. A gate that does not know grants is recognised by its first frame and gets the body at once. Content is still checked for crashes before the target gets a byte.

--- a/node/pkg/acceptor/body.go
+++ b/node/pkg/acceptor/body.go
@@ -8,14 +8,13 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
-)
 
-// maxReplayBytes bounds how much of a request body is buffered for further attempts.
-const maxReplayBytes = 64 << 10
+	"samphiremount.example/core/granter"
+)
 
 var errNotReplayable = errors.New("the request body is no longer available to this attempt")
 
-// body lets several attempts read a caller's request body, one after another, as long as no more than maxReplayBytes of
+// body lets several attempts read a caller's request body, one after another, as long as no more than granter.MaxReplayBytes of
 // it were read.
 type body struct {
 	current atomic.Pointer[bodyReader]
@@ -108,7 +107,7 @@
 		return 0, b.readErr
 	}
 	n, err := b.source.Read(p)
-	if b.bytesRead == len(b.replayBuffer) && b.bytesRead+n <= maxReplayBytes {
+	if b.bytesRead == len(b.replayBuffer) && b.bytesRead+n <= granter.MaxReplayBytes {
 		b.replayBuffer = append(b.replayBuffer, p[:n]...)
 	} else {
 		b.replayBuffer = nil
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -11,6 +11,7 @@
 	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/escalator"
+	"samphiremount.example/core/granter"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
@@ -121,6 +122,8 @@
 	a.RouteLog.Info("request matched", "request", call.ID, "route", admission.route.Name, "service", head.Service,
 		"workspace", head.Workspace, "rank", int(head.Rank), "inner", head.Nested, "repeatable", head.Repeatable, "remaining", deadline.Sub(now),
 		"version", view.Configuration.Version(), "number", view.Configuration.Number())
+	head.Upload = admission.route.Upload
+	head.Withheld = granter.Body{Upload: head.Upload, Length: head.Length}.Withhold()
 	head.HealthyOnly = !head.Repeatable
 	head.Hedged = a.HedgeAfter > 0 && head.Repeatable && head.Length == 0 && head.Objective > 0
 	plan := escalator.NewDefault()
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,11 +32,14 @@
 	"samphiremount.example/node/pkg/watcher"
 )
 
-// targets are the targets that the gate of a test knows.
+// targets are the targets that the gate of a test knows. Those whose name begins with leaving take no requests.
 type targets map[string]registrar.Announcement
 
+const leaving = "leaving"
+
 func (t targets) Announcement(name string) (registrar.Announcement, bool) {
 	announcement, ok := t[name]
+	announcement.Leaving = strings.HasPrefix(name, leaving)
 	return announcement, ok
 }
 
@@ -67,7 +71,8 @@
 }
 
 // newFleet serves /bookings (not repeatable) and /catalogue (repeatable) for one workspace, with one target for each
-// handler. The routes /lookups (repeatable) and /orders (not repeatable) state an objective too.
+// handler. The routes /lookups (repeatable), /orders (not repeatable) and /films (uploads) state an objective too. The gate
+// refuses requests for a target whose handler is nil, of which the entry does not know that it leaves.
 func newFleet(t *testing.T, handlers ...http.Handler) *fleet {
 	t.Helper()
 	return newFleetWith(t, generousPolicy, nil, handlers...)
@@ -89,9 +94,12 @@
 	known := targets{}
 	var trackedTargets []tracker.Target
 	for i, handler := range handlers {
+		name := string(rune('a' + i))
+		if handler == nil {
+			handler, name = http.NotFoundHandler(), leaving+name
+		}
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
-		name := string(rune('a' + i))
 		known[name] = registrar.Announcement{
 			Name: name, Service: "service", Address: server.Listener.Addr().String(), Slots: 4,
 		}
@@ -132,6 +140,9 @@
 		configurer.PutRoute{Route: configurer.Route{
 			Name: "orders", Prefix: "/orders", Service: "service", Timeout: time.Second, Objective: 400 * time.Millisecond, MaxAttempts: 2,
 		}},
+		configurer.PutRoute{Route: configurer.Route{
+			Name: "films", Prefix: "/films", Service: "service", Timeout: filmTimeout, Objective: 400 * time.Millisecond, Upload: true,
+		}},
 		configurer.IssueKey{Key: configurer.Key{ID: key.ID, Workspace: "kowhai", Digest: key.Digest()}},
 	}})
 	assert.NilError(t, err)
--- /dev/null
+++ b/node/pkg/acceptor/upload_test.go
@@ -0,0 +1,218 @@
+package acceptor_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+)
+
+// TestRefusedUploadIsSentElsewhere has gates that refuse requests for two of three targets. An upload that is too large to
+// be kept at its entry must reach the third one all the same, and no refusal may cost its body.
+func TestRefusedUploadIsSentElsewhere(t *testing.T) {
+	f := newFleet(t, nil, nil, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, strconv.FormatInt(n, 10))
+	}))
+	for range 20 {
+		request := f.request(t, http.MethodPost, "/films")
+		request.Body, request.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, 300_000))), 300_000
+		reply := do(t, request)
+		assert.Equal(t, reply.status, http.StatusOK)
+		assert.Equal(t, reply.content, "300000")
+	}
+}
+
+// filmTimeout is the timeout of the route /films.
+const filmTimeout = time.Second
+
+// films records what targets got of uploads: the plain oracle of TestUploadsWithDrawnFaults.
+type films struct {
+	mu   sync.Mutex
+	runs map[string][]run
+}
+
+// run is one run of an upload at a target. whole is set if the target read the body to its regular end.
+type run struct {
+	content []byte
+	whole   bool
+}
+
+// serve behaves as the header Behaviour says and records what it got.
+func (f *films) serve(w http.ResponseWriter, r *http.Request) {
+	var got run
+	read := func(length int64) {
+		content, err := io.ReadAll(io.LimitReader(r.Body, length))
+		got.content = append(got.content, content...)
+		got.whole = err == nil && int64(len(content)) < length
+	}
+	behaviour := r.Header.Get("Behaviour")
+	switch behaviour {
+	case "answers early":
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		_, _ = io.WriteString(w, r.Header.Get("Id"))
+		_ = http.NewResponseController(w).Flush()
+		read(1 << 30)
+	case "rejects early":
+	case "closes midway", "hangs midway":
+		read(20_000)
+	default:
+		read(1 << 30)
+	}
+	f.mu.Lock()
+	id := r.Header.Get("Id")
+	f.runs[id] = append(f.runs[id], got)
+	f.mu.Unlock()
+	switch behaviour {
+	case "closes midway":
+		panic(http.ErrAbortHandler)
+	case "hangs midway", "hangs":
+		// While the body is unread, the server does not notice that its connection ends.
+		select {
+		case <-r.Context().Done():
+		case <-time.After(2 * filmTimeout):
+		}
+	case "rejects early":
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	case "fails":
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	if behaviour != "answers early" {
+		_, _ = io.WriteString(w, id)
+	}
+}
+
+// content returns the body of the upload with that id.
+func content(id string, length int) []byte {
+	return bytes.Repeat([]byte(id+" "), length/(len(id)+1)+1)[:length]
+}
+
+// TestUploadsWithDrawnFaults sends uploads at once whose callers, targets and gate fail at drawn points. What a target gets is
+// the start of the body that its caller sent, and it takes only the whole body for whole. An upload runs at most once, and not
+// at all if its caller is told so. A success is that of the caller's own upload, of which the target has the whole body unless
+// it answered early.
+func TestUploadsWithDrawnFaults(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			uploadWithDrawnFaults(t, rand.New(rand.NewPCG(seed, 1)))
+		})
+	}
+}
+
+// drawnUpload is an upload of length bytes, of which its caller sends the first cut bytes and then leaves.
+type drawnUpload struct {
+	id        string
+	length    int
+	cut       int
+	declared  bool
+	pace      time.Duration
+	behaviour string
+}
+
+func drawUpload(random *rand.Rand, id string) drawnUpload {
+	behaviours := []string{"", "", "", "fails", "hangs", "hangs midway", "closes midway", "answers early", "rejects early"}
+	lengths := []int{1, 20_000, 60_000, 300_000}
+	u := drawnUpload{
+		id: id, length: lengths[random.IntN(len(lengths))], declared: random.IntN(2) == 0,
+		pace: time.Duration(random.IntN(2)) * 5 * time.Millisecond, behaviour: behaviours[random.IntN(len(behaviours))],
+	}
+	u.cut = u.length
+	if random.IntN(4) == 0 {
+		u.cut = random.IntN(u.length)
+	}
+	return u
+}
+
+// send sends the upload to the fleet.
+func (u drawnUpload) send(t *testing.T, f *fleet) reply {
+	t.Helper()
+	source := io.Reader(bytes.NewReader(content(u.id, u.length)[:u.cut]))
+	if u.cut < u.length {
+		source = io.MultiReader(source, iotest.ErrReader(errors.New("the caller leaves")))
+	}
+	request := f.request(t, http.MethodPost, "/films/"+u.id)
+	request.Body, request.ContentLength = io.NopCloser(&pacedReader{source, u.pace}), -1
+	if u.declared {
+		request.ContentLength = int64(u.length)
+	}
+	request.Header.Set("Id", u.id)
+	request.Header.Set("Behaviour", u.behaviour)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	told, _ := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, content: string(told)}
+}
+
+func uploadWithDrawnFaults(t *testing.T, random *rand.Rand) {
+	t.Helper()
+	oracle := &films{runs: make(map[string][]run)}
+	f := newFleet(t, http.HandlerFunc(oracle.serve), http.HandlerFunc(oracle.serve), nil)
+	uploads := make([]drawnUpload, 1+random.IntN(6))
+	for i := range uploads {
+		uploads[i] = drawUpload(random, "film"+strconv.Itoa(i))
+	}
+	gateStops := random.IntN(5) == 0
+	if gateStops {
+		time.AfterFunc(time.Duration(random.IntN(60))*time.Millisecond, f.stopGate)
+	}
+	replies := make([]reply, len(uploads))
+	var group errgroup.Group
+	for i, u := range uploads {
+		group.Go(func() error {
+			replies[i] = u.send(t, f)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	for i, u := range uploads {
+		oracle.check(t, u, replies[i])
+		if u.cut == u.length && u.behaviour == "" && !gateStops {
+			assert.Equal(t, replies[i].status, http.StatusOK, "%+v", u)
+		}
+	}
+}
+
+func (f *films) check(t *testing.T, u drawnUpload, told reply) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	runs, state := f.runs[u.id], fmt.Sprintf("%+v", u)
+	assert.Assert(t, len(runs) <= 1, "%s ran %d times", state, len(runs))
+	for _, got := range runs {
+		assert.Assert(t, bytes.HasPrefix(content(u.id, u.length), got.content), state)
+		assert.Assert(t, !got.whole || len(got.content) == u.length, "%s: %d bytes taken for whole", state, len(got.content))
+	}
+	switch told.status {
+	case http.StatusOK:
+		assert.Equal(t, told.content, u.id)
+		assert.Assert(t, len(runs) == 1 && (runs[0].whole || u.behaviour == "answers early"), state)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		assert.Equal(t, len(runs), 0, "%s: told %d", state, told.status)
+	}
+}
+
+// pacedReader reads with a pause before each read.
+type pacedReader struct {
+	io.Reader
+
+	pause time.Duration
+}
+
+func (p *pacedReader) Read(b []byte) (int, error) {
+	time.Sleep(p.pause)
+	return p.Reader.Read(b)
+}
--- a/node/pkg/forwarder/client.go
+++ b/node/pkg/forwarder/client.go
@@ -106,7 +106,7 @@
 		return nil, 0, err
 	}
 	stream, err := c.pool.Get(ctx, destination.Address).NewStream(ctx, callForward, frameEncoding{})
-	if err == nil && !destination.Launch.commit() {
+	if err == nil && !head.Withheld && !destination.Launch.commit() {
 		_ = stream.Close()
 		err = errors.New("connecting took long, and another target was chosen")
 	}
--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -37,6 +37,8 @@
 	idle        *idleTimer
 	questions   questions
 	bodySent    atomic.Bool
+	withheld    *withheldBody
+	bodyFailed  chan error
 	heard       atomic.Bool
 	running     atomic.Bool
 
@@ -54,7 +56,7 @@
 ) *exchange {
 	e := &exchange{
 		stream: stream, cancel: cancel, destination: destination, head: head, log: log, startedAt: time.Now(),
-		questions: questions,
+		questions: questions, bodyFailed: make(chan error, 1),
 	}
 	e.idle = newIdleTimer(cmp.Or(destination.ResponseTimeout, idleTimeout), e.handleTimeout)
 	return e
@@ -83,6 +85,7 @@
 		if progress.Running {
 			e.running.Store(true)
 		}
+		e.sendGranted(progress)
 	}
 }
 
@@ -102,23 +105,17 @@
 	if err := send(e.stream, frameHead, head.wire(time.Now())); err != nil {
 		return Answer{}, err
 	}
-	bodyFailed := make(chan error, 1)
-	e.bodySent.Store(head.Length == 0)
-	if head.Length != 0 {
-		e.group.Go(func() error {
-			err := sendBody(e.stream, body)
-			e.bodySent.Store(err == nil)
-			if err != nil {
-				bodyFailed <- err
-				e.cancel()
-			}
-			return err
-		})
+	e.bodySent.Store(head.Length == 0 || head.Withheld)
+	switch {
+	case head.Withheld:
+		e.withheld = &withheldBody{source: body}
+	case head.Length != 0:
+		e.startBody(body)
 	}
 	var first frame
 	if err := e.receive(&first); err != nil {
 		select {
-		case sendErr := <-bodyFailed:
+		case sendErr := <-e.bodyFailed:
 			if errors.Is(sendErr, errBodySource) {
 				return Answer{}, refuser.Fail(refuser.BodyCut, sendErr.Error())
 			}
@@ -129,6 +126,19 @@
 	return e.openAnswer(first, head.AttemptID)
 }
 
+// startBody sends body in the background.
+func (e *exchange) startBody(body io.Reader) {
+	e.group.Go(func() error {
+		err := sendBody(e.stream, body)
+		e.bodySent.Store(err == nil)
+		if err != nil {
+			e.bodyFailed <- err
+			e.cancel()
+		}
+		return err
+	})
+}
+
 func (e *exchange) openAnswer(first frame, id string) (Answer, error) {
 	switch first.kind {
 	case frameRefusal:
@@ -164,7 +174,11 @@
 // toRefusal converts an error of the exchange to a refusal.
 func (e *exchange) toRefusal(ctx context.Context, err error) error {
 	var refusal *refuser.Refusal
-	if errors.As(err, &refusal) {
+	refused := errors.As(err, &refusal)
+	switch {
+	case e.withheld != nil && !e.withheld.sent.Load():
+		return e.refuseUnsent(ctx, refusal, err)
+	case refused:
 		return refusal
 	}
 	switch e.decision().(type) {
--- a/node/pkg/forwarder/frame.go
+++ b/node/pkg/forwarder/frame.go
@@ -55,8 +55,12 @@
 
 // progressMessage shows that the connection and the gate are alive. Running is true once the request went to the
 // target.
+//
+// Grants is set by gates that grant withheld bodies, and Granted once the gate is ready for the body of this request.
 type progressMessage struct {
 	Running bool `cbor:"1,keyasint"`
+	Grants  bool `cbor:"2,keyasint,omitempty"`
+	Granted bool `cbor:"3,keyasint,omitempty"`
 }
 
 // headMessage is the wire form of Head. Remaining, ObjectiveDeadline and Objective are durations in
@@ -89,6 +93,8 @@
 	Repeat            float64             `cbor:"25,keyasint,omitempty"`
 	Limited           bool                `cbor:"26,keyasint,omitempty"`
 	Limit             float64             `cbor:"27,keyasint,omitempty"`
+	Withheld          bool                `cbor:"28,keyasint,omitempty"`
+	Upload            bool                `cbor:"29,keyasint,omitempty"`
 }
 
 type answerMessage struct {
--- /dev/null
+++ b/node/pkg/forwarder/grant.go
@@ -0,0 +1,97 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"samphiremount.example/core/granter"
+	"samphiremount.example/core/refuser"
+)
+
+// withheldBody is a body that waits at the entry for its grant. sent is set before its first byte leaves.
+type withheldBody struct {
+	source io.Reader
+	sent   atomic.Bool
+}
+
+// sendGranted sends a withheld body if the message of the gate asks for it. From then on the attempt cannot be withdrawn; if
+// it has been withdrawn before, it ends without the body.
+func (e *exchange) sendGranted(progress progressMessage) {
+	if e.withheld == nil || e.withheld.sent.Load() {
+		return
+	}
+	switch granter.Decide(granter.Message{Grants: progress.Grants, Granted: progress.Granted}).(type) {
+	case granter.Wait:
+	case granter.Send:
+		if !e.destination.Launch.commit() {
+			e.cancel()
+			return
+		}
+		e.withheld.sent.Store(true)
+		e.bodySent.Store(false)
+		e.log.Info("body granted", "request", e.head.AttemptID, "target", e.head.Target, "length", e.head.Length)
+		e.startBody(e.withheld.source)
+	}
+}
+
+// refuseUnsent returns the refusal of a request whose body was never sent, so that no gate can have started it. refusal is what
+// the gate has answered, or nil if the exchange failed with err.
+func (e *exchange) refuseUnsent(ctx context.Context, refusal *refuser.Refusal, err error) *refuser.Refusal {
+	if refusal != nil {
+		unsent := *refusal
+		unsent.Outcome = refuser.NotRun{}
+		return &unsent
+	}
+	kind := refuser.NodeUnreachable
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		kind = refuser.DeadlinePassed
+	}
+	return refuser.From(refuser.Refuse(kind, "the body was not sent: "+err.Error()))
+}
+
+// grantedBody is the body of a request at its gate. The first read of a withheld body grants it.
+type grantedBody struct {
+	*bodyReader
+
+	stream   drpc.Stream
+	withheld bool
+	grant    sync.Once
+	granted  atomic.Bool
+}
+
+var _ TrailerBody = (*grantedBody)(nil)
+
+func newGrantedBody(body *bodyReader, stream drpc.Stream, withheld bool) *grantedBody {
+	return &grantedBody{bodyReader: body, stream: stream, withheld: withheld}
+}
+
+// isGranted reports whether the entry may send the body.
+func (b *grantedBody) isGranted() bool { return !b.withheld || b.granted.Load() }
+
+// Read implements io.Reader.
+func (b *grantedBody) Read(p []byte) (int, error) {
+	if b.withheld {
+		b.grant.Do(func() {
+			b.granted.Store(true)
+			// If this is lost, the next progress frame tells it again, or the entry notices that the connection has failed.
+			_ = send(b.stream, frameProgress, progressMessage{Grants: true, Granted: true})
+		})
+	}
+	return b.bodyReader.Read(p)
+}
+
+// Trailer implements TrailerBody.
+func (b *grantedBody) Trailer() http.Header { return b.bodyReader.Trailer() }
+
+// drain reads and discards the rest of a body that the entry sends.
+func (b *grantedBody) drain() {
+	if b.isGranted() {
+		b.bodyReader.drain()
+	}
+}
--- a/node/pkg/forwarder/head.go
+++ b/node/pkg/forwarder/head.go
@@ -73,6 +73,10 @@
 	Repeat float64
 	// Limit is the limit that the target named in its last answer to the sender.
 	Limit regulator.Limit
+	// Upload is true on routes for uploads.
+	Upload bool
+	// Withheld is true if the body stays at the entry until the gate has a slot for the request.
+	Withheld bool
 	// AllowSuspect sends the request to the target even if its gate considers it suspect, because no other target is
 	// left.
 	AllowSuspect bool
@@ -131,7 +135,8 @@
 	MayResend       func() bool
 }
 
-// Launch decides once whether an attempt is sent to its gate or withdrawn.
+// Launch decides once whether an attempt is sent to its gate or withdrawn. An attempt with a withheld body counts as sent
+// once the body leaves: before that, the gate cannot start it.
 type Launch struct {
 	decided atomic.Bool
 }
@@ -153,7 +158,7 @@
 		Trailer: h.Trailer, Weight: h.Weight, RequestID: h.RequestID, Origin: h.Origin, Rank: int(h.Rank),
 		ObjectiveDeadline: h.ObjectiveDeadline.Sub(now).Milliseconds(), AllowSuspect: h.AllowSuspect,
 		HealthyOnly: h.HealthyOnly, Immediate: h.Immediate, Objective: h.Objective.Milliseconds(), Nested: h.Nested,
-		Repeat: h.Repeat, Limited: h.Limit.Named, Limit: h.Limit.Rate,
+		Repeat: h.Repeat, Withheld: h.Withheld, Upload: h.Upload, Limited: h.Limit.Named, Limit: h.Limit.Rate,
 	}
 }
 
@@ -166,6 +171,6 @@
 		ObjectiveDeadline: now.Add(time.Duration(m.ObjectiveDeadline) * time.Millisecond), AllowSuspect: m.AllowSuspect,
 		HealthyOnly: m.HealthyOnly, Immediate: m.Immediate, Nested: m.Nested, Repeat: min(max(m.Repeat, 0), 1),
 		Limit:     regulator.Limit{Rate: m.Limit, Named: m.Limited},
-		Objective: time.Duration(m.Objective) * time.Millisecond,
+		Objective: time.Duration(m.Objective) * time.Millisecond, Upload: m.Upload, Withheld: m.Withheld && m.Length != 0,
 	}
 }
--- a/node/pkg/forwarder/link_test.go
+++ b/node/pkg/forwarder/link_test.go
@@ -102,6 +102,15 @@
 	}
 }
 
+// reset closes the open connections.
+func (l *link) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, d := range l.open {
+		_ = d.to.Close()
+	}
+}
+
 // stallNew stalls connections towards the server from their start. The function that it returns delivers the buffered
 // bytes and ends the stall.
 func (l *link) stallNew() (release func()) {
--- a/node/pkg/forwarder/server.go
+++ b/node/pkg/forwarder/server.go
@@ -74,7 +74,7 @@
 	head := wire.head(time.Now())
 	ctx, cancel := context.WithDeadline(stream.Context(), head.Deadline)
 	defer cancel()
-	body := newBodyReader(receiveFrom(stream))
+	body := newGrantedBody(newBodyReader(receiveFrom(stream)), stream, head.Withheld)
 	if head.Length != 0 {
 		// An entry that went silent does not end its body.
 		defer time.AfterFunc(time.Until(head.Deadline)+bodyGrace, func() { _ = stream.Close() }).Stop()
@@ -87,8 +87,10 @@
 		return s.refuse(stream, refuser.From(refuser.Refuse(refuser.NodeStopping, "")))
 	}
 	// This tells the entry at once that the connection works. If sending fails, the entry notices that no frame arrives.
-	_ = send(stream, frameProgress, progressMessage{})
-	ticker := newProgressTicker(func() { _ = send(stream, frameProgress, progressMessage{s.gate.Running(head.AttemptID)}) })
+	_ = send(stream, frameProgress, progressMessage{Grants: true})
+	ticker := newProgressTicker(func() {
+		_ = send(stream, frameProgress, progressMessage{Running: s.gate.Running(head.AttemptID), Grants: true, Granted: body.isGranted()})
+	})
 	defer ticker.stop()
 	answer, err := s.gate.Run(ctx, head, body)
 	if err != nil {
--- a/node/pkg/gatekeeper/crash.go
+++ b/node/pkg/gatekeeper/crash.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"samphiremount.example/core/granter"
 	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
@@ -17,10 +18,6 @@
 	"samphiremount.example/node/pkg/forwarder"
 )
 
-// maxContentBytes bounds the bodies that are read in full before their request starts, so that their content can be
-// identified.
-const maxContentBytes = 64 << 10
-
 // content is the content of a request. hasDigest is false if the body is too large to be identified, or its length
 // unknown.
 type content struct {
@@ -31,7 +28,7 @@
 
 // readContent reads a small body in full. A request with a truncated or corrupted one is refused.
 func readContent(head forwarder.Head, body io.Reader) (content, error) {
-	if head.Length < 0 || head.Length > maxContentBytes {
+	if head.Length < 0 || head.Length > granter.MaxReplayBytes {
 		return content{body: body}, nil
 	}
 	data := make([]byte, head.Length)
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -139,18 +139,15 @@
 	if !ok || target.Leaving {
 		return forwarder.Answer{}, refuser.Refuse(refuser.TargetUnknown, "the target is gone or leaving")
 	}
-	content, err := readContent(head, body)
+	request, err := g.newRequest(target, head)
 	if err != nil {
 		return forwarder.Answer{}, err
 	}
-	request, err := g.newRequest(target, head, content.body)
-	if err != nil {
-		return forwarder.Answer{}, err
-	}
-	alone, err := g.admit(ctx, target, head, content)
+	content, alone, err := g.admitWithContent(ctx, target, head, body)
 	if err != nil {
 		return forwarder.Answer{}, err
 	}
+	setBody(request, head, content.body)
 	exchangeContext, abort := context.WithCancel(ctx)
 	release := sync.OnceFunc(func() {
 		abort()
--- a/node/pkg/gatekeeper/request.go
+++ b/node/pkg/gatekeeper/request.go
@@ -12,8 +12,9 @@
 	"samphiremount.example/node/pkg/forwarder"
 )
 
-// newRequest builds the request to target. It has no GetBody, since it is written to a connection only once.
-func (g *Gatekeeper) newRequest(target registrar.Announcement, head forwarder.Head, body io.Reader) (*http.Request, error) {
+// newRequest builds the request to target, without its body. It has no GetBody, since it is written to a connection only
+// once.
+func (g *Gatekeeper) newRequest(target registrar.Announcement, head forwarder.Head) (*http.Request, error) {
 	uri, err := url.ParseRequestURI(head.URI)
 	if err != nil {
 		return nil, refuser.Refuse(refuser.RequestInvalid, "the request URI is malformed")
@@ -27,11 +28,15 @@
 		// An empty value keeps net/http from sending its own User-Agent.
 		header["User-Agent"] = []string{""}
 	}
-	request := &http.Request{
+	return &http.Request{
 		Method: head.Method, URL: uri, Header: header, Host: head.Host, ContentLength: head.Length, Body: http.NoBody,
-	}
+	}, nil
+}
+
+// setBody adds the body, and the trailers that head announces, to request.
+func setBody(request *http.Request, head forwarder.Head, body io.Reader) {
 	if head.Length == 0 {
-		return request, nil
+		return
 	}
 	request.Body = io.NopCloser(body)
 	if trailed, ok := body.(forwarder.TrailerBody); ok && len(head.Trailer) > 0 {
@@ -41,7 +46,6 @@
 		}
 		request.Body = &trailerBody{Reader: body, source: trailed, trailer: request.Trailer}
 	}
-	return request, nil
 }
 
 // trailerBody sets a request's trailers once its body was read to the end. Trailers that the head did not announce are
