Try suspect targets less often, and doubtful ones one request at a time

What callers saw: reads, which may be repeated, were served worst of all.

Cause: a suspect target got a trial every 400 ms, a doubtful one any number of repeatable requests. Gray failures last for seconds, so most of these requests only confirmed what was known.

Change: the pause between trials begins at 1 s and doubles to 2 s with each trial that fails; one that is served ends it, as before. A doubtful target gets one repeatable request at a time.

The tests of the breaker expect the new fields of its verdicts, and check all that they did.

--- a/core/breaker/breaker.go
+++ b/core/breaker/breaker.go
@@ -25,8 +25,10 @@
 	// for their own reasons.
 	canceledWeight = 0.5
 	// trialInterval is the minimum time between two trial requests to a suspect target, unless a request is served in
-	// between.
-	trialInterval = 400 * time.Millisecond
+	// between. It doubles with each trial that fails, up to maxTrialInterval: a gray failure lasts for seconds, and each
+	// trial costs a caller's request.
+	trialInterval    = time.Second
+	maxTrialInterval = 2 * time.Second
 
 	// doubtfulMissedEnds and suspectMissedEnds are limits on the number of requests that a healthy target would have ended
 	// since the last one ended. If requests end independently at random, the probability that none has ended by then is
@@ -63,11 +65,16 @@
 // Healthy admits all requests.
 type Healthy struct{}
 
-// Doubtful admits only repeatable requests.
-type Doubtful struct{}
+// Doubtful admits one repeatable request at a time as a trial, until the doubt is settled. TrialAllowed reports whether one
+// may start now.
+type Doubtful struct{ TrialAllowed bool }
 
-// Suspect admits single repeatable requests as trials. TrialAllowed reports whether a trial may start now.
-type Suspect struct{ TrialAllowed bool }
+// Suspect admits single repeatable requests as trials. TrialAllowed reports whether one may start now, and NextTrial is the
+// time at which one may if none is served before.
+type Suspect struct {
+	TrialAllowed bool
+	NextTrial    time.Time
+}
 
 func (Healthy) verdict()  {}
 func (Doubtful) verdict() {}
@@ -100,7 +107,9 @@
 	missedEnds float64
 	updatedAt  time.Time
 	running    map[string]request
-	lastTrial  time.Time
+	// nextTrial is the time at which the next trial of a suspect target may start, trialPause the time after that trial.
+	nextTrial  time.Time
+	trialPause time.Duration
 }
 
 // Expectation describes how long a request takes at a healthy target. Mean is the mean duration, or 0 if that is not
@@ -111,24 +120,33 @@
 	OverdueAt time.Time
 }
 
-// request is a request in progress. overdue is set once it has been counted as bad for being overdue.
+// request is a request in progress. overdue is set once it has been counted as bad for being overdue, and trial if the target
+// was not healthy at its start.
 type request struct {
 	Expectation
 
 	overdue bool
+	trial   bool
 }
 
 // New returns a Breaker without evidence.
 func New() *Breaker {
-	return &Breaker{running: make(map[string]request)}
+	return &Breaker{running: make(map[string]request), trialPause: trialInterval}
 }
 
 // Start records that the request with that id was sent to the target at now.
 func (b *Breaker) Start(now time.Time, id string, expectation Expectation) {
-	if _, suspect := b.Verdict(now).(Suspect); suspect {
-		b.lastTrial = now
+	started := request{Expectation: expectation}
+	switch b.Verdict(now).(type) {
+	case Suspect:
+		started.trial = true
+		b.nextTrial = now.Add(b.trialPause)
+		b.trialPause = min(2*b.trialPause, maxTrialInterval)
+	case Doubtful:
+		started.trial = true
+	case Healthy:
 	}
-	b.running[id] = request{Expectation: expectation}
+	b.running[id] = started
 }
 
 // End records that the request with that id ended at now.
@@ -146,7 +164,7 @@
 	case Served:
 		b.cusum = max(0, b.cusum+goodWeight)
 		// After a request is served, the next trial may start at once.
-		b.lastTrial = time.Time{}
+		b.nextTrial, b.trialPause = time.Time{}, trialInterval
 	case Failed:
 		if !ended.overdue {
 			b.addBad(1)
@@ -163,14 +181,24 @@
 	b.update(now)
 	switch {
 	case b.cusum >= suspectAfterBad*badWeight || b.missedEnds >= suspectMissedEnds:
-		return Suspect{TrialAllowed: now.Sub(b.lastTrial) >= trialInterval}
+		return Suspect{TrialAllowed: !now.Before(b.nextTrial), NextTrial: b.nextTrial}
 	case b.cusum >= badWeight || b.missedEnds >= doubtfulMissedEnds:
-		return Doubtful{}
+		return Doubtful{TrialAllowed: !b.trialInProgress(now)}
 	default:
 		return Healthy{}
 	}
 }
 
+// trialInProgress reports whether a trial runs that may still end as at a healthy target.
+func (b *Breaker) trialInProgress(now time.Time) bool {
+	for _, r := range b.running {
+		if r.trial && now.Before(r.SlowAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // Evidence returns the evidence for the latest verdict.
 func (b *Breaker) Evidence() Evidence {
 	return Evidence{Failures: b.cusum / badWeight, MissedEnds: b.missedEnds, Running: len(b.running)}
--- a/core/breaker/breaker_test.go
+++ b/core/breaker/breaker_test.go
@@ -30,12 +30,13 @@
 	b.Start(start, "a", expect(start, 0))
 	assert.Equal(t, b.Verdict(start.Add(objective-1)), breaker.Healthy{})
 	now := start.Add(objective)
-	assert.Equal(t, b.Verdict(now), breaker.Doubtful{})
+	assert.Equal(t, b.Verdict(now), breaker.Doubtful{TrialAllowed: true})
 	b.Start(now, "b", expect(now, 0))
+	assert.Equal(t, b.Verdict(now), breaker.Doubtful{TrialAllowed: false})
 	now = now.Add(objective)
 	assert.Equal(t, b.Verdict(now), breaker.Suspect{TrialAllowed: true})
 	b.Start(now, "trial", expect(now, 0))
-	assert.Equal(t, b.Verdict(now.Add(time.Millisecond)), breaker.Suspect{TrialAllowed: false})
+	assert.Equal(t, b.Verdict(now.Add(time.Millisecond)), breaker.Suspect{NextTrial: now.Add(time.Second)})
 	// After a trial is served, the next one may start at once. A few served trials make the target healthy again.
 	b.End(now, "trial", breaker.Served{})
 	for i := range 3 {
@@ -59,7 +60,7 @@
 	cancel(objective / 2)
 	assert.Equal(t, b.Verdict(start.Add(time.Hour)), breaker.Healthy{})
 	cancel(objective / 2)
-	assert.Equal(t, b.Verdict(start.Add(time.Hour)), breaker.Doubtful{})
+	assert.Equal(t, b.Verdict(start.Add(time.Hour)), breaker.Doubtful{TrialAllowed: true})
 }
 
 func TestStallIsDetectedBeforeAnyRequestIsOverdue(t *testing.T) {
@@ -68,7 +69,7 @@
 		b.Start(start, fmt.Sprint(i), expect(start, mean))
 	}
 	assert.Equal(t, b.Verdict(start.Add(150*time.Millisecond)), breaker.Healthy{})
-	assert.Equal(t, b.Verdict(start.Add(200*time.Millisecond)), breaker.Doubtful{})
+	assert.Equal(t, b.Verdict(start.Add(200*time.Millisecond)), breaker.Doubtful{TrialAllowed: true})
 	assert.Equal(t, b.Verdict(start.Add(350*time.Millisecond)), breaker.Suspect{TrialAllowed: true})
 	b.End(start.Add(360*time.Millisecond), "0", breaker.Served{})
 	assert.Equal(t, b.Verdict(start.Add(370*time.Millisecond)), breaker.Healthy{})
@@ -127,7 +128,7 @@
 func (t *target) admits(now time.Time, healthyOnly bool) bool {
 	switch verdict := t.breaker.Verdict(now).(type) {
 	case breaker.Doubtful:
-		return !healthyOnly
+		return !healthyOnly && verdict.TrialAllowed
 	case breaker.Suspect:
 		return !healthyOnly && verdict.TrialAllowed
 	case breaker.Healthy:
--- a/node/pkg/gatekeeper/target.go
+++ b/node/pkg/gatekeeper/target.go
@@ -111,7 +111,7 @@
 	}
 	switch verdict := verdict.(type) {
 	case breaker.Doubtful:
-		if head.HealthyOnly {
+		if head.HealthyOnly || !verdict.TrialAllowed {
 			return refuser.Refuse(refuser.TargetSuspect, "doubtful")
 		}
 	case breaker.Suspect:
