Do not take failed calls of a run for its target's own failure

An entrant-desk read makes 1.4 calls on average; with one of eight targets of the called service in a gray failure every eighth read fails, and one failure makes a target doubtful.

Cause: the gate counted each failed run against its target, although its node had seen a call of that run fail a millisecond before.

Such a run is no evidence.

--- a/core/breaker/breaker.go
+++ b/core/breaker/breaker.go
@@ -42,7 +42,7 @@
 	goodWeight = math.Log((1 - grayRate) / (1 - healthyRate))
 )
 
-// Result is the outcome of a request. It is Served, Failed or Canceled.
+// Result is the outcome of a request. It is Served, Failed, CallFailed or Canceled.
 type Result interface{ result() }
 
 // Served is a request that the target answered.
@@ -51,13 +51,18 @@
 // Failed is a request that the target failed, refused, or answered only in part.
 type Failed struct{}
 
+// CallFailed is a request that the target failed right after a call had failed that the target made for it. It tells
+// nothing about the target.
+type CallFailed struct{}
+
 // Canceled is a request that its caller canceled or that another target answered first. It counts as bad if it was
 // overdue, and with canceledWeight if it was only slow.
 type Canceled struct{}
 
-func (Served) result()   {}
-func (Failed) result()   {}
-func (Canceled) result() {}
+func (Served) result()     {}
+func (Failed) result()     {}
+func (CallFailed) result() {}
+func (Canceled) result()   {}
 
 // Verdict decides which requests a target gets. It is Healthy, Doubtful or Suspect.
 type Verdict interface{ verdict() }
@@ -165,6 +170,11 @@
 		b.cusum = max(0, b.cusum+goodWeight)
 		// After a request is served, the next trial may start at once.
 		b.nextTrial, b.trialPause = time.Time{}, trialInterval
+	case CallFailed:
+		if ended.trial {
+			// The trial was spent for nothing.
+			b.nextTrial = time.Time{}
+		}
 	case Failed:
 		if !ended.overdue {
 			b.addBad(1)
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -38,6 +38,8 @@
 	// RetryFraction returns the fraction of the runs now in progress on the targets of this VM that are repeats. Calls that
 	// such a run makes count as repeats too.
 	RetryFraction func() (fraction float64)
+	// CallFailed is called when a call has failed that a target of this VM made; nil if there is none.
+	CallFailed func()
 	// Refuses reports whether requests that arrive at now are refused because the node stops; nil refuses none.
 	Refuses func(now time.Time) bool
 	// UseLostNodes lets requests go to nodes that the control process has declared lost, as long as this node reaches them.
@@ -134,6 +136,10 @@
 	answer, err := a.forward(ctx, forwardedRequest{
 		head: head, body: newBody(ctx, call, admission.presentedKey), maxAttempts: admission.route.MaxAttempts, plan: plan,
 	})
+	failed := err != nil || answer.Status >= http.StatusInternalServerError
+	if failed && head.Nested && ctx.Err() == nil && a.CallFailed != nil {
+		a.CallFailed()
+	}
 	return answer, head.Objective, err
 }
 
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -342,7 +342,7 @@
 	return func(result observer.Result) {
 		recordResult(result)
 		g.updateTarget(target.Name, func(now time.Time, state *targetState) {
-			outcome := breakerResult(result)
+			outcome := state.explain(now, breakerResult(result))
 			state.breaker.End(now, head.AttemptID, outcome)
 			if _, served := outcome.(breaker.Served); served {
 				state.recordDuration(head.Objective, now.Sub(began))
@@ -351,6 +351,27 @@
 	}
 }
 
+// RecordFailedCall records that a call has failed which a target of this VM has made.
+func (g *Gatekeeper) RecordFailedCall() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, state := range g.states {
+		state.failedCalls = state.failedCalls.WithFailure(time.Now())
+	}
+}
+
+// explain returns result, or CallFailed for a failure that follows from that of a call.
+func (s *targetState) explain(now time.Time, result breaker.Result) breaker.Result {
+	if _, failed := result.(breaker.Failed); !failed {
+		return result
+	}
+	var explained bool
+	if s.failedCalls, explained = s.failedCalls.Explain(now); explained {
+		return breaker.CallFailed{}
+	}
+	return result
+}
+
 // breakerResult converts the result of an attempt to evidence for the circuit breaker.
 func breakerResult(result observer.Result) breaker.Result {
 	switch result := result.(type) {
--- a/node/pkg/gatekeeper/target.go
+++ b/node/pkg/gatekeeper/target.go
@@ -174,6 +174,7 @@
 	slots         int
 	inFlight      int
 	breaker       *breaker.Breaker
+	failedCalls   breaker.Calls
 	loggedVerdict string
 	estimates     map[time.Duration]estimator.Estimate
 	reserver      reserver.Reserver
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -177,7 +177,7 @@
 	n.Acceptor = acceptor.New(acceptor.Dependencies{
 		Name: n.options.Name, Viewer: n.Viewer, Client: client, Limiter: n.limiter, Retrier: retrier.NewWith(n.retryPolicy),
 		Watcher: n.watcher, Locality: n.options.Router.Locality(), Router: n.options.Router, UseLostNodes: n.options.UseLostNodes,
-		HedgeAfter: n.options.HedgeAfter, Budget: n.budget, RetryFraction: gate.RetryFraction, Refuses: n.refusesCallers,
+		HedgeAfter: n.options.HedgeAfter, Budget: n.budget, RetryFraction: gate.RetryFraction, CallFailed: gate.RecordFailedCall, Refuses: n.refusesCallers,
 		Random:   rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 		RouteLog: n.log.Part("route"), AdmitLog: n.log.Part("admit"),
 	})
