Pass on what gates found of their targets with requests and answers

Cause: an entry learned of a verdict by its own refusal only and believed it for 300 ms. At three requests a second an entry sends to a given target once in some seconds, so that nearly every refusal was its first.

Change: heads, answers and refusals carry the newest verdicts that their sender knows, eight at most, with their age: that of its own gate and those it has heard of. They are believed for 2.5 s, or 0.3 s if the target is only doubtful (core/informer). Suspect targets are passed over, doubtful ones by requests that need a healthy target. Since all entries know when the next trial is due, one in ten repeatable requests is enough for trials, in place of four.

--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -10,6 +10,7 @@
 
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/ejector"
+	"samphiremount.example/core/informer"
 	"samphiremount.example/core/monitor"
 	"samphiremount.example/core/regulator"
 	"samphiremount.example/core/router"
@@ -27,10 +28,12 @@
 }
 
 const (
-	// suspectBackoff is how long a target is avoided after its gate refused a request because the target is suspect.
+	// suspectBackoff is how long a target is avoided after its gate refused a request because the target is suspect, even if
+	// newer news say that it has recovered.
 	suspectBackoff = 300 * time.Millisecond
-	// trialFraction is the fraction of the requests with a hedge that go to a suspect target, if there is one.
-	trialFraction = 0.4
+	// trialFraction is the fraction of the requests with a hedge that go to a suspect target, if a trial of one is due. All
+	// entries know of it, so that it is small.
+	trialFraction = 0.1
 	// departureLifetime is how long a target is avoided that has stated in an answer that it leaves. The directory may show
 	// it for as long: a gate that has restarted does not know.
 	departureLifetime = 5 * time.Minute
@@ -46,6 +49,7 @@
 	router   router.Router
 	log      *slog.Logger
 	watcher  Watcher
+	news     *informer.Informer
 	useLost  bool
 
 	mu           sync.Mutex
@@ -84,7 +88,7 @@
 func newChooser(dependencies Dependencies) *chooser {
 	return &chooser{
 		name: dependencies.Name, locality: dependencies.Locality, router: dependencies.Router,
-		log: dependencies.RouteLog, watcher: dependencies.Watcher, useLost: dependencies.UseLostNodes, random: dependencies.Random,
+		log: dependencies.RouteLog, watcher: dependencies.Watcher, news: dependencies.News, useLost: dependencies.UseLostNodes, random: dependencies.Random,
 		inFlight: make(map[string]int), reports: make(map[string]router.Report), paths: make(map[string]monitor.Path),
 		suspectUntil: make(map[string]time.Time), limitedUntil: make(map[string]time.Time), limits: make(map[string]regulator.Limit),
 		leaving: make(map[string]departure), lost: make(map[string]time.Time),
@@ -141,8 +145,15 @@
 	}
 	var suspects []tracker.Placement
 	for _, placement := range view.Directory.Placements(head.Service) {
-		suspect := now.Before(c.suspectUntil[placement.Target.Name]) && !placement.Target.Leaving && !c.isBarred(now, placement.Target)
-		if suspect && !c.isRemote(placement) && !c.paths[placement.Node.Name].Avoided(now) {
+		name := placement.Target.Name
+		due := c.suspectUntil[name]
+		if news := c.news.Look(now, name); news.State == informer.Suspect {
+			due = news.TrialAt
+		} else if !now.Before(due) {
+			continue
+		}
+		usable := !placement.Target.Leaving && !c.isBarred(now, placement.Target)
+		if usable && !now.Before(due) && !c.isRemote(placement) && !c.paths[placement.Node.Name].Avoided(now) {
 			suspects = append(suspects, placement)
 		}
 	}
@@ -167,7 +178,7 @@
 	candidates := make([]router.Candidate, 0, len(placements))
 	for _, placement := range placements {
 		name := placement.Target.Name
-		avoided := c.paths[placement.Node.Name].Avoided(now) || now.Before(c.suspectUntil[name])
+		avoided := c.paths[placement.Node.Name].Avoided(now) || c.isSuspect(now, name, head.HealthyOnly)
 		if avoided && !head.AllowSuspect || c.isBarred(now, placement.Target) {
 			continue
 		}
@@ -178,6 +189,21 @@
 	return candidates
 }
 
+// isSuspect reports whether the target called name is taken for suspect, or for doubtful if the request needs a healthy one.
+func (c *chooser) isSuspect(now time.Time, name string, healthyOnly bool) bool {
+	if now.Before(c.suspectUntil[name]) {
+		return true
+	}
+	switch c.news.Look(now, name).State {
+	case informer.Suspect:
+		return true
+	case informer.Doubtful:
+		return healthyOnly
+	default:
+		return false
+	}
+}
+
 // isBarred reports whether target has itself ruled out requests at now: it has stated that it leaves, or its limit is used
 // up.
 func (c *chooser) isBarred(now time.Time, target tracker.Target) bool {
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -108,7 +108,7 @@
 	log := slog.New(slog.DiscardHandler)
 	credentials := messenger.NewCredentials("test", []byte("0123456789abcdef"))
 	pool := messenger.NewPool(credentials)
-	client := forwarder.NewClient(pool, new(expvar.Map), log)
+	client := forwarder.NewClient(pool, new(expvar.Map), nil, log)
 	counts := new(expvar.Map)
 	mux := messenger.Mux{}
 	healthWatcher := watcher.New(pool, func() []string { return nil }, nil, log)
--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc"
 
 	"samphiremount.example/core/abandoner"
+	"samphiremount.example/core/informer"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/tombstoner"
@@ -30,6 +31,7 @@
 	cancel      context.CancelFunc
 	destination Destination
 	head        Head
+	news        *informer.Informer
 	log         *slog.Logger
 	startedAt   time.Time
 	group       errgroup.Group
@@ -52,10 +54,11 @@
 }
 
 func newExchange(
-	stream drpc.Stream, cancel context.CancelFunc, destination Destination, head Head, log *slog.Logger, questions questions,
+	stream drpc.Stream, cancel context.CancelFunc, destination Destination, head Head, news *informer.Informer, log *slog.Logger,
+	questions questions,
 ) *exchange {
 	e := &exchange{
-		stream: stream, cancel: cancel, destination: destination, head: head, log: log, startedAt: time.Now(),
+		stream: stream, cancel: cancel, destination: destination, head: head, news: news, log: log, startedAt: time.Now(),
 		questions: questions, bodyFailed: make(chan error, 1),
 	}
 	e.idle = newIdleTimer(cmp.Or(destination.ResponseTimeout, idleTimeout), e.handleTimeout)
@@ -102,7 +105,9 @@
 
 func (e *exchange) run(body io.Reader) (Answer, error) {
 	head := e.head
-	if err := send(e.stream, frameHead, head.wire(time.Now())); err != nil {
+	message := head.wire(time.Now())
+	message.News = tell(e.news)
+	if err := send(e.stream, frameHead, message); err != nil {
 		return Answer{}, err
 	}
 	e.bodySent.Store(head.Length == 0 || head.Withheld)
@@ -146,6 +151,7 @@
 		if err := messenger.Unmarshal(first.data, &refusal); err != nil {
 			return Answer{}, err
 		}
+		record(e.news, refusal.News)
 		e.gateTime, e.refused = tombstoner.GateTime(refusal.GateTime), true
 		received := &refuser.Refusal{
 			Kind: refuser.Kind(refusal.Kind), Outcome: refuser.ParseOutcome(refusal.Outcome), Detail: refusal.Detail,
@@ -163,6 +169,7 @@
 		if answer.ID != id {
 			return Answer{}, errors.Wrapf(errAnswerMismatch, "received the answer of request %s", answer.ID)
 		}
+		record(e.news, answer.News)
 		e.gateTime = tombstoner.GateTime(answer.GateTime)
 		e.answer = newBodyReader(e.receive)
 		return Answer{Status: answer.Status, Header: answer.Header, Body: e}, nil
--- a/node/pkg/forwarder/forwarder_test.go
+++ b/node/pkg/forwarder/forwarder_test.go
@@ -87,7 +87,7 @@
 	assert.NilError(t, err)
 	mux := messenger.Mux{}
 	server := forwarder.NewServer(
-		served, forwarder.NewClient(messenger.NewPool(credentials), new(expvar.Map), slog.New(slog.DiscardHandler)),
+		served, forwarder.NewClient(messenger.NewPool(credentials), new(expvar.Map), nil, slog.New(slog.DiscardHandler)),
 	)
 	server.Register(mux)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -100,7 +100,7 @@
 	t.Helper()
 	pool := messenger.NewPool(messenger.NewCredentials("test", []byte("0123456789abcdef")))
 	t.Cleanup(func() { _ = pool.Close() })
-	return forwarder.NewClient(pool, new(expvar.Map), slog.New(slog.DiscardHandler))
+	return forwarder.NewClient(pool, new(expvar.Map), nil, slog.New(slog.DiscardHandler))
 }
 
 func head(id string) forwarder.Head {
--- a/node/pkg/forwarder/server.go
+++ b/node/pkg/forwarder/server.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 
+	"samphiremount.example/core/informer"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/stopper"
@@ -22,14 +23,15 @@
 type Server struct {
 	gate     Gate
 	client   *Client
+	news     *informer.Informer
 	requests *finisher.Finisher
 	plan     atomic.Pointer[stopper.Plan]
 }
 
 // NewServer returns a server that runs requests on gate. It uses client to request tombstones from other gates on
-// behalf of nodes that can't reach them.
+// behalf of nodes that can't reach them, and its news.
 func NewServer(gate Gate, client *Client) *Server {
-	return &Server{gate: gate, client: client, requests: finisher.New()}
+	return &Server{gate: gate, client: client, news: client.news, requests: finisher.New()}
 }
 
 // Register adds to mux the handlers of calls from other nodes.
@@ -71,6 +73,7 @@
 	if err := messenger.Unmarshal(first.data, &wire); err != nil {
 		return err
 	}
+	record(s.news, wire.News)
 	head := wire.head(time.Now())
 	ctx, cancel := context.WithDeadline(stream.Context(), head.Deadline)
 	defer cancel()
@@ -98,7 +101,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	request.Answer()
-	message := answerMessage{ID: head.AttemptID, Status: answer.Status, Header: answer.Header, GateTime: s.gateTime()}
+	message := answerMessage{ID: head.AttemptID, Status: answer.Status, Header: answer.Header, GateTime: s.gateTime(), News: tell(s.news)}
 	if err := send(stream, frameAnswer, message); err != nil {
 		return err
 	}
@@ -108,7 +111,7 @@
 func (s *Server) refuse(stream drpc.Stream, refusal *refuser.Refusal) error {
 	message := refusalMessage{
 		Kind: string(refusal.Kind), Outcome: refusal.Outcome.String(), Detail: refusal.Detail, GateTime: s.gateTime(),
-		Load: refusal.Load,
+		Load: refusal.Load, News: tell(s.news),
 	}
 	if !refusal.RetryAt.IsZero() {
 		message.RetryAfter = max(time.Until(refusal.RetryAt).Milliseconds(), 1)
--- a/node/pkg/forwarder/stop_test.go
+++ b/node/pkg/forwarder/stop_test.go
@@ -30,7 +30,7 @@
 		return forwarder.Answer{}, refuser.Fail(refuser.OutcomeUnknown, ctx.Err().Error())
 	})
 	server := forwarder.NewServer(
-		gate, forwarder.NewClient(messenger.NewPool(credentials), new(expvar.Map), slog.New(slog.DiscardHandler)),
+		gate, forwarder.NewClient(messenger.NewPool(credentials), new(expvar.Map), nil, slog.New(slog.DiscardHandler)),
 	)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/node/pkg/gatekeeper/target.go
+++ b/node/pkg/gatekeeper/target.go
@@ -170,11 +170,13 @@
 // targetState holds the slots of one target, the queue of requests that wait for them and the evidence on its health.
 // loggedVerdict is the name of the verdict that was logged last.
 type targetState struct {
-	startedAt     int64
-	slots         int
-	inFlight      int
-	breaker       *breaker.Breaker
-	failedCalls   breaker.Calls
+	startedAt   int64
+	slots       int
+	inFlight    int
+	breaker     *breaker.Breaker
+	failedCalls breaker.Calls
+	// unhealthyAt is when the target was last told not to be healthy.
+	unhealthyAt   time.Time
 	loggedVerdict string
 	estimates     map[time.Duration]estimator.Estimate
 	reserver      reserver.Reserver
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -17,6 +17,7 @@
 	"samphiremount.example/core/borrower"
 	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/explainer"
+	"samphiremount.example/core/informer"
 	"samphiremount.example/core/lender"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
@@ -166,10 +167,12 @@
 // assembleRequests creates the components that handle requests.
 func (n *Node) assembleRequests(incarnation uint64) {
 	n.Enroller = enroller.New(n.options.AnnouncementLifetime, n.log.Part("enroll"), n.reporter.SetTargets)
-	client := forwarder.NewClient(n.pool, expvar.NewMap("entry"), n.log.Part("route"))
 	counts := expvar.NewMap("gate")
 	n.connector = connector.New(counts)
-	gate := gatekeeper.New(
+	var gate *gatekeeper.Gatekeeper
+	news := informer.New(func(now time.Time) []informer.News { return gate.News(now) })
+	client := forwarder.NewClient(n.pool, expvar.NewMap("entry"), news, n.log.Part("route"))
+	gate = gatekeeper.New(
 		incarnation, n.options.Protocol, n.Enroller, n.connector, n.watcher, counts, n.log.Part("gate"), n.crashBroadcaster(client),
 	)
 	n.forwarder = forwarder.NewServer(gate, client)
@@ -177,7 +180,7 @@
 	n.Acceptor = acceptor.New(acceptor.Dependencies{
 		Name: n.options.Name, Viewer: n.Viewer, Client: client, Limiter: n.limiter, Retrier: retrier.NewWith(n.retryPolicy),
 		Watcher: n.watcher, Locality: n.options.Router.Locality(), Router: n.options.Router, UseLostNodes: n.options.UseLostNodes,
-		HedgeAfter: n.options.HedgeAfter, Budget: n.budget, RetryFraction: gate.RetryFraction, CallFailed: gate.RecordFailedCall, Refuses: n.refusesCallers,
+		HedgeAfter: n.options.HedgeAfter, Budget: n.budget, News: news, RetryFraction: gate.RetryFraction, CallFailed: gate.RecordFailedCall, Refuses: n.refusesCallers,
 		Random:   rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 		RouteLog: n.log.Part("route"), AdmitLog: n.log.Part("admit"),
 	})
