Leave the retry budget to requests that have failed

Cause: retries, hedges and retries of runs that make calls all drew on the bucket of a service as equals. A hedge of a read takes a token of its own service and about two of the service it calls, and most hedged requests end well. The own retry of a failed call takes one token and saves the read that made it, but came too late.

Change: a hedge must leave half of what a bucket holds at most, and a retry must leave a quarter in the buckets of the services that it calls.

TestCallsOfRepeatsExceedTheLimit and TestGrantsStayWithinTheAllowance hold.

--- a/core/budgeter/client.go
+++ b/core/budgeter/client.go
@@ -43,25 +43,24 @@
 	c.tally.CountRequest(request)
 }
 
-// Acquire reports whether the shared budget allows an extra attempt for a request of service. It returns false if there
-// is no answer in time.
-func (c *Client) Acquire(ctx context.Context, service string) bool {
-	granted, err := c.send(ctx, service)
+// Acquire reports whether the shared budget allows extra. It returns false if there is no answer in time.
+func (c *Client) Acquire(ctx context.Context, extra Extra) bool {
+	granted, err := c.send(ctx, extra)
 	if err != nil {
-		c.log.Info("extra attempt not granted", "service", service, "reason", err.Error())
+		c.log.Info("extra attempt not granted", "service", extra.Service, "reason", err.Error())
 	}
 	return granted
 }
 
-// send reports what was counted since the last message and asks for an extra attempt of service, or for none if service
-// is empty. A report that does not arrive is lost.
-func (c *Client) send(ctx context.Context, service string) (bool, error) {
+// send reports what was counted since the last message and asks for extra, or for nothing if that names no service.
+// A report that does not arrive is lost.
+func (c *Client) send(ctx context.Context, extra Extra) (bool, error) {
 	address, ok := c.holder()
 	if !ok {
 		return false, errors.New("no control process is known")
 	}
 	c.mu.Lock()
-	message := newMessage(c.tally.Take(), service)
+	message := newMessage(c.tally.Take(), extra)
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
@@ -76,7 +75,7 @@
 		if c.isReported() {
 			return
 		}
-		if _, err := c.send(ctx, ""); err != nil {
+		if _, err := c.send(ctx, Extra{}); err != nil {
 			c.log.Debug("requests not reported", "reason", err.Error())
 		}
 	})
--- a/core/budgeter/fleet_test.go
+++ b/core/budgeter/fleet_test.go
@@ -214,7 +214,7 @@
 	if !s.report(n) {
 		return false
 	}
-	granted, _ := s.ledger.Acquire(s.now, service)
+	granted, _ := s.ledger.Acquire(s.now, budgeter.Extra{Service: service})
 	if granted {
 		s.granted++
 	}
--- a/core/budgeter/ledger.go
+++ b/core/budgeter/ledger.go
@@ -70,12 +70,38 @@
 	}
 }
 
-// Acquire takes the tokens for an extra attempt of service at now. If a service lacks them, it takes none and returns
-// that service.
-func (l *Ledger) Acquire(now time.Time, service string) (granted bool, lacking string) {
-	costs := l.costs(now, service)
+// Extra is an extra attempt of Service. Hedge is set if no attempt of its request has failed.
+type Extra struct {
+	Service string
+	Hedge   bool
+}
+
+// The fractions of the most that a bucket holds which an extra attempt must leave: one of a service that makes calls in the
+// buckets of the called services, whose own retries cost less and save such an attempt; and a hedge in all buckets, since most
+// hedged requests would have been served.
+const (
+	callsReserve = 0.25
+	hedgeReserve = 0.5
+)
+
+// reserve returns the tokens that extra must leave in the bucket of payer.
+func (l *Ledger) reserve(extra Extra, payer string) float64 {
+	capacity := maxHeldFraction * l.allowance.Slack
+	switch {
+	case extra.Hedge:
+		return hedgeReserve * capacity
+	case payer != extra.Service:
+		return callsReserve * capacity
+	default:
+		return 0
+	}
+}
+
+// Acquire takes the tokens for extra at now. If a service lacks them, it takes none and returns that service.
+func (l *Ledger) Acquire(now time.Time, extra Extra) (granted bool, lacking string) {
+	service, costs := extra.Service, l.costs(now, extra.Service)
 	for payer, cost := range costs {
-		if !l.buckets[payer].holds(now, l.allowance, cost) {
+		if !l.buckets[payer].holds(now, l.allowance, cost+l.reserve(extra, payer)) {
 			return false, payer
 		}
 	}
--- a/core/budgeter/server.go
+++ b/core/budgeter/server.go
@@ -18,6 +18,7 @@
 	Service  string                  `cbor:"1,keyasint,omitempty"`
 	Requests map[string]RequestCount `cbor:"2,keyasint,omitempty"`
 	Calls    []callMessage           `cbor:"3,keyasint,omitempty"`
+	Hedge    bool                    `cbor:"4,keyasint,omitempty"`
 }
 
 type callMessage struct {
@@ -29,8 +30,8 @@
 	Granted bool `cbor:"1,keyasint,omitempty"`
 }
 
-func newMessage(report Report, service string) acquireMessage {
-	message := acquireMessage{Service: service, Requests: report.Requests}
+func newMessage(report Report, extra Extra) acquireMessage {
+	message := acquireMessage{Service: extra.Service, Hedge: extra.Hedge, Requests: report.Requests}
 	for edge, count := range report.Calls {
 		message.Calls = append(message.Calls, callMessage{edge, count})
 	}
@@ -78,8 +79,8 @@
 	if message.Service == "" {
 		return false
 	}
-	granted, lacking := s.ledger.Acquire(now, message.Service)
-	s.log.Info("further send decided", "service", message.Service, "granted", granted, "lacking", lacking,
+	granted, lacking := s.ledger.Acquire(now, Extra{Service: message.Service, Hedge: message.Hedge})
+	s.log.Info("further send decided", "service", message.Service, "hedge", message.Hedge, "granted", granted, "lacking", lacking,
 		"level", s.ledger.Level(message.Service))
 	return granted
 }
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -56,8 +56,8 @@
 type Budget interface {
 	// CountRequest counts a request.
 	CountRequest(request budgeter.Request)
-	// Acquire reports whether an extra attempt is granted.
-	Acquire(ctx context.Context, service string) bool
+	// Acquire reports whether extra is granted.
+	Acquire(ctx context.Context, extra budgeter.Extra) bool
 }
 
 // Call is a caller's request, independent of the protocol by which it arrived. ID names it in logs and must be unique.
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/escalator"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
@@ -167,7 +168,9 @@
 // decide asks the node's own budget first, and then the shared one. It logs which of them paid for the extra attempt.
 func (a *Acceptor) decide(ctx context.Context, id string, event retrier.Event, attempt retrier.Attempt) retrier.Decision {
 	decision := a.Retrier.Decide(time.Now(), event, attempt)
-	if stop, ok := decision.(retrier.Stop); ok && stop.BudgetExhausted && a.Budget != nil && a.Budget.Acquire(ctx, attempt.Service) {
+	_, slow := event.(retrier.Slow)
+	extra := budgeter.Extra{Service: attempt.Service, Hedge: slow}
+	if stop, ok := decision.(retrier.Stop); ok && stop.BudgetExhausted && a.Budget != nil && a.Budget.Acquire(ctx, extra) {
 		decision = retrier.Retry{Reason: "the shared budget granted it", Payer: retrier.SharedBudget}
 	}
 	if retry, ok := decision.(retrier.Retry); ok && retry.Payer != retrier.Free {
--- a/node/pkg/acceptor/hedge_test.go
+++ b/node/pkg/acceptor/hedge_test.go
@@ -64,7 +64,7 @@
 
 func (slowBudget) CountRequest(budgeter.Request) {}
 
-func (slowBudget) Acquire(ctx context.Context, _ string) bool {
+func (slowBudget) Acquire(ctx context.Context, _ budgeter.Extra) bool {
 	select {
 	case <-ctx.Done():
 	case <-time.After(5 * time.Second):
