Keep requests with withheld bodies in their region while it has a target

What callers saw: an upload that found no free slot at its first three targets went to the other region, whose link all traffic shares: 30 Mbit/s, of which an upload of 360 KB takes a tenth of a second.

Cause: only requests with large answers were kept in their region.

Change: those with withheld bodies are too, as long as the region has any target in use.

--- a/core/escalator/escalator.go
+++ b/core/escalator/escalator.go
@@ -25,8 +25,8 @@
 	retryRefused bool
 }
 
-// lightStages and heavyStages are for requests with an objective, defaultStages for those without. Heavy answers do not
-// cross regions while the local region has any target.
+// lightStages and heavyStages are for requests with an objective, defaultStages for those without. Heavy requests, with large
+// bodies or answers, do not cross regions while the local region has any target.
 var (
 	lightStages = []stage{
 		{scope: Scope{LocalRegion: true, Immediate: true}, maxAttempts: 3},
@@ -52,7 +52,7 @@
 	attempts int
 }
 
-// New returns the plan of a request whose route has an objective. heavy is set if its answer is large.
+// New returns the plan of a request whose route has an objective. heavy is set if its body or its answer is large.
 func New(heavy bool) Plan {
 	if heavy {
 		return Plan{stages: heavyStages}
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -133,7 +133,7 @@
 	head.Hedged = a.HedgeAfter > 0 && head.Repeatable && head.Length == 0 && head.Objective > 0
 	plan := escalator.NewDefault()
 	if head.Objective > 0 {
-		plan = escalator.New(a.chooser.largeAnswers(head.Objective))
+		plan = escalator.New(head.Withheld || a.chooser.largeAnswers(head.Objective))
 	}
 	head.Repeat = a.repeatProbability(head)
 	answer, err := a.forward(ctx, forwardedRequest{
