Withhold bodies that would leave their data centre until they are granted

What callers saw: nothing; operators paid for it.

Cause: only bodies that are large or uploads were withheld, wherever they went.

Change: a body that takes more than one segment is withheld when the chosen gate is in another data centre. Whether a request is kept in its region still depends on large bodies only. A gate's unknown outcome of a request whose body was never sent is now replaced together with its kind.

--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"samphiremount.example/core/granter"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/router"
 	"samphiremount.example/core/tracker"
@@ -64,6 +65,8 @@
 	f.excluded = append(f.excluded, target.Name)
 	f.inFlight = append(f.inFlight, target.Name)
 	f.head.Target, f.head.Incarnation, f.head.Limit = target.Name, node.Incarnation, a.chooser.limit(target.Name)
+	body := granter.Body{Upload: f.head.Upload, Length: f.head.Length, Remote: node.Centre != a.Locality.Centre}
+	f.head.Withheld = body.Withhold()
 	ctx, cancel := context.WithCancel(ctx)
 	pending := &pendingAttempt{
 		head: f.head, placement: choice.Placement, trial: choice.Trial, cancel: cancel, done: make(chan result, 1),
@@ -82,9 +85,9 @@
 	destination.MayResend = func() bool {
 		return f.body.replayable() && a.Retrier.Allows(time.Now(), notRun, attempt)
 	}
-	body := f.body.reader()
+	reader := f.body.reader()
 	pending.group.Go(func() error {
-		answer, err := a.Client.Forward(ctx, destination, pending.head, body)
+		answer, err := a.Client.Forward(ctx, destination, pending.head, reader)
 		a.chooser.recordAttempt(pending.placement, pending.head, answer, err)
 		finish := sync.OnceFunc(func() {
 			cancel()
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -128,12 +128,11 @@
 		"workspace", head.Workspace, "rank", int(head.Rank), "inner", head.Nested, "repeatable", head.Repeatable, "remaining", deadline.Sub(now),
 		"version", view.Configuration.Version(), "number", view.Configuration.Number())
 	head.Upload = admission.route.Upload
-	head.Withheld = granter.Body{Upload: head.Upload, Length: head.Length}.Withhold()
 	head.HealthyOnly = !head.Repeatable
 	head.Hedged = a.HedgeAfter > 0 && head.Repeatable && head.Length == 0 && head.Objective > 0
 	plan := escalator.NewDefault()
 	if head.Objective > 0 {
-		plan = escalator.New(head.Withheld || a.chooser.largeAnswers(head.Objective))
+		plan = escalator.New(granter.Body{Upload: head.Upload, Length: head.Length}.Large() || a.chooser.largeAnswers(head.Objective))
 	}
 	head.Repeat = a.repeatProbability(head)
 	answer, err := a.forward(ctx, forwardedRequest{
--- a/node/pkg/forwarder/grant.go
+++ b/node/pkg/forwarder/grant.go
@@ -43,10 +43,8 @@
 // refuseUnsent returns the refusal of a request whose body was never sent, so that no gate can have started it. refusal is what
 // the gate has answered, or nil if the exchange failed with err.
 func (e *exchange) refuseUnsent(ctx context.Context, refusal *refuser.Refusal, err error) *refuser.Refusal {
-	if refusal != nil {
-		unsent := *refusal
-		unsent.Outcome = refuser.NotRun{}
-		return &unsent
+	if refusal != nil && refusal.Outcome == (refuser.NotRun{}) {
+		return refusal
 	}
 	kind := refuser.NodeUnreachable
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/node/pkg/forwarder/grant_test.go
+++ b/node/pkg/forwarder/grant_test.go
@@ -83,6 +83,7 @@
 			proxy := serve(t, newGate(func(ctx context.Context, _ forwarder.Head, _ io.Reader) (forwarder.Answer, error) {
 				reached <- struct{}{}
 				<-ctx.Done()
+				time.Sleep(100 * time.Millisecond)
 				return forwarder.Answer{}, refuser.Fail(refuser.OutcomeUnknown, "")
 			}))
 			go func() {
