Pick the first of two candidates in the own data centre

Cause: both candidates were picked from the whole region. With two data centres a quarter of the pairs has no near one, with four more than half, and then the penalty for distance compares equals.

Change: the first candidate is picked among the near ones. It is passed over for one that is less loaded by the penalty, as before.

Evidence: TestRequestsStayInTheirDataCentre.

--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -222,3 +224,65 @@
 		}
 	}
 }
+
+// TestRequestsStayInTheirDataCentre offers each of four data centres of one region the same rate, of 0.5 of their slots, with
+// 2 or 12 targets each, and then one of them 1.5 times as much as it can serve. Three in four requests must stay in their data
+// centre while that has room, and the others must take what it has no room for.
+func TestRequestsStayInTheirDataCentre(t *testing.T) {
+	const centres, slots, mean = 4, 10, 500 * time.Millisecond
+	for _, targets := range []int{2, 12} {
+		for _, c := range []struct {
+			load, hotLoad float64
+			left          func(share float64) bool
+		}{
+			{0.5, 0.5, func(share float64) bool { return share < 0.25 }},
+			{0.4, 1.5, func(share float64) bool { return share > 0.2 }},
+		} {
+			random := rand.New(rand.NewPCG(4, 4))
+			var all []router.Candidate
+			for i := range centres * targets {
+				all = append(all, candidate(fmt.Sprint(i), "north", fmt.Sprint("centre", i%centres), 0))
+			}
+			var ends []time.Time
+			var targetsOf []int
+			sent, left, overloaded := 0, 0, 0
+			const step = time.Millisecond
+			for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(step) {
+				for i := 0; i < len(ends); i++ {
+					if !now.Before(ends[i]) {
+						all[targetsOf[i]].Load--
+						ends, targetsOf = slices.Delete(ends, i, i+1), slices.Delete(targetsOf, i, i+1)
+						i--
+					}
+				}
+				for centre := range centres {
+					load := c.load
+					if centre == 0 {
+						load = c.hotLoad
+					}
+					rate := load * float64(targets*slots) / mean.Seconds()
+					for expected := rate * step.Seconds(); random.Float64() < expected; expected-- {
+						here := router.New(router.Locality{Region: "north", Centre: fmt.Sprint("centre", centre)}).WithRegionalTier()
+						choice, err := here.Choose(now, random, router.Request{}, all)
+						assert.NilError(t, err)
+						chosen, _ := strconv.Atoi(choice.Placement.Target.Name)
+						all[chosen].Load++
+						if all[chosen].Load > slots {
+							overloaded++
+						}
+						ends, targetsOf = append(ends, now.Add(time.Duration(random.ExpFloat64()*float64(mean)))), append(targetsOf, chosen)
+						if centre == 0 {
+							sent++
+							if chosen%centres != 0 {
+								left++
+							}
+						}
+					}
+				}
+			}
+			share := float64(left) / float64(sent)
+			t.Logf("%d targets a centre, load %.1f beside %.1f: %.3f leave, %d of %d find no slot", targets, c.hotLoad, c.load, share, overloaded, sent)
+			assert.Assert(t, c.left(share), "%d targets, %.1f: %.3f", targets, c.hotLoad, share)
+		}
+	}
+}
--- a/core/router/tier.go
+++ b/core/router/tier.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 
 	"samphiremount.example/core/tracker"
 )
@@ -99,15 +101,29 @@
 }
 
 // pickLessLoaded picks two random candidates, weighted by their slots, and returns the less loaded one. Without load,
-// the candidates' shares of requests are proportional to their slots.
+// the candidates' shares of requests are proportional to their slots. If some candidates are nearer than others, the first
+// one is picked among these, so that requests leave the data centre only for a target that is less loaded by the penalty:
+// with four data centres in a region, more than half of all pairs have no near candidate.
 func (t tier) pickLessLoaded(random *rand.Rand) weightedCandidate {
-	first, second := t.pickWeighted(random), t.pickWeighted(random)
+	first, second := t.near().pickWeighted(random), t.pickWeighted(random)
 	if second.load()+second.penalty < first.load()+first.penalty {
 		return second
 	}
 	return first
 }
 
+// near returns the tier with only the candidates of the lowest penalty.
+func (t tier) near() tier {
+	lowest := slices.MinFunc(t.candidates, func(a, b weightedCandidate) int { return cmp.Compare(a.penalty, b.penalty) }).penalty
+	var near tier
+	for _, candidate := range t.candidates {
+		if candidate.penalty == lowest {
+			near = near.with(candidate)
+		}
+	}
+	return near
+}
+
 // pickTrial returns the choice of a random candidate on trial.
 func (t tier) pickTrial(random *rand.Rand) Choice {
 	return Choice{Placement: t.pickWeighted(random).candidate.Placement, Reason: "on trial after an ejection", Trial: true}
