Ask all lenders at once whether they have just started

Cause: a node may admit its part of a rate while all lenders answer that they lend nothing yet. It asked them in turn, over connections that are new after a loss of power: four round trips to another region, five lenders, 600 ms for all. The distant ones were never reached in time, so the node took itself for cut off from lenders that lend to others.

Change: a process that never borrowed, or whose first lender starts, asks all of them at once (`Probe` in the message), and then the one that lends first. Lenders that start are asked last until they are ready.

--- a/core/borrower/borrower.go
+++ b/core/borrower/borrower.go
@@ -18,12 +18,14 @@
 // Message is sent to a lender. It asks for Wanted tokens of Workspace, if that is not empty, and reports on leases.
 // With AskPeers set, it asks for tokens of the other lenders. A message that one lender relays to another has Relayed
 // set and is not relayed again. A message that a node proxies to a lender has Proxied set and is not proxied again.
+// With Probe set, it asks for no tokens, but whether the lender lends yet.
 type Message struct {
 	Workspace string
 	Wanted    int
 	Relayed   bool
 	AskPeers  bool
 	Proxied   bool
+	Probe     bool
 	Reports   []Report
 }
 
--- a/core/borrower/borrower_test.go
+++ b/core/borrower/borrower_test.go
@@ -99,7 +99,7 @@
 func TestMessageAndReplyAreTransmitted(t *testing.T) {
 	lender := &echo{}
 	client, wire := serve(t, lender)
-	message := borrower.Message{Workspace: "kowhai", Wanted: 7, Relayed: true, AskPeers: true, Reports: reports(2)}
+	message := borrower.Message{Workspace: "kowhai", Wanted: 7, Relayed: true, AskPeers: true, Probe: true, Reports: reports(2)}
 	start := time.Now()
 	reply, err := client.Borrow(t.Context(), wire.Addr().String(), message)
 	assert.NilError(t, err)
--- a/core/borrower/wire.go
+++ b/core/borrower/wire.go
@@ -30,6 +30,7 @@
 	AskPeers  bool         `cbor:"5,keyasint,omitempty"`
 	Lenders   []string     `cbor:"6,keyasint,omitempty"`
 	Proxied   bool         `cbor:"7,keyasint,omitempty"`
+	Probe     bool         `cbor:"8,keyasint,omitempty"`
 }
 
 // grantWire has an empty Lender if that is the lender of the reply.
@@ -48,7 +49,9 @@
 }
 
 func (m Message) wire() messageWire {
-	out := messageWire{Workspace: m.Workspace, Wanted: m.Wanted, Relayed: m.Relayed, AskPeers: m.AskPeers, Proxied: m.Proxied}
+	out := messageWire{
+		Workspace: m.Workspace, Wanted: m.Wanted, Relayed: m.Relayed, AskPeers: m.AskPeers, Proxied: m.Proxied, Probe: m.Probe,
+	}
 	for _, r := range m.Reports {
 		index := slices.Index(out.Lenders, r.Lender)
 		if index < 0 {
@@ -65,7 +68,9 @@
 	if len(m.Reports) > maxReports || m.Wanted < 0 {
 		return Message{}, errors.Newf("message with %d reports and %d wanted tokens is not allowed", len(m.Reports), m.Wanted)
 	}
-	message := Message{Workspace: m.Workspace, Wanted: m.Wanted, Relayed: m.Relayed, AskPeers: m.AskPeers, Proxied: m.Proxied}
+	message := Message{
+		Workspace: m.Workspace, Wanted: m.Wanted, Relayed: m.Relayed, AskPeers: m.AskPeers, Proxied: m.Proxied, Probe: m.Probe,
+	}
 	for _, r := range m.Reports {
 		if r.Lender < 0 || r.Lender >= len(m.Lenders) || r.Spent < 0 {
 			return Message{}, errors.Newf("report for lender index %d with %d spent tokens is not allowed", r.Lender, r.Spent)
--- a/core/lender/lender.go
+++ b/core/lender/lender.go
@@ -119,6 +119,12 @@
 // Borrow implements borrower.Lender. It applies the reports of message and lends the tokens that it asks for.
 func (l *Lender) Borrow(ctx context.Context, message borrower.Message) borrower.Reply {
 	l.applyReports(message)
+	if now := timekeeper.Now(); message.Probe && now.Before(l.ready) {
+		return borrower.Reply{Lender: l.incarnation, Reason: string(allocator.Starting), RetryAt: l.ready}
+	}
+	if message.Probe {
+		return borrower.Reply{Lender: l.incarnation}
+	}
 	if message.Workspace == "" {
 		return borrower.Reply{}
 	}
--- a/node/pkg/limiter/limiter.go
+++ b/node/pkg/limiter/limiter.go
@@ -76,7 +76,9 @@
 	accounts map[string]*account
 	reports  []borrower.Report
 	backoffs map[string]backoff
-	stopped  bool
+	// readyAt is when a lender that has answered that it starts will lend.
+	readyAt map[string]time.Time
+	stopped bool
 	// borrowed is set once a lender has granted tokens to this process.
 	borrowed bool
 }
@@ -104,7 +106,8 @@
 // New returns a Limiter without leases.
 func New(borrower Borrower, sources Sources, log *slog.Logger) *Limiter {
 	return &Limiter{
-		borrower: borrower, sources: sources, log: log, accounts: make(map[string]*account), backoffs: make(map[string]backoff),
+		borrower: borrower, sources: sources, log: log, accounts: make(map[string]*account),
+		backoffs: make(map[string]backoff), readyAt: make(map[string]time.Time),
 	}
 }
 
@@ -241,6 +244,13 @@
 	return b
 }
 
+// hasBorrowed reports whether a lender has granted tokens to this process.
+func (l *Limiter) hasBorrowed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.borrowed
+}
+
 // after returns a channel that is closed after delay.
 func after(delay time.Duration) <-chan struct{} {
 	done := make(chan struct{})
@@ -337,9 +347,16 @@
 	lastReply := borrower.Reply{Reason: "no lender answered", RetryAt: timekeeper.Now().Add(noAnswerBackoff)}
 	addresses := l.order(message.Workspace)
 	idle = len(addresses) > 0
-	for _, address := range addresses {
+	if !l.hasBorrowed() && len(addresses) > 0 {
+		found := l.survey(addresses)
+		if found.allStart {
+			return time.Time{}, borrower.Reply{Reason: string(allocator.Starting), RetryAt: found.until}, true
+		}
+		addresses = first(addresses, found.lending)
+	}
+	for i := range addresses {
 		askedAt := timekeeper.Now()
-		reply, err := l.send(ctx, address, message)
+		reply, err := l.send(ctx, addresses[i], message)
 		if err != nil {
 			idle = false
 			continue
@@ -347,8 +364,16 @@
 		if reply.Tokens() > 0 || reply.Exhausted {
 			return askedAt, reply, false
 		}
-		idle = idle && reply.Reason == string(allocator.Starting)
+		starting := reply.Reason == string(allocator.Starting)
 		lastReply = reply
+		if starting && i == 0 && len(addresses) > 1 {
+			found := l.survey(addresses[1:])
+			if found.allStart {
+				return time.Time{}, reply, true
+			}
+			addresses = append(addresses[:1:1], first(addresses[1:], found.lending)...)
+		}
+		idle = idle && starting
 	}
 	return time.Time{}, lastReply, idle
 }
--- a/node/pkg/limiter/order.go
+++ b/node/pkg/limiter/order.go
@@ -24,7 +24,8 @@
 	return backoff{until: now.Add(delay), delay: delay}
 }
 
-// order returns the addresses to ask for tokens of workspace. Lenders that failed to answer recently come last. If
+// order returns the addresses to ask for tokens of workspace. Lenders that failed to answer recently come last, and before
+// them those that do not lend yet. If
 // there are any, peers are asked too: right after the first lender, or before all lenders if each of them failed to
 // answer.
 //
@@ -34,10 +35,10 @@
 	addresses := slices.Clone(l.sources.Lenders(workspace))
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	avoided := l.avoided(timekeeper.Now())
-	slices.SortStableFunc(addresses, func(a, b string) int {
-		return cmp.Compare(btoi(avoided(a)), btoi(avoided(b)))
-	})
+	now := timekeeper.Now()
+	avoided := l.avoided(now)
+	place := func(address string) int { return 2*btoi(avoided(address)) + btoi(now.Before(l.readyAt[address])) }
+	slices.SortStableFunc(addresses, func(a, b string) int { return cmp.Compare(place(a), place(b)) })
 	if l.sources.Peers == nil || len(addresses) == 0 || !avoided(addresses[len(addresses)-1]) {
 		return addresses
 	}
