Remember which lenders start also after one of them lends

The survey of lenders ends with the first that lends, and forgot the others: in half of the runs of TestStartOfAllLendersIsKnownBeforeRequestsAreRefused each request asked them again, 60 messages in place of 21 for ten requests. Each answer is now recorded when it arrives.

--- a/node/pkg/limiter/start.go
+++ b/node/pkg/limiter/start.go
@@ -31,6 +31,9 @@
 	for _, address := range addresses {
 		l.group.Go(func() error {
 			reply, err := l.ask(context.Background(), address, borrower.Message{Probe: true})
+			if err == nil && reply.Reason == string(allocator.Starting) {
+				l.recordStart(address, reply.RetryAt)
+			}
 			answers <- answer{address, reply, err}
 			return nil
 		})
@@ -43,7 +46,6 @@
 		case answer.reply.Reason != string(allocator.Starting):
 			return survey{lending: answer.address}
 		default:
-			l.recordStart(answer.address, answer.reply.RetryAt)
 			if result.until.IsZero() || answer.reply.RetryAt.Before(result.until) {
 				result.until = answer.reply.RetryAt
 			}
