Write the address of a test's lender under its lock

TestOtherLenderIsAskedWhenOneFails moves its lender while probes of the survey may still be under way: a data race in two of 40 runs with the detector. It is the test's own; the check is the same.

--- a/node/pkg/limiter/limiter_test.go
+++ b/node/pkg/limiter/limiter_test.go
@@ -134,7 +134,9 @@
 	lender.address = "far"
 	_, err := newLimiter(lender).Acquire(t.Context(), "kowhai", oneSecondFromNow())
 	assert.NilError(t, err)
+	lender.mu.Lock()
 	lender.address = "none"
+	lender.mu.Unlock()
 	_, err = newLimiter(lender).Acquire(t.Context(), "caroni", oneSecondFromNow())
 	assert.Equal(t, kindOf(err), refuser.AllowanceShort)
 }
