Bound the length of bodies and the time for which they may stall

What callers saw: a body of any length was taken, and one that stopped arriving held its request, and a target's slot, until the deadline.

A body whose length is told and too long is refused with 413 before it is read; one that grows too long, or stalls, ends its request with 413 or 408. The outcome is not-run where the gate cannot have started the request: it waits for all of a short body, and for the first byte of a withheld one. Such bodies were told to have an unknown outcome before.

--- a/core/refuser/kind.go
+++ b/core/refuser/kind.go
@@ -10,6 +10,7 @@
 const (
 	RequestInvalid     Kind = "request-invalid"
 	HeadTooLarge       Kind = "head-too-large"
+	BodyTooLarge       Kind = "body-too-large"
 	UpgradeUnsupported Kind = "upgrade-unsupported"
 	RouteUnknown       Kind = "route-unknown"
 	KeyMissing         Kind = "key-missing"
@@ -30,6 +31,7 @@
 	NodeUnreachable    Kind = "node-unreachable"
 	NodeStopping       Kind = "node-stopping"
 	BodyCut            Kind = "body-cut"
+	BodyStalled        Kind = "body-stalled"
 	DeadlinePassed     Kind = "deadline-passed"
 	AnswerCut          Kind = "answer-cut"
 	OutcomeUnknown     Kind = "outcome-unknown"
--- a/core/refuser/table.go
+++ b/core/refuser/table.go
@@ -29,6 +29,8 @@
 	TargetUnreachable:  {http.StatusBadGateway, "the target accepts no connection", true},
 	NodeUnreachable:    {http.StatusBadGateway, "the node beside the target cannot be reached", true},
 	NodeStopping:       {http.StatusServiceUnavailable, "the node is stopping", true},
+	BodyStalled:        {http.StatusRequestTimeout, "the request body stopped arriving", true},
+	BodyTooLarge:       {http.StatusRequestEntityTooLarge, "the request body is too large", false},
 	BodyCut:            {http.StatusBadRequest, "the request body ended early", false},
 	DeadlinePassed:     {http.StatusGatewayTimeout, "the deadline passed", true},
 	AnswerCut:          {http.StatusBadGateway, "the answer ended early", true},
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -38,7 +38,7 @@
 	})
 	server.HTTPErrorHandler = func(err error, c echo.Context) { refuse(c, "", err) }
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		server.ServeHTTP(AllowEarlyAnswer(w, r))
+		server.ServeHTTP(a.AllowEarlyAnswer(w, r))
 	})
 }
 
--- a/node/pkg/acceptor/body.go
+++ b/node/pkg/acceptor/body.go
@@ -10,8 +10,11 @@
 	"github.com/cockroachdb/errors"
 
 	"samphiremount.example/core/granter"
+	"samphiremount.example/core/refuser"
 )
 
+var errBodyTooLarge = errors.New("the request body is longer than allowed")
+
 var errNotReplayable = errors.New("the request body is no longer available to this attempt")
 
 // body lets several attempts read a caller's request body, one after another, as long as no more than granter.MaxReplayBytes of
@@ -22,6 +25,8 @@
 	key     string
 	// requestEnded is closed when the caller's connection has failed.
 	requestEnded <-chan struct{}
+	// maxBytes is the length from which on the body is too large, or 0 for no bound.
+	maxBytes int64
 
 	mu           sync.Mutex
 	source       io.Reader
@@ -32,8 +37,8 @@
 
 // newBody returns the body of call, whose context is ctx. Its trailers are available once it was read to the end. Those
 // that contain key are dropped.
-func newBody(ctx context.Context, call Call, key string) *body {
-	return &body{source: call.Body, trailer: call.Trailer, key: key, requestEnded: ctx.Done()}
+func newBody(ctx context.Context, call Call, maxBytes int64, key string) *body {
+	return &body{source: call.Body, trailer: call.Trailer, key: key, requestEnded: ctx.Done(), maxBytes: maxBytes}
 }
 
 // reader returns a reader from the start of the body for one more attempt. Readers of earlier attempts return an error
@@ -69,6 +74,22 @@
 	return b.readErr != nil && !errors.Is(b.readErr, io.EOF)
 }
 
+// failure returns the kind of refusal that the end of the body calls for, or false if it did not end by a limit.
+func (b *body) failure() (refuser.Kind, bool) {
+	if !b.mu.TryLock() {
+		return "", false
+	}
+	defer b.mu.Unlock()
+	switch {
+	case errors.Is(b.readErr, errBodyStalled):
+		return refuser.BodyStalled, true
+	case errors.Is(b.readErr, errBodyTooLarge):
+		return refuser.BodyTooLarge, true
+	default:
+		return "", false
+	}
+}
+
 // bodyReader reads a body for one attempt.
 type bodyReader struct {
 	body   *body
@@ -114,6 +135,9 @@
 	}
 	b.bytesRead += n
 	r.offset += n
+	if b.maxBytes > 0 && int64(b.bytesRead) > b.maxBytes {
+		err = errBodyTooLarge
+	}
 	b.readErr = err
 	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -47,6 +47,7 @@
 	Refuses func(now time.Time) bool
 	// UseLostNodes lets requests go to nodes that the control process has declared lost, as long as this node reaches them.
 	UseLostNodes bool
+	BodyLimits   BodyLimits
 	// HedgeAfter is the fraction of its objective that must pass before a repeatable request is sent to a second target;
 	// 0 disables hedges.
 	HedgeAfter float64
@@ -136,7 +137,7 @@
 	}
 	head.Repeat = a.repeatProbability(head)
 	answer, err := a.forward(ctx, forwardedRequest{
-		head: head, body: newBody(ctx, call, admission.presentedKey), maxAttempts: admission.route.MaxAttempts, plan: plan,
+		head: head, body: newBody(ctx, call, a.BodyLimits.MaxBytes, admission.presentedKey), maxAttempts: admission.route.MaxAttempts, plan: plan,
 	})
 	failed := err != nil || answer.Status >= http.StatusInternalServerError
 	if failed && head.Nested && ctx.Err() == nil && a.CallFailed != nil {
@@ -150,6 +151,9 @@
 	if a.Refuses != nil && a.Refuses(time.Now()) {
 		return refuser.Refuse(refuser.NodeStopping, "")
 	}
+	if limit := a.BodyLimits.MaxBytes; limit > 0 && call.Length > limit {
+		return refuser.Refuse(refuser.BodyTooLarge, "")
+	}
 	return checkCall(call)
 }
 
--- a/node/pkg/acceptor/forward.go
+++ b/node/pkg/acceptor/forward.go
@@ -191,9 +191,14 @@
 	f.attempt.Reached++
 }
 
-// withBodyTruncated returns err as a refusal for a truncated body if the caller's body ended early. Such a body also
+// withBodyTruncated returns err as a refusal for a truncated body if the caller's body ended early or by a limit. Such a body also
 // ends ctx, and the end of ctx can be noticed first.
 func (f *forwardedRequest) withBodyTruncated(ctx context.Context, err error) error {
+	if kind, ok := f.body.failure(); ok {
+		refusal := *refuser.From(err)
+		refusal.Kind = kind
+		return &refusal
+	}
 	if ctx.Err() == nil || !f.body.truncated() {
 		return err
 	}
--- a/node/pkg/acceptor/upload.go
+++ b/node/pkg/acceptor/upload.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -29,19 +30,30 @@
 type upload struct {
 	io.ReadCloser
 
-	request *http.Request
-	started atomic.Bool
-	ended   atomic.Bool
+	request    *http.Request
+	connection *http.ResponseController
+	maxStall   time.Duration
+	started    atomic.Bool
+	ended      atomic.Bool
 }
 
+// BodyLimits bounds the bodies of requests: MaxBytes their length, and MaxStall the time between two parts that arrive. 0 sets
+// no bound.
+type BodyLimits struct {
+	MaxBytes int64
+	MaxStall time.Duration
+}
+
+var errBodyStalled = errors.New("no part of the body arrived in time")
+
 // AllowEarlyAnswer returns response and request so that the request can be answered before its body was read. The
-// connection of such a request is closed after its answer.
-func AllowEarlyAnswer(response http.ResponseWriter, request *http.Request) (http.ResponseWriter, *http.Request) {
+// connection of such a request is closed after its answer. Reads of the body fail if it stalls.
+func (a *Acceptor) AllowEarlyAnswer(response http.ResponseWriter, request *http.Request) (http.ResponseWriter, *http.Request) {
 	if request.Body == nil || request.Body == http.NoBody {
 		return response, request
 	}
 	tracked := request.WithContext(request.Context())
-	upload := &upload{ReadCloser: request.Body, request: request}
+	upload := &upload{ReadCloser: request.Body, request: request, connection: http.NewResponseController(response), maxStall: a.BodyLimits.MaxStall}
 	tracked.Body = upload
 	return &uploadWriter{ResponseWriter: response, upload: upload}, tracked
 }
@@ -76,9 +88,19 @@
 // Read implements io.Reader.
 func (u *upload) Read(p []byte) (int, error) {
 	u.started.Store(true)
+	if u.maxStall > 0 {
+		_ = u.connection.SetReadDeadline(time.Now().Add(u.maxStall))
+	}
 	n, err := u.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
+	if u.maxStall > 0 {
+		// A deadline that stays would end the wait for the next request on the connection.
+		_ = u.connection.SetReadDeadline(time.Time{})
+	}
+	switch {
+	case errors.Is(err, io.EOF):
 		u.ended.Store(true)
+	case errors.Is(err, os.ErrDeadlineExceeded) && u.maxStall > 0:
+		return n, errors.CombineErrors(errBodyStalled, err)
 	}
 	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
--- a/node/pkg/acceptor/upload_test.go
+++ b/node/pkg/acceptor/upload_test.go
@@ -1,13 +1,17 @@
 package acceptor_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -15,6 +19,8 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
+
+	"samphiremount.example/node/pkg/acceptor"
 )
 
 // TestRefusedUploadIsSentElsewhere has gates that refuse requests for two of three targets. An upload that is too large to
@@ -33,6 +39,53 @@
 	}
 }
 
+// TestBodiesBeyondTheLimitsAreRefused sends bodies that are too long, or stop arriving, with and without their length told. What
+// the target has got of them decides the outcome that the caller is told.
+func TestBodiesBeyondTheLimitsAreRefused(t *testing.T) {
+	var reached atomic.Int64
+	f := newFleet(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		reached.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+	}))
+	f.acceptor.BodyLimits = acceptor.BodyLimits{MaxBytes: 100_000, MaxStall: 200 * time.Millisecond}
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		path, sent string
+		status     int
+		outcome    string
+	}{
+		"length at the limit":     {"/films", "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 100_000), 200, "ran"},
+		"length told":             {"/films", "Content-Length: 100001\r\n\r\n", 413, "not-run"},
+		"length overflows":        {"/films", "Content-Length: 99999999999999999999\r\n\r\n", 400, ""},
+		"chunks without end":      {"/films", chunked + strings.Repeat("2710\r\n"+strings.Repeat("x", 10_000)+"\r\n", 11), 413, "unknown"},
+		"stalls before its start": {"/films", "Content-Length: 50000\r\n\r\n", 408, "not-run"},
+		"stalls, kept at a gate":  {"/films", "Content-Length: 50000\r\n\r\nxx", 408, "not-run"},
+		"stalls midway":           {"/films", "Content-Length: 90000\r\n\r\nxx", 408, "unknown"},
+		"small, stalls":           {"/bookings", "Content-Length: 50\r\n\r\nxx", 408, "not-run"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reached.Store(0)
+			conn, err := net.Dial("tcp", f.entry.Listener.Addr().String())
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+			_, err = io.WriteString(conn, "POST "+c.path+" HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+f.key+"\r\n"+c.sent)
+			assert.NilError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			assert.NilError(t, err)
+			assert.NilError(t, response.Body.Close())
+			assert.Equal(t, response.StatusCode, c.status)
+			assert.Equal(t, response.Header.Get("Samphire-Outcome"), c.outcome)
+			switch c.outcome {
+			case "ran":
+				assert.Equal(t, reached.Load(), int64(1))
+			case "not-run":
+				assert.Equal(t, reached.Load(), int64(0))
+			}
+		})
+	}
+}
+
 // filmTimeout is the timeout of the route /films.
 const filmTimeout = time.Second
 
--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -41,6 +41,8 @@
 	bodySent    atomic.Bool
 	withheld    *withheldBody
 	bodyFailed  chan error
+	bytesRead   atomic.Int64
+	grants      atomic.Bool
 	heard       atomic.Bool
 	running     atomic.Bool
 
@@ -122,7 +124,7 @@
 		select {
 		case sendErr := <-e.bodyFailed:
 			if errors.Is(sendErr, errBodySource) {
-				return Answer{}, refuser.Fail(refuser.BodyCut, sendErr.Error())
+				return Answer{}, &refuser.Refusal{Kind: refuser.BodyCut, Outcome: e.cutOutcome(), Detail: sendErr.Error()}
 			}
 		default:
 		}
@@ -134,7 +136,7 @@
 // startBody sends body in the background.
 func (e *exchange) startBody(body io.Reader) {
 	e.group.Go(func() error {
-		err := sendBody(e.stream, body)
+		err := sendBody(e.stream, &countingReader{body, &e.bytesRead})
 		e.bodySent.Store(err == nil)
 		if err != nil {
 			e.bodyFailed <- err
--- a/node/pkg/forwarder/grant.go
+++ b/node/pkg/forwarder/grant.go
@@ -23,6 +23,9 @@
 // sendGranted sends a withheld body if the message of the gate asks for it. From then on the attempt cannot be withdrawn; if
 // it has been withdrawn before, it ends without the body.
 func (e *exchange) sendGranted(progress progressMessage) {
+	if progress.Grants {
+		e.grants.Store(true)
+	}
 	if e.withheld == nil || e.withheld.sent.Load() {
 		return
 	}
@@ -53,6 +56,39 @@
 	return refuser.From(refuser.Refuse(kind, "the body was not sent: "+err.Error()))
 }
 
+// cutOutcome returns the outcome of a request whose body has ended early, before its end frame was sent. A gate starts a request
+// with a short body only once it has all of it, and one with a withheld body once it has the first byte.
+func (e *exchange) cutOutcome() refuser.Outcome {
+	length := e.head.Length
+	short := length >= 0 && length <= granter.MaxReplayBytes
+	if short || e.withheld != nil && e.grants.Load() && e.bytesRead.Load() == 0 {
+		return refuser.NotRun{}
+	}
+	return refuser.Unknown{}
+}
+
+// countingReader adds the bytes that are read to count.
+type countingReader struct {
+	io.Reader
+
+	count *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.count.Add(int64(n))
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is
+}
+
+// Trailer implements TrailerBody.
+func (r *countingReader) Trailer() http.Header {
+	if body, ok := r.Reader.(TrailerBody); ok {
+		return body.Trailer()
+	}
+	return nil
+}
+
 // grantedBody is the body of a request at its gate. The first read of a withheld body grants it.
 type grantedBody struct {
 	*bodyReader
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -74,6 +74,7 @@
 	// UseLostNodes and HedgeAfter are passed to acceptor.Dependencies.
 	UseLostNodes bool
 	HedgeAfter   float64
+	BodyLimits   acceptor.BodyLimits
 	// UseFallbackQuota lets a node admit requests of a workspace while no lender answers it, within an equal fraction of
 	// FallbackMargin, or of the workspace's rate while all lenders state that they lend to nobody.
 	UseFallbackQuota bool
@@ -180,7 +181,7 @@
 	n.Acceptor = acceptor.New(acceptor.Dependencies{
 		Name: n.options.Name, Viewer: n.Viewer, Client: client, Limiter: n.limiter, Retrier: retrier.NewWith(n.retryPolicy),
 		Watcher: n.watcher, Locality: n.options.Router.Locality(), Router: n.options.Router, UseLostNodes: n.options.UseLostNodes,
-		HedgeAfter: n.options.HedgeAfter, Budget: n.budget, News: news, RetryFraction: gate.RetryFraction, CallFailed: gate.RecordFailedCall, Refuses: n.refusesCallers,
+		HedgeAfter: n.options.HedgeAfter, BodyLimits: n.options.BodyLimits, Budget: n.budget, News: news, RetryFraction: gate.RetryFraction, CallFailed: gate.RecordFailedCall, Refuses: n.refusesCallers,
 		Random:   rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 		RouteLog: n.log.Part("route"), AdmitLog: n.log.Part("admit"),
 	})
--- a/node/pkg/starter/run.go
+++ b/node/pkg/starter/run.go
@@ -15,6 +15,7 @@
 	"samphiremount.example/core/router"
 	core "samphiremount.example/core/starter"
 	"samphiremount.example/core/stopper"
+	"samphiremount.example/node/pkg/acceptor"
 	"samphiremount.example/node/pkg/gatekeeper"
 )
 
@@ -43,6 +44,7 @@
 		Entry: listeners.entry.Addr().String(), Fleet: cmp.Or(settings.Advertise, listeners.fleet.Addr().String()),
 		Seeds: settings.Controls, OnlySeeds: true, Peers: settings.Peers, Data: settings.Data, Decisions: settings.Decisions,
 		Lenders: settings.AllLenders(), AnnouncementLifetime: registrar.AnnouncementLifetime, Protocol: gatekeeper.DefaultProtocol{},
+		BodyLimits:  acceptor.BodyLimits{MaxBytes: settings.MaxBody, MaxStall: settings.MaxStall},
 		Stop:        stopper.Policy{Grace: settings.Grace, Leave: leaveDelay, LastRequest: lastRequestDelay},
 		Router:      router.New(router.Locality{Region: settings.Region, Centre: settings.Centre}),
 		RetryPolicy: func(int) retrier.Policy { return retrier.DefaultPolicy() },
--- a/node/pkg/starter/settings.go
+++ b/node/pkg/starter/settings.go
@@ -21,6 +21,8 @@
 	Advertise string        `long:"advertise" env:"SAMPHIRE_ADVERTISE" description:"IP address and port under which other nodes reach --fleet, if it differs"`
 	Local     string        `long:"local" env:"SAMPHIRE_LOCAL" default:"127.0.0.1:8082" description:"IP address and port of the listener for announcements of targets on this VM"`
 	Decisions int           `long:"decisions" env:"SAMPHIRE_DECISIONS" default:"16384" description:"Number of newest log lines about requests that the node keeps for samphire explain"`
+	MaxBody   int64         `long:"max-body" env:"SAMPHIRE_MAX_BODY" default:"67108864" description:"Largest request body in bytes; longer ones are refused"`
+	MaxStall  time.Duration `long:"max-stall" env:"SAMPHIRE_MAX_STALL" default:"30s" description:"Longest time between two parts of a request body that arrive"`
 	Grace     time.Duration `long:"grace" env:"SAMPHIRE_GRACE" default:"60s" description:"Time between SIGTERM and the end of the process. What kills the process later must wait longer"`
 	Controls  []string      `long:"control" env:"SAMPHIRE_CONTROLS" env-delim:"," description:"IP address and port of a control process; repeat it, own data centre first"`
 	Data      string        `long:"data" env:"SAMPHIRE_DATA" description:"Folder on a disk in which the node keeps what it knows of the fleet; empty for a VM without a disk"`
@@ -45,6 +47,12 @@
 	if s.Decisions < 0 {
 		errs = append(errs, errors.New("--decisions must not be below 0"))
 	}
+	if s.MaxBody <= 0 {
+		errs = append(errs, errors.New("--max-body must be above 0"))
+	}
+	if s.MaxStall <= 0 {
+		errs = append(errs, errors.New("--max-stall must be above 0"))
+	}
 	if s.Grace <= 0 {
 		errs = append(errs, errors.New("--grace must be above 0"))
 	}
