Time targets from the end of a body that is still to come

What callers saw: nothing yet; found while looking at what counts as slow. An upload from a slow caller was overdue before its target had all of it, and a gate takes a target with two overdue requests for suspect.

Cause: the breaker timed a request from the moment at which its connection was used, whoever the rest of the body waited for.

Change: where the body is streamed, the breaker times the target from the end of the body on. The duration that is expected of such requests still includes the transfer.

--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -147,7 +147,6 @@
 	if err != nil {
 		return forwarder.Answer{}, err
 	}
-	setBody(request, head, content.body)
 	exchangeContext, abort := context.WithCancel(ctx)
 	release := sync.OnceFunc(func() {
 		abort()
@@ -159,7 +158,8 @@
 	}
 	defer g.countRun(head)()
 	g.protocol.Prepare(request.Header, head, target, time.Until(head.Deadline))
-	recordResult := g.trackAttempt(target, head)
+	recordResult, content := g.trackStreamed(target, head, content)
+	setBody(request, head, content.body)
 	response, err := g.connector.Exchange(exchangeContext, target.Address, request, g.reuse(head)) //nolint:bodyclose // slotBody closes it
 	if err != nil {
 		refusal := toRefusal(ctx, err)
@@ -333,13 +333,24 @@
 
 // trackAttempt records the start of an attempt on target, and returns the function that records its result.
 func (g *Gatekeeper) trackAttempt(target registrar.Announcement, head forwarder.Head) func(observer.Result) {
+	recordResult, start := g.trackUnstarted(target, head)
+	start()
+	return recordResult
+}
+
+// trackUnstarted is trackAttempt for an attempt that the breaker is to time from the call of start on, or from its result if that
+// comes first.
+func (g *Gatekeeper) trackUnstarted(target registrar.Announcement, head forwarder.Head) (record func(observer.Result), start func()) {
 	recordResult := g.watcher.Start(target.Name, target.Service)
 	if head.Objective == 0 {
-		return recordResult
+		return recordResult, func() {}
 	}
 	began := time.Now()
-	g.updateTarget(target.Name, func(now time.Time, state *targetState) { state.recordStart(now, head) })
+	start = sync.OnceFunc(func() {
+		g.updateTarget(target.Name, func(now time.Time, state *targetState) { state.recordStart(now, head) })
+	})
 	return func(result observer.Result) {
+		start()
 		recordResult(result)
 		g.updateTarget(target.Name, func(now time.Time, state *targetState) {
 			outcome := state.explain(now, breakerResult(result))
@@ -348,7 +359,7 @@
 				state.recordDuration(head.Objective, now.Sub(began))
 			}
 		})
-	}
+	}, start
 }
 
 // RecordFailedCall records that a call has failed which a target of this VM has made.
--- a/node/pkg/gatekeeper/grant.go
+++ b/node/pkg/gatekeeper/grant.go
@@ -6,6 +6,9 @@
 	"io"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
+	"samphiremount.example/core/observer"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/registrar"
 	"samphiremount.example/node/pkg/forwarder"
@@ -51,7 +54,7 @@
 		return granted, err
 	}
 	reader := bufio.NewReader(body)
-	if _, err := reader.Peek(1); err != nil && err != io.EOF { //nolint:errorlint // bodies return io.EOF as it is
+	if _, err := reader.Peek(1); err != nil && !errors.Is(err, io.EOF) {
 		return content{}, refuser.Refuse(refuser.BodyCut, err.Error())
 	}
 	granted.body = &peekedBody{Reader: reader, source: body}
@@ -74,3 +77,43 @@
 	}
 	return nil
 }
+
+// trackStreamed records the start of an attempt as trackAttempt does. If its body is still to come, the breaker times the target
+// from the end of the body on: how long the rest takes is up to the caller. content is returned with a body that tells.
+func (g *Gatekeeper) trackStreamed(
+	target registrar.Announcement, head forwarder.Head, admitted content,
+) (record func(observer.Result), tracked content) {
+	record, start := g.trackUnstarted(target, head)
+	if admitted.hasDigest || head.Length == 0 {
+		start()
+		return record, admitted
+	}
+	admitted.body = &endingBody{Reader: admitted.body, ended: start}
+	return record, admitted
+}
+
+// endingBody is a body that calls ended when it was read to its end.
+type endingBody struct {
+	io.Reader
+
+	ended func()
+}
+
+var _ forwarder.TrailerBody = (*endingBody)(nil)
+
+// Read implements io.Reader.
+func (b *endingBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.ended()
+	}
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is
+}
+
+// Trailer implements forwarder.TrailerBody.
+func (b *endingBody) Trailer() http.Header {
+	if trailed, ok := b.Reader.(forwarder.TrailerBody); ok {
+		return trailed.Trailer()
+	}
+	return nil
+}
