Withdraw an upload by its body in place of a tombstone

What callers saw: of 200 uploads at once through one entry, on a busy machine, one or two in some runs were answered 400 `the request body ended early`, though their callers had sent all of it.

Cause, from the log of one of them: its gate was silent for 80 ms, so the entry asked for a tombstone. While that was on its way the gate granted the body and the entry sent it; the gate then refused the start because of the tombstone. The next attempt found that more of the body had been used than is kept, and that was told as a body cut by its caller. Beside it, a body counted as available while a read of it was in progress whose bytes would not be kept.

Change: an entry that still has the body withdraws the attempt by keeping it, at once. Whether a read is kept is decided before it. A body that an earlier attempt has used is told as node-unreachable, not run: the caller may come back.

TestSpentBodyIsNotACutOne: body-cut before.

--- a/node/pkg/acceptor/body.go
+++ b/node/pkg/acceptor/body.go
@@ -11,20 +11,21 @@
 
 	"samphiremount.example/core/granter"
 	"samphiremount.example/core/refuser"
+	"samphiremount.example/node/pkg/forwarder"
 )
 
 var errBodyTooLarge = errors.New("the request body is longer than allowed")
 
-var errNotReplayable = errors.New("the request body is no longer available to this attempt")
-
-// body lets several attempts read a caller's request body, one after another, as long as no more than granter.MaxReplayBytes of
-// it were read.
+// body lets several attempts read a caller's request body, one after another, as long as no more than granter.MaxReplayBytes
+// and one further read of it were read.
 type body struct {
 	current atomic.Pointer[bodyReader]
 	trailer http.Header
 	key     string
 	// requestEnded is closed when the caller's connection has failed.
 	requestEnded <-chan struct{}
+	// spent is set once a part of the body was read that is not kept.
+	spent atomic.Bool
 	// maxBytes is the length from which on the body is too large, or 0 for no bound.
 	maxBytes int64
 
@@ -51,12 +52,8 @@
 
 // replayable reports whether another attempt can read the whole body.
 func (b *body) replayable() bool {
-	if !b.mu.TryLock() {
-		// The last attempt still waits for data from the caller, which is buffered when it arrives.
-		return true
-	}
-	defer b.mu.Unlock()
-	return b.bytesRead == len(b.replayBuffer)
+	// An attempt may still wait for data from the caller. That is buffered when it arrives, if another attempt takes over.
+	return !b.spent.Load()
 }
 
 // truncated reports whether the body ended early. It waits for a read that is in progress only if the caller's connection
@@ -114,7 +111,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.current.Load() != r {
-		return 0, errNotReplayable
+		return 0, forwarder.ErrBodySpent
 	}
 	if r.offset < len(b.replayBuffer) {
 		n := copy(p, b.replayBuffer[r.offset:])
@@ -122,16 +119,20 @@
 		return n, nil
 	}
 	if r.offset < b.bytesRead {
-		return 0, errNotReplayable
+		return 0, forwarder.ErrBodySpent
 	}
 	if b.readErr != nil {
 		return 0, b.readErr
 	}
+	// Whether the bytes are kept is decided before the wait for them, so that replayable is right meanwhile.
+	kept := b.bytesRead == len(b.replayBuffer) && b.bytesRead <= granter.MaxReplayBytes
+	if !kept {
+		b.replayBuffer = nil
+		b.spent.Store(true)
+	}
 	n, err := b.source.Read(p)
-	if b.bytesRead == len(b.replayBuffer) && b.bytesRead+n <= granter.MaxReplayBytes {
+	if kept {
 		b.replayBuffer = append(b.replayBuffer, p[:n]...)
-	} else {
-		b.replayBuffer = nil
 	}
 	b.bytesRead += n
 	r.offset += n
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -37,6 +37,9 @@
 
 const leaving = "leaving"
 
+// slotsPerTarget is the number of slots of each target of a fleet.
+const slotsPerTarget = 4
+
 func (t targets) Announcement(name string) (registrar.Announcement, bool) {
 	announcement, ok := t[name]
 	announcement.Leaving = strings.HasPrefix(name, leaving)
@@ -101,9 +104,9 @@
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
 		known[name] = registrar.Announcement{
-			Name: name, Service: "service", Address: server.Listener.Addr().String(), Slots: 4,
+			Name: name, Service: "service", Address: server.Listener.Addr().String(), Slots: slotsPerTarget,
 		}
-		trackedTargets = append(trackedTargets, tracker.Target{Name: name, Service: "service", Slots: 4})
+		trackedTargets = append(trackedTargets, tracker.Target{Name: name, Service: "service", Slots: slotsPerTarget})
 	}
 	log := slog.New(slog.DiscardHandler)
 	credentials := messenger.NewCredentials("test", []byte("0123456789abcdef"))
--- a/node/pkg/forwarder/body.go
+++ b/node/pkg/forwarder/body.go
@@ -20,6 +20,9 @@
 	// ErrCorrupted is returned when the length or the checksum of a body differs from its end frame.
 	ErrCorrupted = errors.New("length or checksum of body differs from its end frame")
 
+	// ErrBodySpent is returned by the source of a body which an earlier attempt has read further than its entry keeps.
+	ErrBodySpent = errors.New("an earlier attempt has used the body")
+
 	errBodySource = errors.New("failed to read body from its source")
 )
 
@@ -56,7 +59,7 @@
 			return send(stream, frameEnd, end)
 		}
 		if err != nil {
-			return errors.CombineErrors(errBodySource, err)
+			return errors.Mark(err, errBodySource)
 		}
 	}
 }
--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -124,7 +124,7 @@
 		select {
 		case sendErr := <-e.bodyFailed:
 			if errors.Is(sendErr, errBodySource) {
-				return Answer{}, &refuser.Refusal{Kind: refuser.BodyCut, Outcome: e.cutOutcome(), Detail: sendErr.Error()}
+				return Answer{}, &refuser.Refusal{Kind: cutKind(sendErr), Outcome: e.cutOutcome(), Detail: sendErr.Error()}
 			}
 		default:
 		}
--- a/node/pkg/forwarder/grant.go
+++ b/node/pkg/forwarder/grant.go
@@ -14,19 +14,32 @@
 	"samphiremount.example/core/refuser"
 )
 
-// withheldBody is a body that waits at the entry for its grant. sent is set before its first byte leaves.
+// withheldBody is a body that waits at the entry for its grant.
 type withheldBody struct {
-	source io.Reader
-	sent   atomic.Bool
+	source  io.Reader
+	decided atomic.Bool
+	sent    atomic.Bool
 }
 
+// send claims the body for its gate, and reports whether it may leave. withdraw claims it for another attempt. Only the first
+// claim succeeds.
+func (b *withheldBody) send() bool {
+	if !b.decided.CompareAndSwap(false, true) {
+		return false
+	}
+	b.sent.Store(true)
+	return true
+}
+
+func (b *withheldBody) withdraw() bool { return b.decided.CompareAndSwap(false, true) }
+
 // sendGranted sends a withheld body if the message of the gate asks for it. From then on the attempt cannot be withdrawn; if
 // it has been withdrawn before, it ends without the body.
 func (e *exchange) sendGranted(progress progressMessage) {
 	if progress.Grants {
 		e.grants.Store(true)
 	}
-	if e.withheld == nil || e.withheld.sent.Load() {
+	if e.withheld == nil || e.withheld.decided.Load() {
 		return
 	}
 	switch granter.Decide(granter.Message{Grants: progress.Grants, Granted: progress.Granted}).(type) {
@@ -36,7 +49,9 @@
 			e.cancel()
 			return
 		}
-		e.withheld.sent.Store(true)
+		if !e.withheld.send() {
+			return
+		}
 		e.bodySent.Store(false)
 		e.log.Info("body granted", "request", e.head.AttemptID, "target", e.head.Target, "length", e.head.Length)
 		e.startBody(e.withheld.source)
@@ -70,6 +85,15 @@
 	}
 }
 
+// cutKind returns the kind of the refusal of a request whose body could not be read. A body that an earlier attempt has used is
+// no fault of its caller, who may send the request again.
+func cutKind(err error) refuser.Kind {
+	if errors.Is(err, ErrBodySpent) {
+		return refuser.NodeUnreachable
+	}
+	return refuser.BodyCut
+}
+
 // The states of a body at its entry: no byte was read, some were, all were, or no more will be.
 const (
 	bodyWaiting int32 = iota
--- a/node/pkg/forwarder/grant_test.go
+++ b/node/pkg/forwarder/grant_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -99,3 +100,24 @@
 		})
 	}
 }
+
+// TestSpentBodyIsNotACutOne has a body of which an earlier attempt has used a part. Its caller has sent all of it, and may send
+// it again; a body that its caller has cut must be told as such.
+func TestSpentBodyIsNotACutOne(t *testing.T) {
+	for name, c := range map[string]struct {
+		err  error
+		kind refuser.Kind
+	}{
+		"used by an earlier attempt": {forwarder.ErrBodySpent, refuser.NodeUnreachable},
+		"cut by its caller":          {io.ErrUnexpectedEOF, refuser.BodyCut},
+	} {
+		proxy := serve(t, newGate(func(_ context.Context, _ forwarder.Head, body io.Reader) (forwarder.Answer, error) {
+			_, err := io.Copy(io.Discard, body)
+			return forwarder.Answer{}, refuser.Refuse(refuser.BodyCut, err.Error())
+		}))
+		request, _ := upload(name)
+		_, err := newClient(t).Forward(t.Context(), destinationOf(proxy.address()), request, iotest.ErrReader(c.err))
+		assert.Equal(t, refuser.From(err).Kind, c.kind, name)
+		assert.Equal(t, outcome(t, err), "not-run", name)
+	}
+}
--- a/node/pkg/forwarder/silence.go
+++ b/node/pkg/forwarder/silence.go
@@ -79,6 +79,11 @@
 	if mayResend := e.destination.MayResend; mayResend != nil && !mayResend() {
 		return
 	}
+	if e.withheld != nil && e.withheld.withdraw() {
+		// The gate waits for the body, which it will not get. A tombstone would leave time for a late grant.
+		e.end(abandoner.Withdraw{}, "the body was not sent")
+		return
+	}
 	state, ok := e.questions.placeTombstone()
 	if ok && tombstoner.Outcome(state) == (refuser.NotRun{}) {
 		e.end(abandoner.Withdraw{}, "the gate promised not to start it")
