Read withheld bodies ahead, so that a caller who leaves is noticed

What callers saw: bookings that ran after their callers had left.

Change: an entry reads a withheld body ahead, as far as it may keep it: 64 KB, and up to 1 MB of a pool of 8 MB for all bodies. What is kept can also be sent to a further target. A blocked read holds no lock that others need, and the limit that ended a body is known without any.

--- a/core/granter/granter_test.go
+++ b/core/granter/granter_test.go
@@ -38,3 +38,15 @@
 	assert.Equal(t, granter.Decide(granter.Message{Grants: true, Granted: true}), granter.Send{})
 	assert.Equal(t, granter.Decide(granter.Message{}), granter.Send{})
 }
+
+func TestPoolIsBounded(t *testing.T) {
+	var pool granter.Pool
+	steps := 0
+	for pool.Acquire(granter.MaxReplayBytes) {
+		steps++
+	}
+	assert.Equal(t, steps*granter.PoolStep, 8<<20)
+	pool.Release(1)
+	assert.Assert(t, !pool.Acquire(1<<20))
+	assert.Assert(t, pool.Acquire(granter.MaxReplayBytes))
+}
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rs/xid"
 
+	"samphiremount.example/core/granter"
 	"samphiremount.example/core/refuser"
 )
 
@@ -16,6 +17,8 @@
 	Dependencies
 
 	chooser *chooser
+	// pool is the memory for bodies that are longer than what is kept of each.
+	pool granter.Pool
 }
 
 // New returns an Acceptor without requests in flight.
--- a/node/pkg/acceptor/attempt.go
+++ b/node/pkg/acceptor/attempt.go
@@ -66,7 +66,9 @@
 	f.inFlight = append(f.inFlight, target.Name)
 	f.head.Target, f.head.Incarnation, f.head.Limit = target.Name, node.Incarnation, a.chooser.limit(target.Name)
 	body := granter.Body{Upload: f.head.Upload, Length: f.head.Length, Remote: node.Centre != a.Locality.Centre}
-	f.head.Withheld = body.Withhold()
+	if f.head.Withheld = body.Withhold(); f.head.Withheld {
+		f.body.readAhead()
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	pending := &pendingAttempt{
 		head: f.head, placement: choice.Placement, trial: choice.Trial, cancel: cancel, done: make(chan result, 1),
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -136,8 +136,10 @@
 		plan = escalator.New(granter.Body{Upload: head.Upload, Length: head.Length}.Large() || a.chooser.largeAnswers(head.Objective))
 	}
 	head.Repeat = a.repeatProbability(head)
+	body := newBody(ctx, call, a.BodyLimits.MaxBytes, &a.pool, admission.presentedKey)
+	defer body.release()
 	answer, err := a.forward(ctx, forwardedRequest{
-		head: head, body: newBody(ctx, call, a.BodyLimits.MaxBytes, admission.presentedKey), maxAttempts: admission.route.MaxAttempts, plan: plan,
+		head: head, body: body, maxAttempts: admission.route.MaxAttempts, plan: plan,
 	})
 	failed := err != nil || answer.Status >= http.StatusInternalServerError
 	if failed && head.Nested && ctx.Err() == nil && a.CallFailed != nil {
--- a/node/pkg/acceptor/upload_test.go
+++ b/node/pkg/acceptor/upload_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -81,6 +83,48 @@
 	}
 }
 
+// TestCallerThatLeavesEndsItsWithheldRequest has callers that leave while their uploads wait for a slot. The target must get none
+// of them once it has one.
+func TestCallerThatLeavesEndsItsWithheldRequest(t *testing.T) {
+	var got atomic.Int64
+	free := make(chan struct{})
+	f := newFleet(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/films") {
+			got.Add(1)
+			return
+		}
+		<-free
+	}))
+	release := sync.OnceFunc(func() { close(free) })
+	t.Cleanup(release)
+	var group errgroup.Group
+	for range slotsPerTarget {
+		group.Go(func() error {
+			do(t, f.request(t, http.MethodPost, "/bookings"))
+			return nil
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, length := range []int64{20_000, 60_000, 300_000} {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		request := f.request(t, http.MethodPost, "/films").WithContext(ctx)
+		request.Body, request.ContentLength = io.NopCloser(io.LimitReader(zeros{}, length)), length
+		group.Go(func() error {
+			response, err := http.DefaultClient.Do(request)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			return nil
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	release()
+	assert.NilError(t, group.Wait())
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, got.Load(), int64(0))
+}
+
 // filmTimeout is the timeout of the route /films.
 const filmTimeout = time.Second
 
