Bound the news of one message, and count withheld bodies

A member that tells news of long names, or thousands of them, would fill the memory of the others: a message of 4 MB may hold one name.

The entry counts the bodies that it withheld, and those that a gate asked for.

--- a/node/pkg/forwarder/client.go
+++ b/node/pkg/forwarder/client.go
@@ -79,7 +79,13 @@
 		look:           func() (tombstoner.State, bool) { return c.look(ctx, destination, sent) },
 		placeTombstone: func() (tombstoner.State, bool) { return c.placeTombstone(ctx, destination, sent) },
 	})
+	if sent.Withheld {
+		c.counts.Add("bodies_withheld", 1)
+	}
 	answer, err := exchange.run(body)
+	if exchange.withheld != nil && exchange.withheld.sent.Load() {
+		c.counts.Add("bodies_granted", 1)
+	}
 	if exchange.gateTime > 0 {
 		c.clocks.set(address, Clock{head.Incarnation, exchange.gateTime}, time.Now())
 	}
--- a/node/pkg/forwarder/news.go
+++ b/node/pkg/forwarder/news.go
@@ -29,11 +29,17 @@
 	return messages
 }
 
+// maxNews and maxTargetBytes bound what is taken from one message, whatever its sender says.
+const (
+	maxNews        = 16
+	maxTargetBytes = 256
+)
+
 // record adds what another node has told. The time that its message took is not known, so the news seem younger by that.
 func record(news *informer.Informer, messages []newsMessage) {
 	now := time.Now()
-	for _, m := range messages {
-		if m.Age < 0 || m.Age > informer.Lifetime.Milliseconds() {
+	for _, m := range messages[:min(len(messages), maxNews)] {
+		if len(m.Target) > maxTargetBytes || m.Age < 0 || m.Age > informer.Lifetime.Milliseconds() {
 			continue
 		}
 		news.Record(now, informer.News{
--- a/node/pkg/forwarder/news_test.go
+++ b/node/pkg/forwarder/news_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +19,25 @@
 	"samphiremount.example/node/pkg/forwarder"
 )
 
+// exchangeNews sends a request from a node with entryNews to gate, on a node with gateNews.
+func exchangeNews(t *testing.T, gate forwarder.Gate, entryNews, gateNews *informer.Informer) {
+	t.Helper()
+	credentials := messenger.NewCredentials("test", []byte("0123456789abcdef"))
+	log := slog.New(slog.DiscardHandler)
+	mux := messenger.Mux{}
+	forwarder.NewServer(gate, forwarder.NewClient(messenger.NewPool(credentials), new(expvar.Map), gateNews, log)).Register(mux)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = messenger.NewServer(credentials, mux, log).Serve(ctx, listener) }()
+	client := forwarder.NewClient(messenger.NewPool(credentials), new(expvar.Map), entryNews, log)
+	answer, err := client.Forward(t.Context(), destinationOf(listener.Addr().String()), head("a"), http.NoBody)
+	if err == nil {
+		assert.NilError(t, answer.Body.Close())
+	}
+}
+
 // TestNewsTravelWithRequestsAndAnswers has a node that learns of a target from a request, and its entry of another target from
 // the answer, or from the refusal.
 func TestNewsTravelWithRequestsAndAnswers(t *testing.T) {
@@ -34,21 +54,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			entryNews, gateNews := informer.New(suspect("entry's")), informer.New(suspect("gate's"))
-			credentials := messenger.NewCredentials("test", []byte("0123456789abcdef"))
-			log := slog.New(slog.DiscardHandler)
-			mux := messenger.Mux{}
-			server := forwarder.NewServer(newGate(run), forwarder.NewClient(messenger.NewPool(credentials), new(expvar.Map), gateNews, log))
-			server.Register(mux)
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			assert.NilError(t, err)
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			go func() { _ = messenger.NewServer(credentials, mux, log).Serve(ctx, listener) }()
-			client := forwarder.NewClient(messenger.NewPool(credentials), new(expvar.Map), entryNews, log)
-			answer, err := client.Forward(t.Context(), destinationOf(listener.Addr().String()), head("a"), http.NoBody)
-			if err == nil {
-				assert.NilError(t, answer.Body.Close())
-			}
+			exchangeNews(t, newGate(run), entryNews, gateNews)
 			now := time.Now()
 			learned, told := entryNews.Look(now, "gate's"), gateNews.Look(now, "entry's")
 			assert.Equal(t, learned.State, informer.Suspect)
@@ -57,3 +63,20 @@
 		})
 	}
 }
+
+// TestFalseNewsInAMessageChangeNothing sends heads with news that no node tells, beside one that does.
+func TestFalseNewsInAMessageChangeNothing(t *testing.T) {
+	var told []informer.News
+	entryNews := informer.New(func(now time.Time) []informer.News {
+		told = []informer.News{
+			{Target: strings.Repeat("x", 300), State: informer.Suspect, At: now},
+			{Target: "true", State: informer.Suspect, At: now},
+		}
+		return told
+	})
+	gateNews := informer.New(func(time.Time) []informer.News { return nil })
+	exchangeNews(t, newGate(answered(http.NoBody)), entryNews, gateNews)
+	now := time.Now()
+	assert.Equal(t, gateNews.Look(now, "true").State, informer.Suspect)
+	assert.Equal(t, gateNews.Look(now, told[0].Target).State, informer.Healthy)
+}
