Call the exchange of verdicts gossip

News, tell and look are not the field's words: the package is core/gossiper now, with verdicts, digests and lookups. Names and comments only.

--- a/node/pkg/acceptor/body.go
+++ b/node/pkg/acceptor/body.go
@@ -233,13 +233,13 @@
 	defer b.mu.Unlock()
 	switch {
 	case b.current.Load() != r:
-		return 0, forwarder.ErrBodySpent, true
+		return 0, forwarder.ErrBodyConsumed, true
 	case r.offset < len(b.replayBuffer):
 		n = copy(p, b.replayBuffer[r.offset:])
 		r.offset += n
 		return n, nil, true
 	case r.offset < b.bytesRead:
-		return 0, forwarder.ErrBodySpent, true
+		return 0, forwarder.ErrBodyConsumed, true
 	case b.readErr != nil:
 		return 0, b.readErr, true
 	default:
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -11,8 +11,8 @@
 	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/escalator"
+	"samphiremount.example/core/gossiper"
 	"samphiremount.example/core/granter"
-	"samphiremount.example/core/informer"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
@@ -39,8 +39,8 @@
 	// RetryFraction returns the fraction of the runs now in progress on the targets of this VM that are repeats. Calls that
 	// such a run makes count as repeats too.
 	RetryFraction func() (fraction float64)
-	// News are the verdicts of gates on their targets that this node knows; nil knows none.
-	News *informer.Informer
+	// Gossip holds the verdicts of gates on their targets; nil holds none.
+	Gossip *gossiper.Gossiper
 	// CallFailed is called when a call has failed that a target of this VM made; nil if there is none.
 	CallFailed func()
 	// Refuses reports whether requests that arrive at now are refused because the node stops; nil refuses none.
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -10,7 +10,7 @@
 
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/ejector"
-	"samphiremount.example/core/informer"
+	"samphiremount.example/core/gossiper"
 	"samphiremount.example/core/monitor"
 	"samphiremount.example/core/regulator"
 	"samphiremount.example/core/router"
@@ -29,7 +29,7 @@
 
 const (
 	// suspectBackoff is how long a target is avoided after its gate refused a request because the target is suspect, even if
-	// newer news say that it has recovered.
+	// a newer verdict says that it has recovered.
 	suspectBackoff = 300 * time.Millisecond
 	// trialFraction is the fraction of the requests with a hedge that go to a suspect target, if a trial of one is due. All
 	// entries know of it, so that it is small.
@@ -49,7 +49,7 @@
 	router   router.Router
 	log      *slog.Logger
 	watcher  Watcher
-	news     *informer.Informer
+	gossip   *gossiper.Gossiper
 	useLost  bool
 
 	mu           sync.Mutex
@@ -88,7 +88,7 @@
 func newChooser(dependencies Dependencies) *chooser {
 	return &chooser{
 		name: dependencies.Name, locality: dependencies.Locality, router: dependencies.Router,
-		log: dependencies.RouteLog, watcher: dependencies.Watcher, news: dependencies.News, useLost: dependencies.UseLostNodes, random: dependencies.Random,
+		log: dependencies.RouteLog, watcher: dependencies.Watcher, gossip: dependencies.Gossip, useLost: dependencies.UseLostNodes, random: dependencies.Random,
 		inFlight: make(map[string]int), reports: make(map[string]router.Report), paths: make(map[string]monitor.Path),
 		suspectUntil: make(map[string]time.Time), limitedUntil: make(map[string]time.Time), limits: make(map[string]regulator.Limit),
 		leaving: make(map[string]departure), lost: make(map[string]time.Time),
@@ -147,8 +147,8 @@
 	for _, placement := range view.Directory.Placements(head.Service) {
 		name := placement.Target.Name
 		due := c.suspectUntil[name]
-		if news := c.news.Look(now, name); news.State == informer.Suspect {
-			due = news.TrialAt
+		if verdict := c.gossip.Lookup(now, name); verdict.State == gossiper.Suspect {
+			due = verdict.TrialAt
 		} else if !now.Before(due) {
 			continue
 		}
@@ -194,10 +194,10 @@
 	if now.Before(c.suspectUntil[name]) {
 		return true
 	}
-	switch c.news.Look(now, name).State {
-	case informer.Suspect:
+	switch c.gossip.Lookup(now, name).State {
+	case gossiper.Suspect:
 		return true
-	case informer.Doubtful:
+	case gossiper.Doubtful:
 		return healthyOnly
 	default:
 		return false
--- a/node/pkg/forwarder/body.go
+++ b/node/pkg/forwarder/body.go
@@ -20,8 +20,8 @@
 	// ErrCorrupted is returned when the length or the checksum of a body differs from its end frame.
 	ErrCorrupted = errors.New("length or checksum of body differs from its end frame")
 
-	// ErrBodySpent is returned by the source of a body which an earlier attempt has read further than its entry keeps.
-	ErrBodySpent = errors.New("an earlier attempt has used the body")
+	// ErrBodyConsumed is returned by the source of a body which an earlier attempt has read further than its entry keeps.
+	ErrBodyConsumed = errors.New("an earlier attempt has used the body")
 
 	errBodySource = errors.New("failed to read body from its source")
 )
--- a/node/pkg/forwarder/client.go
+++ b/node/pkg/forwarder/client.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 
-	"samphiremount.example/core/informer"
+	"samphiremount.example/core/gossiper"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/tombstoner"
@@ -37,14 +37,14 @@
 	pool   *messenger.Pool
 	counts *expvar.Map
 	clocks *clockCache
-	news   *informer.Informer
+	gossip *gossiper.Gossiper
 	log    *slog.Logger
 }
 
 // NewClient returns a client that uses the connections of pool and increments counters in counts. It logs the
-// tombstones that it requests after a gate stopped responding. It exchanges news with gates, unless news is nil.
-func NewClient(pool *messenger.Pool, counts *expvar.Map, news *informer.Informer, log *slog.Logger) *Client {
-	return &Client{pool: pool, counts: counts, clocks: newClockCache(), news: news, log: log}
+// tombstones that it requests after a gate stopped responding. It exchanges verdicts with gates, unless gossip is nil.
+func NewClient(pool *messenger.Pool, counts *expvar.Map, gossip *gossiper.Gossiper, log *slog.Logger) *Client {
+	return &Client{pool: pool, counts: counts, clocks: newClockCache(), gossip: gossip, log: log}
 }
 
 // Forward sends a request to the gate at destination and returns the target's answer as soon as its head has arrived.
@@ -75,7 +75,7 @@
 	}
 	head.StartBefore = startBefore(gateTime, time.Now(), head.Deadline)
 	sent := *head
-	exchange := newExchange(stream, cancel, destination, sent, c.news, c.log, questions{
+	exchange := newExchange(stream, cancel, destination, sent, c.gossip, c.log, questions{
 		look:           func() (tombstoner.State, bool) { return c.look(ctx, destination, sent) },
 		placeTombstone: func() (tombstoner.State, bool) { return c.placeTombstone(ctx, destination, sent) },
 	})
--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -15,7 +15,7 @@
 	"storj.io/drpc"
 
 	"samphiremount.example/core/abandoner"
-	"samphiremount.example/core/informer"
+	"samphiremount.example/core/gossiper"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/tombstoner"
@@ -31,7 +31,7 @@
 	cancel      context.CancelFunc
 	destination Destination
 	head        Head
-	news        *informer.Informer
+	gossip      *gossiper.Gossiper
 	log         *slog.Logger
 	startedAt   time.Time
 	group       errgroup.Group
@@ -56,11 +56,11 @@
 }
 
 func newExchange(
-	stream drpc.Stream, cancel context.CancelFunc, destination Destination, head Head, news *informer.Informer, log *slog.Logger,
+	stream drpc.Stream, cancel context.CancelFunc, destination Destination, head Head, gossip *gossiper.Gossiper, log *slog.Logger,
 	questions questions,
 ) *exchange {
 	e := &exchange{
-		stream: stream, cancel: cancel, destination: destination, head: head, news: news, log: log, startedAt: time.Now(),
+		stream: stream, cancel: cancel, destination: destination, head: head, gossip: gossip, log: log, startedAt: time.Now(),
 		questions: questions, bodyFailed: make(chan error, 1),
 	}
 	e.idle = newIdleTimer(cmp.Or(destination.ResponseTimeout, idleTimeout), e.handleTimeout)
@@ -108,7 +108,7 @@
 func (e *exchange) run(body io.Reader) (Answer, error) {
 	head := e.head
 	message := head.wire(time.Now())
-	message.News = tell(e.news)
+	message.Verdicts = digestMessage(e.gossip)
 	if err := send(e.stream, frameHead, message); err != nil {
 		return Answer{}, err
 	}
@@ -154,7 +154,7 @@
 		if err := messenger.Unmarshal(first.data, &refusal); err != nil {
 			return Answer{}, err
 		}
-		record(e.news, refusal.News)
+		recordVerdicts(e.gossip, refusal.Verdicts)
 		e.gateTime, e.refused = tombstoner.GateTime(refusal.GateTime), true
 		received := &refuser.Refusal{
 			Kind: refuser.Kind(refusal.Kind), Outcome: refuser.ParseOutcome(refusal.Outcome), Detail: refusal.Detail,
@@ -172,7 +172,7 @@
 		if answer.ID != id {
 			return Answer{}, errors.Wrapf(errAnswerMismatch, "received the answer of request %s", answer.ID)
 		}
-		record(e.news, answer.News)
+		recordVerdicts(e.gossip, answer.Verdicts)
 		e.gateTime = tombstoner.GateTime(answer.GateTime)
 		e.answer = newBodyReader(e.receive)
 		return Answer{Status: answer.Status, Header: answer.Header, Body: e}, nil
--- a/node/pkg/forwarder/frame.go
+++ b/node/pkg/forwarder/frame.go
@@ -50,8 +50,8 @@
 	GateTime int64  `cbor:"4,keyasint"`
 	Load     int    `cbor:"5,keyasint,omitempty"`
 	// RetryAfter is in milliseconds, or 0 if the gate does not know when a retry may succeed.
-	RetryAfter int64         `cbor:"6,keyasint,omitempty"`
-	News       []newsMessage `cbor:"7,keyasint,omitempty"`
+	RetryAfter int64            `cbor:"6,keyasint,omitempty"`
+	Verdicts   []verdictMessage `cbor:"7,keyasint,omitempty"`
 }
 
 // progressMessage shows that the connection and the gate are alive. Running is true once the request went to the
@@ -96,7 +96,7 @@
 	Limit             float64             `cbor:"27,keyasint,omitempty"`
 	Withheld          bool                `cbor:"28,keyasint,omitempty"`
 	Upload            bool                `cbor:"29,keyasint,omitempty"`
-	News              []newsMessage       `cbor:"30,keyasint,omitempty"`
+	Verdicts          []verdictMessage    `cbor:"30,keyasint,omitempty"`
 }
 
 type answerMessage struct {
@@ -104,8 +104,8 @@
 	Status int                 `cbor:"2,keyasint"`
 	Header map[string][]string `cbor:"3,keyasint,omitempty"`
 	// GateTime is the gate's clock at the time when the gate sent the answer.
-	GateTime int64         `cbor:"4,keyasint"`
-	News     []newsMessage `cbor:"5,keyasint,omitempty"`
+	GateTime int64            `cbor:"4,keyasint"`
+	Verdicts []verdictMessage `cbor:"5,keyasint,omitempty"`
 }
 
 // frameEncoding encodes a frame as one byte for its kind, followed by its data.
--- a/node/pkg/forwarder/grant.go
+++ b/node/pkg/forwarder/grant.go
@@ -88,7 +88,7 @@
 // cutKind returns the kind of the refusal of a request whose body could not be read. A body that an earlier attempt has used is
 // no fault of its caller, who may send the request again.
 func cutKind(err error) refuser.Kind {
-	if errors.Is(err, ErrBodySpent) {
+	if errors.Is(err, ErrBodyConsumed) {
 		return refuser.NodeUnreachable
 	}
 	return refuser.BodyCut
--- a/node/pkg/forwarder/grant_test.go
+++ b/node/pkg/forwarder/grant_test.go
@@ -115,7 +115,7 @@
 		err  error
 		kind refuser.Kind
 	}{
-		"used by an earlier attempt": {forwarder.ErrBodySpent, refuser.NodeUnreachable},
+		"used by an earlier attempt": {forwarder.ErrBodyConsumed, refuser.NodeUnreachable},
 		"cut by its caller":          {io.ErrUnexpectedEOF, refuser.BodyCut},
 	} {
 		proxy := serve(t, newGate(func(_ context.Context, _ forwarder.Head, body io.Reader) (forwarder.Answer, error) {
--- a/node/pkg/forwarder/server.go
+++ b/node/pkg/forwarder/server.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 
-	"samphiremount.example/core/informer"
+	"samphiremount.example/core/gossiper"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/core/stopper"
@@ -23,15 +23,15 @@
 type Server struct {
 	gate     Gate
 	client   *Client
-	news     *informer.Informer
+	gossip   *gossiper.Gossiper
 	requests *finisher.Finisher
 	plan     atomic.Pointer[stopper.Plan]
 }
 
 // NewServer returns a server that runs requests on gate. It uses client to request tombstones from other gates on
-// behalf of nodes that can't reach them, and its news.
+// behalf of nodes that can't reach them, and its gossip.
 func NewServer(gate Gate, client *Client) *Server {
-	return &Server{gate: gate, client: client, news: client.news, requests: finisher.New()}
+	return &Server{gate: gate, client: client, gossip: client.gossip, requests: finisher.New()}
 }
 
 // Register adds to mux the handlers of calls from other nodes.
@@ -73,7 +73,7 @@
 	if err := messenger.Unmarshal(first.data, &wire); err != nil {
 		return err
 	}
-	record(s.news, wire.News)
+	recordVerdicts(s.gossip, wire.Verdicts)
 	head := wire.head(time.Now())
 	ctx, cancel := context.WithDeadline(stream.Context(), head.Deadline)
 	defer cancel()
@@ -101,7 +101,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	request.Answer()
-	message := answerMessage{ID: head.AttemptID, Status: answer.Status, Header: answer.Header, GateTime: s.gateTime(), News: tell(s.news)}
+	message := answerMessage{ID: head.AttemptID, Status: answer.Status, Header: answer.Header, GateTime: s.gateTime(), Verdicts: digestMessage(s.gossip)}
 	if err := send(stream, frameAnswer, message); err != nil {
 		return err
 	}
@@ -111,7 +111,7 @@
 func (s *Server) refuse(stream drpc.Stream, refusal *refuser.Refusal) error {
 	message := refusalMessage{
 		Kind: string(refusal.Kind), Outcome: refusal.Outcome.String(), Detail: refusal.Detail, GateTime: s.gateTime(),
-		Load: refusal.Load, News: tell(s.news),
+		Load: refusal.Load, Verdicts: digestMessage(s.gossip),
 	}
 	if !refusal.RetryAt.IsZero() {
 		message.RetryAfter = max(time.Until(refusal.RetryAt).Milliseconds(), 1)
--- a/node/pkg/gatekeeper/upload_test.go
+++ b/node/pkg/gatekeeper/upload_test.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
-	"samphiremount.example/core/informer"
+	"samphiremount.example/core/gossiper"
 )
 
 // TestSlowCallersAreNoEvidenceAgainstTheirTarget has uploads of which the rest takes several times their objective to arrive. Their
@@ -44,17 +44,17 @@
 		assert.NilError(t, err)
 	}
 	for began := time.Now(); time.Since(began) < 5*objective; time.Sleep(objective / 5) {
-		assert.Equal(t, len(gate.News(time.Now())), 0)
+		assert.Equal(t, len(gate.Verdicts(time.Now())), 0)
 	}
 	for _, writer := range writers {
 		assert.NilError(t, writer.Close())
 	}
 	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(objective / 5) {
-		news := gate.News(time.Now())
-		if len(news) == 1 && news[0].State == informer.Suspect {
+		verdicts := gate.Verdicts(time.Now())
+		if len(verdicts) == 1 && verdicts[0].State == gossiper.Suspect {
 			break
 		}
-		assert.Assert(t, time.Now().Before(deadline), "%+v", news)
+		assert.Assert(t, time.Now().Before(deadline), "%+v", verdicts)
 	}
 	release()
 	assert.NilError(t, group.Wait())
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -17,7 +17,7 @@
 	"samphiremount.example/core/borrower"
 	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/explainer"
-	"samphiremount.example/core/informer"
+	"samphiremount.example/core/gossiper"
 	"samphiremount.example/core/lender"
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
@@ -171,8 +171,8 @@
 	counts := expvar.NewMap("gate")
 	n.connector = connector.New(counts)
 	var gate *gatekeeper.Gatekeeper
-	news := informer.New(func(now time.Time) []informer.News { return gate.News(now) })
-	client := forwarder.NewClient(n.pool, expvar.NewMap("entry"), news, n.log.Part("route"))
+	gossip := gossiper.New(func(now time.Time) []gossiper.Verdict { return gate.Verdicts(now) })
+	client := forwarder.NewClient(n.pool, expvar.NewMap("entry"), gossip, n.log.Part("route"))
 	gate = gatekeeper.New(
 		incarnation, n.options.Protocol, n.Enroller, n.connector, n.watcher, counts, n.log.Part("gate"), n.crashBroadcaster(client),
 	)
@@ -181,7 +181,7 @@
 	n.Acceptor = acceptor.New(acceptor.Dependencies{
 		Name: n.options.Name, Viewer: n.Viewer, Client: client, Limiter: n.limiter, Retrier: retrier.NewWith(n.retryPolicy),
 		Watcher: n.watcher, Locality: n.options.Router.Locality(), Router: n.options.Router, UseLostNodes: n.options.UseLostNodes,
-		HedgeAfter: n.options.HedgeAfter, BodyLimits: n.options.BodyLimits, Budget: n.budget, News: news, RetryFraction: gate.RetryFraction, CallFailed: gate.RecordFailedCall, Refuses: n.refusesCallers,
+		HedgeAfter: n.options.HedgeAfter, BodyLimits: n.options.BodyLimits, Budget: n.budget, Gossip: gossip, RetryFraction: gate.RetryFraction, CallFailed: gate.RecordFailedCall, Refuses: n.refusesCallers,
 		Random:   rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 		RouteLog: n.log.Part("route"), AdmitLog: n.log.Part("admit"),
 	})
