--- a/core/breaker/trial_test.go
+++ b/core/breaker/trial_test.go
@@ -27,18 +27,26 @@
 	heldBack float64
 }
 
+const (
+	failPeriod    = 9 * time.Second
+	failTime      = 5 * time.Second
+	failingErrors = 0.75
+	soundErrors   = 0.012
+	repeatable    = 0.25
+	trialShare    = 0.4
+)
+
 // replayFailing simulates three minutes of a service in which each of the targets answers three quarters of its requests with
 // an error, at once, in 5 s of each 9 s times their number: one at a time. A sound target fails 1.2 in 100. A quarter of the
 // requests are repeatable. Two in five of these are first sent to a target that is not healthy, as entries do to find out when
 // it has recovered. A request that is refused goes to another target.
 func replayFailing(targets int, rate float64) cost {
-	const errorShare, soundErrors, repeatable, trialShare = 0.75, 0.012, 0.25, 0.4
 	random := rand.New(rand.NewPCG(5, 6))
 	all := make([]*failing, targets)
 	for i := range all {
 		all[i] = &failing{breaker.New(), make(map[string]time.Time), func(now time.Time) bool {
-			since := now.Sub(start) % (9 * time.Second)
-			return int(now.Sub(start)/(9*time.Second))%targets == i && since < 5*time.Second
+			since := now.Sub(start)
+			return int(since/failPeriod)%targets == i && since%failPeriod < failTime
 		}}
 	}
 	var result cost
@@ -46,12 +54,7 @@
 	const step = 5 * time.Millisecond
 	for now := start; now.Before(start.Add(3 * time.Minute)); now = now.Add(step) {
 		for _, target := range all {
-			for id, end := range target.ends {
-				if !now.Before(end) {
-					target.breaker.End(now, id, breaker.Served{})
-					delete(target.ends, id)
-				}
-			}
+			target.endServed(now)
 			if !target.fails(now) {
 				total++
 				if (target.breaker.Verdict(now) != breaker.Healthy{}) {
@@ -59,41 +62,61 @@
 				}
 			}
 		}
-		if random.Float64() >= rate*step.Seconds() {
+		if random.Float64() < rate*step.Seconds() {
+			result = result.withRequest(now, random, all)
+		}
+	}
+	result.heldBack = float64(held) / float64(total)
+	return result
+}
+
+// withRequest sends a request to the first target that admits it, and returns the cost with it.
+func (c cost) withRequest(now time.Time, random *rand.Rand, all []*failing) cost {
+	healthyOnly, order := random.Float64() >= repeatable, random.Perm(len(all))
+	if !healthyOnly && random.Float64() < trialShare {
+		slices.SortStableFunc(order, func(a, b int) int { return severity(all[b].breaker, now) - severity(all[a].breaker, now) })
+	}
+	for _, i := range order {
+		target := all[i]
+		if !admitsRequest(target.breaker.Verdict(now), healthyOnly) {
 			continue
 		}
-		healthyOnly, id := random.Float64() >= repeatable, fmt.Sprint(now.UnixNano())
-		order := random.Perm(targets)
-		if !healthyOnly && random.Float64() < trialShare {
-			slices.SortStableFunc(order, func(a, b int) int { return severity(all[b].breaker, now) - severity(all[a].breaker, now) })
+		if !target.run(now, random) || !target.fails(now) {
+			return c
 		}
-		for _, i := range order {
-			target := all[i]
-			if !admitsRequest(target.breaker.Verdict(now), healthyOnly) {
-				continue
-			}
-			target.breaker.Start(now, id, expect(now, mean))
-			share := soundErrors
-			if target.fails(now) {
-				share = errorShare
-			}
-			switch failed := random.Float64() < share; {
-			case !failed:
-				target.ends[id] = now.Add(randomDuration(random))
-			case target.fails(now) && healthyOnly:
-				result.others++
-				target.breaker.End(now, id, breaker.Failed{})
-			case target.fails(now):
-				result.trials++
-				target.breaker.End(now, id, breaker.Failed{})
-			default:
-				target.breaker.End(now, id, breaker.Failed{})
-			}
-			break
+		if healthyOnly {
+			c.others++
+		} else {
+			c.trials++
+		}
+		return c
+	}
+	return c
+}
+
+// run starts a request, and reports whether it fails at once.
+func (f *failing) run(now time.Time, random *rand.Rand) (failed bool) {
+	id, share := fmt.Sprint(now.UnixNano()), soundErrors
+	if f.fails(now) {
+		share = failingErrors
+	}
+	f.breaker.Start(now, id, expect(now, mean))
+	if random.Float64() < share {
+		f.breaker.End(now, id, breaker.Failed{})
+		return true
+	}
+	f.ends[id] = now.Add(randomDuration(random))
+	return false
+}
+
+// endServed ends the requests that are due at now.
+func (f *failing) endServed(now time.Time) {
+	for id, end := range f.ends {
+		if !now.Before(end) {
+			f.breaker.End(now, id, breaker.Served{})
+			delete(f.ends, id)
 		}
 	}
-	result.heldBack = float64(held) / float64(total)
-	return result
 }
 
 func severity(b *breaker.Breaker, now time.Time) int {
--- a/core/router/router_test.go
+++ b/core/router/router_test.go
@@ -225,64 +225,88 @@
 	}
 }
 
-// TestRequestsStayInTheirDataCentre offers each of four data centres of one region the same rate, of 0.5 of their slots, with
-// 2 or 12 targets each, and then one of them 1.5 times as much as it can serve. Three in four requests must stay in their data
-// centre while that has room, and the others must take what it has no room for.
-func TestRequestsStayInTheirDataCentre(t *testing.T) {
-	const centres, slots, mean = 4, 10, 500 * time.Millisecond
-	for _, targets := range []int{2, 12} {
-		for _, c := range []struct {
-			load, hotLoad float64
-			left          func(share float64) bool
-		}{
-			{0.5, 0.5, func(share float64) bool { return share < 0.25 }},
-			{0.4, 1.5, func(share float64) bool { return share > 0.2 }},
-		} {
-			random := rand.New(rand.NewPCG(4, 4))
-			var all []router.Candidate
-			for i := range centres * targets {
-				all = append(all, candidate(fmt.Sprint(i), "north", fmt.Sprint("centre", i%centres), 0))
+// region is a simulated region of four data centres with that many targets each, whose requests take half a second on average.
+type region struct {
+	random  *rand.Rand
+	targets []router.Candidate
+	ends    []time.Time
+	chosen  []int
+}
+
+const (
+	regionCentres  = 4
+	regionSlots    = 10
+	regionDuration = 500 * time.Millisecond
+)
+
+func newRegion(targets int) *region {
+	r := &region{random: rand.New(rand.NewPCG(4, 4))}
+	for i := range regionCentres * targets {
+		r.targets = append(r.targets, candidate(fmt.Sprint(i), "north", fmt.Sprint("centre", i%regionCentres), 0))
+	}
+	return r
+}
+
+// endUntil ends the requests that are due at now.
+func (r *region) endUntil(now time.Time) {
+	for i := len(r.ends) - 1; i >= 0; i-- {
+		if !now.Before(r.ends[i]) {
+			r.targets[r.chosen[i]].Load--
+			r.ends, r.chosen = slices.Delete(r.ends, i, i+1), slices.Delete(r.chosen, i, i+1)
+		}
+	}
+}
+
+// send sends a request of centre, and reports whether it left its data centre.
+func (r *region) send(t *testing.T, now time.Time, centre int) (left bool) {
+	t.Helper()
+	locality := router.Locality{Region: "north", Centre: fmt.Sprint("centre", centre)}
+	choice, err := router.New(locality).WithRegionalTier().Choose(now, r.random, router.Request{}, r.targets)
+	assert.NilError(t, err)
+	chosen, err := strconv.Atoi(choice.Placement.Target.Name)
+	assert.NilError(t, err)
+	r.targets[chosen].Load++
+	r.ends = append(r.ends, now.Add(time.Duration(r.random.ExpFloat64()*float64(regionDuration))))
+	r.chosen = append(r.chosen, chosen)
+	return chosen%regionCentres != centre
+}
+
+// leavingShare offers each data centre the fraction load of its slots, and the first one hotLoad, for 5 s. It returns the
+// fraction of the requests of the first one that left it.
+func (r *region) leavingShare(t *testing.T, load, hotLoad float64) float64 {
+	t.Helper()
+	const step = time.Millisecond
+	sent, left := 0, 0
+	for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(step) {
+		r.endUntil(now)
+		for centre := range regionCentres {
+			offered := load
+			if centre == 0 {
+				offered = hotLoad
 			}
-			var ends []time.Time
-			var targetsOf []int
-			sent, left, overloaded := 0, 0, 0
-			const step = time.Millisecond
-			for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(step) {
-				for i := 0; i < len(ends); i++ {
-					if !now.Before(ends[i]) {
-						all[targetsOf[i]].Load--
-						ends, targetsOf = slices.Delete(ends, i, i+1), slices.Delete(targetsOf, i, i+1)
-						i--
-					}
+			rate := offered * float64(len(r.targets)/regionCentres*regionSlots) / regionDuration.Seconds()
+			for expected := rate * step.Seconds(); r.random.Float64() < expected; expected-- {
+				leaves := r.send(t, now, centre)
+				if centre != 0 {
+					continue
 				}
-				for centre := range centres {
-					load := c.load
-					if centre == 0 {
-						load = c.hotLoad
-					}
-					rate := load * float64(targets*slots) / mean.Seconds()
-					for expected := rate * step.Seconds(); random.Float64() < expected; expected-- {
-						here := router.New(router.Locality{Region: "north", Centre: fmt.Sprint("centre", centre)}).WithRegionalTier()
-						choice, err := here.Choose(now, random, router.Request{}, all)
-						assert.NilError(t, err)
-						chosen, _ := strconv.Atoi(choice.Placement.Target.Name)
-						all[chosen].Load++
-						if all[chosen].Load > slots {
-							overloaded++
-						}
-						ends, targetsOf = append(ends, now.Add(time.Duration(random.ExpFloat64()*float64(mean)))), append(targetsOf, chosen)
-						if centre == 0 {
-							sent++
-							if chosen%centres != 0 {
-								left++
-							}
-						}
-					}
+				if sent++; leaves {
+					left++
 				}
 			}
-			share := float64(left) / float64(sent)
-			t.Logf("%d targets a centre, load %.1f beside %.1f: %.3f leave, %d of %d find no slot", targets, c.hotLoad, c.load, share, overloaded, sent)
-			assert.Assert(t, c.left(share), "%d targets, %.1f: %.3f", targets, c.hotLoad, share)
 		}
 	}
+	return float64(left) / float64(sent)
+}
+
+// TestRequestsStayInTheirDataCentre offers each of four data centres of one region half of their slots, and then one of them 1.5
+// times as much as it can serve. Three in four requests must stay in their data centre while that has room, and the others
+// must take what it has no room for.
+func TestRequestsStayInTheirDataCentre(t *testing.T) {
+	for _, targets := range []int{2, 12} {
+		calm, hot := newRegion(targets).leavingShare(t, 0.5, 0.5), newRegion(targets).leavingShare(t, 0.4, 1.5)
+		t.Logf("%d targets a centre: %.3f leave at half of the load, %.3f of a centre with 1.5 times its load", targets, calm, hot)
+		assert.Assert(t, calm < 0.25, "%d targets: %.3f", targets, calm)
+		assert.Assert(t, hot > 0.2, "%d targets: %.3f", targets, hot)
+	}
 }
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -115,6 +115,22 @@
 	if err := a.admit(ctx, admission, call.ID, deadline); err != nil {
 		return forwarder.Answer{}, 0, err
 	}
+	head := a.newHead(admission, call, now, deadline)
+	a.RouteLog.Info("request matched", "request", call.ID, "route", admission.route.Name, "service", head.Service,
+		"workspace", head.Workspace, "rank", int(head.Rank), "inner", head.Nested, "repeatable", head.Repeatable, "remaining", deadline.Sub(now),
+		"version", view.Configuration.Version(), "number", view.Configuration.Number())
+	head.Repeat = a.repeatProbability(head)
+	body := newBody(ctx, call, a.BodyLimits.MaxBytes, &a.pool, admission.presentedKey)
+	defer body.release()
+	answer, err := a.forward(ctx, forwardedRequest{
+		head: head, body: body, maxAttempts: admission.route.MaxAttempts, plan: a.newPlan(head),
+	})
+	a.recordCall(ctx, head, answer, err)
+	return answer, head.Objective, err
+}
+
+// newHead returns the head of a request that was admitted at now.
+func (a *Acceptor) newHead(admission admission, call Call, now, deadline time.Time) forwarder.Head {
 	head := forwarder.Head{
 		AttemptID: call.ID, RequestID: call.ID, Origin: call.Origin, Service: a.chooser.pickService(admission.route),
 		Workspace: admission.workspace.Name, Weight: admission.workspace.Weight, Rank: rank(admission),
@@ -124,28 +140,27 @@
 		// Calls of targets carry no key. Other requests from the same VM without a key cannot be distinguished from
 		// them.
 		Nested: len(call.Credentials) == 0 && call.Origin != "",
+		Upload: admission.route.Upload, HealthyOnly: !admission.route.Repeatable,
 	}
-	a.RouteLog.Info("request matched", "request", call.ID, "route", admission.route.Name, "service", head.Service,
-		"workspace", head.Workspace, "rank", int(head.Rank), "inner", head.Nested, "repeatable", head.Repeatable, "remaining", deadline.Sub(now),
-		"version", view.Configuration.Version(), "number", view.Configuration.Number())
-	head.Upload = admission.route.Upload
-	head.HealthyOnly = !head.Repeatable
 	head.Hedged = a.HedgeAfter > 0 && head.Repeatable && head.Length == 0 && head.Objective > 0
-	plan := escalator.NewDefault()
-	if head.Objective > 0 {
-		plan = escalator.New(granter.Body{Upload: head.Upload, Length: head.Length}.Large() || a.chooser.largeAnswers(head.Objective))
+	return head
+}
+
+// newPlan returns the plan of a request with head.
+func (a *Acceptor) newPlan(head forwarder.Head) escalator.Plan {
+	if head.Objective == 0 {
+		return escalator.NewDefault()
 	}
-	head.Repeat = a.repeatProbability(head)
-	body := newBody(ctx, call, a.BodyLimits.MaxBytes, &a.pool, admission.presentedKey)
-	defer body.release()
-	answer, err := a.forward(ctx, forwardedRequest{
-		head: head, body: body, maxAttempts: admission.route.MaxAttempts, plan: plan,
-	})
+	body := granter.Body{Upload: head.Upload, Length: head.Length}
+	return escalator.New(body.Large() || a.chooser.largeAnswers(head.Objective))
+}
+
+// recordCall reports a nested call that has failed, unless its caller has left.
+func (a *Acceptor) recordCall(ctx context.Context, head forwarder.Head, answer forwarder.Answer, err error) {
 	failed := err != nil || answer.Status >= http.StatusInternalServerError
 	if failed && head.Nested && ctx.Err() == nil && a.CallFailed != nil {
 		a.CallFailed()
 	}
-	return answer, head.Objective, err
 }
 
 // check refuses a call that is invalid, and any call while the node stops.
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -88,7 +88,8 @@
 func newChooser(dependencies Dependencies) *chooser {
 	return &chooser{
 		name: dependencies.Name, locality: dependencies.Locality, router: dependencies.Router,
-		log: dependencies.RouteLog, watcher: dependencies.Watcher, gossip: dependencies.Gossip, useLost: dependencies.UseLostNodes, random: dependencies.Random,
+		log: dependencies.RouteLog, watcher: dependencies.Watcher, gossip: dependencies.Gossip, useLost: dependencies.UseLostNodes,
+		random:   dependencies.Random,
 		inFlight: make(map[string]int), reports: make(map[string]router.Report), paths: make(map[string]monitor.Path),
 		suspectUntil: make(map[string]time.Time), limitedUntil: make(map[string]time.Time), limits: make(map[string]regulator.Limit),
 		leaving: make(map[string]departure), lost: make(map[string]time.Time),
@@ -137,7 +138,7 @@
 	return placement.Node.Region != c.locality.Region
 }
 
-// chooseTrial picks a suspect target for a fraction of the requests with a hedge, to find out when that target has
+// chooseTrial picks a suspect target whose trial is due for a fraction of the requests with a hedge, to find out when that target has
 // recovered. Such a request is hedged early.
 func (c *chooser) chooseTrial(now time.Time, view *viewer.View, head forwarder.Head, excluded []string) (router.Choice, bool) {
 	if !head.Hedged || len(excluded) > 0 || c.random.Float64() >= trialFraction {
@@ -145,15 +146,10 @@
 	}
 	var suspects []tracker.Placement
 	for _, placement := range view.Directory.Placements(head.Service) {
-		name := placement.Target.Name
-		due := c.suspectUntil[name]
-		if verdict := c.gossip.Lookup(now, name); verdict.State == gossiper.Suspect {
-			due = verdict.TrialAt
-		} else if !now.Before(due) {
-			continue
-		}
+		verdict := c.gossip.Lookup(now, placement.Target.Name)
+		due := verdict.State == gossiper.Suspect && !now.Before(verdict.TrialAt)
 		usable := !placement.Target.Leaving && !c.isBarred(now, placement.Target)
-		if usable && !now.Before(due) && !c.isRemote(placement) && !c.paths[placement.Node.Name].Avoided(now) {
+		if due && usable && !c.isRemote(placement) && !c.paths[placement.Node.Name].Avoided(now) {
 			suspects = append(suspects, placement)
 		}
 	}
--- a/node/pkg/acceptor/upload.go
+++ b/node/pkg/acceptor/upload.go
@@ -53,7 +53,9 @@
 		return response, request
 	}
 	tracked := request.WithContext(request.Context())
-	upload := &upload{ReadCloser: request.Body, request: request, connection: http.NewResponseController(response), maxStall: a.BodyLimits.MaxStall}
+	upload := &upload{
+		ReadCloser: request.Body, request: request, connection: http.NewResponseController(response), maxStall: a.BodyLimits.MaxStall,
+	}
 	tracked.Body = upload
 	return &uploadWriter{ResponseWriter: response, upload: upload}, tracked
 }
--- a/node/pkg/acceptor/upload_measure_test.go
+++ b/node/pkg/acceptor/upload_measure_test.go
@@ -15,8 +15,8 @@
 )
 
 // TestUploadsAtOnceBesideSmallRequests sends 200 uploads at once through one entry and one gate, from callers that send 32 KB in
-// each 50 ms, to targets with twice as many slots, and small requests beside them. The heap of callers, entry, gate and targets together must
-// fit into a machine of 184 MB. It prints the times of the small requests with and without the uploads.
+// each 50 ms, to targets with twice as many slots, and small requests beside them. The heap of callers, entry, gate and targets
+// together must fit into a machine of 184 MB. It prints the times of the small requests with and without the uploads.
 func TestUploadsAtOnceBesideSmallRequests(t *testing.T) {
 	const uploads, length, maxHeap = 200, 1_200_000, 184 << 20
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/node/pkg/forwarder/server.go
+++ b/node/pkg/forwarder/server.go
@@ -101,7 +101,9 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	request.Answer()
-	message := answerMessage{ID: head.AttemptID, Status: answer.Status, Header: answer.Header, GateTime: s.gateTime(), Verdicts: digestMessage(s.gossip)}
+	message := answerMessage{
+		ID: head.AttemptID, Status: answer.Status, Header: answer.Header, GateTime: s.gateTime(), Verdicts: digestMessage(s.gossip),
+	}
 	if err := send(stream, frameAnswer, message); err != nil {
 		return err
 	}
--- a/node/pkg/limiter/limiter.go
+++ b/node/pkg/limiter/limiter.go
@@ -347,12 +347,11 @@
 	lastReply := borrower.Reply{Reason: "no lender answered", RetryAt: timekeeper.Now().Add(noAnswerBackoff)}
 	addresses := l.order(message.Workspace)
 	idle = len(addresses) > 0
-	if !l.hasBorrowed() && len(addresses) > 0 {
-		found := l.survey(addresses)
-		if found.allStart {
+	if !l.hasBorrowed() {
+		var found survey
+		if addresses, found = l.surveyed(addresses); found.allStart {
 			return time.Time{}, borrower.Reply{Reason: string(allocator.Starting), RetryAt: found.until}, true
 		}
-		addresses = first(addresses, found.lending)
 	}
 	for i := range addresses {
 		askedAt := timekeeper.Now()
@@ -366,12 +365,12 @@
 		}
 		starting := reply.Reason == string(allocator.Starting)
 		lastReply = reply
-		if starting && i == 0 && len(addresses) > 1 {
-			found := l.survey(addresses[1:])
+		if starting && i == 0 {
+			rest, found := l.surveyed(addresses[1:])
 			if found.allStart {
 				return time.Time{}, reply, true
 			}
-			addresses = append(addresses[:1:1], first(addresses[1:], found.lending)...)
+			addresses = append(addresses[:1:1], rest...)
 		}
 		idle = idle && starting
 	}
--- a/node/pkg/limiter/start.go
+++ b/node/pkg/limiter/start.go
@@ -54,6 +54,15 @@
 	return result
 }
 
+// surveyed returns addresses with the lender in front that a survey found to lend, and the survey.
+func (l *Limiter) surveyed(addresses []string) ([]string, survey) {
+	if len(addresses) == 0 {
+		return nil, survey{}
+	}
+	found := l.survey(addresses)
+	return first(addresses, found.lending), found
+}
+
 // recordStart records that the lender at address lends nothing before readyAt.
 func (l *Limiter) recordStart(address string, readyAt time.Time) {
 	l.mu.Lock()
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -181,7 +181,8 @@
 	n.Acceptor = acceptor.New(acceptor.Dependencies{
 		Name: n.options.Name, Viewer: n.Viewer, Client: client, Limiter: n.limiter, Retrier: retrier.NewWith(n.retryPolicy),
 		Watcher: n.watcher, Locality: n.options.Router.Locality(), Router: n.options.Router, UseLostNodes: n.options.UseLostNodes,
-		HedgeAfter: n.options.HedgeAfter, BodyLimits: n.options.BodyLimits, Budget: n.budget, Gossip: gossip, RetryFraction: gate.RetryFraction, CallFailed: gate.RecordFailedCall, Refuses: n.refusesCallers,
+		HedgeAfter: n.options.HedgeAfter, BodyLimits: n.options.BodyLimits, Budget: n.budget, Gossip: gossip,
+		RetryFraction: gate.RetryFraction, CallFailed: gate.RecordFailedCall, Refuses: n.refusesCallers,
 		Random:   rand.New(rand.NewPCG(incarnation, rand.Uint64())),
 		RouteLog: n.log.Part("route"), AdmitLog: n.log.Part("admit"),
 	})
