--- a/core/breaker/breaker_test.go
+++ b/core/breaker/breaker_test.go
@@ -126,14 +126,7 @@
 
 // admits reports whether a request is admitted. healthyOnly is set for a request that is not repeatable.
 func (t *target) admits(now time.Time, healthyOnly bool) bool {
-	switch verdict := t.breaker.Verdict(now).(type) {
-	case breaker.Doubtful:
-		return !healthyOnly && verdict.TrialAllowed
-	case breaker.Suspect:
-		return !healthyOnly && verdict.TrialAllowed
-	case breaker.Healthy:
-	}
-	return true
+	return admitsRequest(t.breaker.Verdict(now), healthyOnly)
 }
 
 func (t *target) start(now time.Time, random *rand.Rand, id string, healthyOnly bool, deadline time.Duration) {
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -29,6 +29,9 @@
 echo "== heap of a node that forwards bodies of 200 MB"
 (cd "$root/node" && go test -count=1 -v -run TestLargeBodiesStream ./pkg/acceptor | grep 'heap in use')
 
+echo "== 200 uploads at once through one entry: heap, and small requests beside them"
+(cd "$root/node" && go test -count=1 -v -run TestUploadsAtOnceBesideSmallRequests ./pkg/acceptor | grep 'uploads served')
+
 echo "== outcomes of requests while a gate is unreachable or killed, and during planned restarts"
 (cd "$root/standin" && go test -count=1 -v -run 'TestScenarios/(tombstone|stopping)$' ./scenarios |
   grep -E '^ +(stall|cut|kill|bookings) +[0-9]')
