Know from the start that a body is withheld

What callers saw: a request could be told to have an unknown outcome if its connection broke while the head was being sent, though its body had not left.

Cause: the entry noted that the body is withheld only after the head was sent.

--- a/node/pkg/forwarder/exchange.go
+++ b/node/pkg/forwarder/exchange.go
@@ -107,16 +107,17 @@
 
 func (e *exchange) run(body io.Reader) (Answer, error) {
 	head := e.head
+	if head.Withheld {
+		// Set before the head is sent: a gate may have it although sending it fails.
+		e.withheld = &withheldBody{source: body}
+	}
 	message := head.wire(time.Now())
 	message.Verdicts = digestMessage(e.gossip)
 	if err := send(e.stream, frameHead, message); err != nil {
 		return Answer{}, err
 	}
 	e.bodySent.Store(head.Length == 0 || head.Withheld)
-	switch {
-	case head.Withheld:
-		e.withheld = &withheldBody{source: body}
-	case head.Length != 0:
+	if head.Length != 0 && !head.Withheld {
 		e.startBody(body)
 	}
 	var first frame
