--- a/node/pkg/acceptor/body.go
+++ b/node/pkg/acceptor/body.go
@@ -28,8 +28,8 @@
 	key     string
 	// requestEnded is closed when the caller's connection has failed.
 	requestEnded <-chan struct{}
-	// spent is set once a part of the body was read that is not kept.
-	spent atomic.Bool
+	// consumed is set once a part of the body was read that is not kept.
+	consumed atomic.Bool
 	// aheadOnce starts the read ahead of the attempts.
 	aheadOnce sync.Once
 	group     errgroup.Group
@@ -101,7 +101,7 @@
 // that replayable is right meanwhile. The caller of read has the turn.
 func (b *body) read(p []byte, kept bool) error {
 	if !kept {
-		b.spent.Store(true)
+		b.consumed.Store(true)
 	}
 	n, err := b.source.Read(p)
 	b.mu.Lock()
@@ -141,7 +141,7 @@
 // replayable reports whether another attempt can read the whole body.
 func (b *body) replayable() bool {
 	// An attempt may still wait for data from the caller. That is buffered when it arrives, if another attempt takes over.
-	return !b.spent.Load()
+	return !b.consumed.Load()
 }
 
 // truncated reports whether the body ended early. It waits for a read that is in progress only if the caller's connection
