Try suspect targets often enough that those that recovered are not idle

Cause: the pauses between trials, up to 2 s since, together with one repeatable request in ten for trials since.

Change: pauses of 0.7 s, then 1 s, and one request in five.

--- a/core/breaker/breaker.go
+++ b/core/breaker/breaker.go
@@ -27,8 +27,8 @@
 	// trialInterval is the minimum time between two trial requests to a suspect target, unless a request is served in
 	// between. It doubles with each trial that fails, up to maxTrialInterval: a gray failure lasts for seconds, and each
 	// trial costs a caller's request.
-	trialInterval    = time.Second
-	maxTrialInterval = 2 * time.Second
+	trialInterval    = 700 * time.Millisecond
+	maxTrialInterval = time.Second
 
 	// doubtfulMissedEnds and suspectMissedEnds are limits on the number of requests that a healthy target would have ended
 	// since the last one ended. If requests end independently at random, the probability that none has ended by then is
--- a/core/breaker/breaker_test.go
+++ b/core/breaker/breaker_test.go
@@ -36,7 +36,7 @@
 	now = now.Add(objective)
 	assert.Equal(t, b.Verdict(now), breaker.Suspect{TrialAllowed: true})
 	b.Start(now, "trial", expect(now, 0))
-	assert.Equal(t, b.Verdict(now.Add(time.Millisecond)), breaker.Suspect{NextTrial: now.Add(time.Second)})
+	assert.Equal(t, b.Verdict(now.Add(time.Millisecond)), breaker.Suspect{NextTrial: now.Add(700 * time.Millisecond)})
 	// After a trial is served, the next one may start at once. A few served trials make the target healthy again.
 	b.End(now, "trial", breaker.Served{})
 	for i := range 3 {
--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -33,7 +33,7 @@
 	suspectBackoff = 300 * time.Millisecond
 	// trialFraction is the fraction of the requests with a hedge that go to a suspect target, if a trial of one is due. All
 	// entries know of it, so that it is small.
-	trialFraction = 0.1
+	trialFraction = 0.2
 	// departureLifetime is how long a target is avoided that has stated in an answer that it leaves. The directory may show
 	// it for as long: a gate that has restarted does not know.
 	departureLifetime = 5 * time.Minute
