Send trials to suspect targets also where no request can be hedged

What callers saw: nothing yet; found by reading the change again. In a service whose repeatable requests have bodies, a target that was once suspect would get no request any more, as long as another one was there.

Cause: since verdicts spread all requests avoid a suspect target, and only requests with a hedge, which have no body, are sent there for a trial. Its own node renews the verdict with each message that it sends, so it does not expire. Before, an entry avoided such a target for 300 ms.

Change: a repeatable request without a hedge may go to a suspect target whose trial is due, as any request might before. The functions of trials and suspicion are in a file of their own; the entries of the tests gossip as those of the product do.

--- a/node/pkg/acceptor/choose.go
+++ b/node/pkg/acceptor/choose.go
@@ -28,12 +28,6 @@
 }
 
 const (
-	// suspectBackoff is how long a target is avoided after its gate refused a request because the target is suspect, even if
-	// a newer verdict says that it has recovered.
-	suspectBackoff = 300 * time.Millisecond
-	// trialFraction is the fraction of the requests with a hedge that go to a suspect target, if a trial of one is due. All
-	// entries know of it, so that it is small.
-	trialFraction = 0.2
 	// departureLifetime is how long a target is avoided that has stated in an answer that it leaves. The directory may show
 	// it for as long: a gate that has restarted does not know.
 	departureLifetime = 5 * time.Minute
@@ -138,32 +132,6 @@
 	return placement.Node.Region != c.locality.Region
 }
 
-// chooseTrial picks a suspect target whose trial is due for a fraction of the requests with a hedge, to find out when that target has
-// recovered. Such a request is hedged early.
-func (c *chooser) chooseTrial(now time.Time, view *viewer.View, head forwarder.Head, excluded []string) (router.Choice, bool) {
-	if !head.Hedged || len(excluded) > 0 || c.random.Float64() >= trialFraction {
-		return router.Choice{}, false
-	}
-	var suspects []tracker.Placement
-	for _, placement := range view.Directory.Placements(head.Service) {
-		verdict := c.gossip.Lookup(now, placement.Target.Name)
-		due := verdict.State == gossiper.Suspect && !now.Before(verdict.TrialAt)
-		usable := !placement.Target.Leaving && !c.isBarred(now, placement.Target)
-		if due && usable && !c.isRemote(placement) && !c.paths[placement.Node.Name].Avoided(now) {
-			suspects = append(suspects, placement)
-		}
-	}
-	if len(suspects) == 0 {
-		return router.Choice{}, false
-	}
-	placement := suspects[c.random.IntN(len(suspects))]
-	c.inFlight[placement.Target.Name]++
-	const reason = "trial of a suspect target"
-	c.log.Info("target chosen", "request", head.AttemptID, "workspace", head.Workspace, "service", head.Service,
-		"target", placement.Target.Name, "node", placement.Node.Name, "candidates", len(suspects), "reason", reason)
-	return router.Choice{Placement: placement, Reason: reason, Trial: true}, true
-}
-
 func (c *chooser) candidates(
 	now time.Time, view *viewer.View, head forwarder.Head, ejected map[string]ejector.Ejection,
 ) []router.Candidate {
@@ -174,7 +142,7 @@
 	candidates := make([]router.Candidate, 0, len(placements))
 	for _, placement := range placements {
 		name := placement.Target.Name
-		avoided := c.paths[placement.Node.Name].Avoided(now) || c.isSuspect(now, name, head.HealthyOnly)
+		avoided := c.paths[placement.Node.Name].Avoided(now) || c.isSuspect(now, name, head)
 		if avoided && !head.AllowSuspect || c.isBarred(now, placement.Target) {
 			continue
 		}
@@ -185,21 +153,6 @@
 	return candidates
 }
 
-// isSuspect reports whether the target called name is taken for suspect, or for doubtful if the request needs a healthy one.
-func (c *chooser) isSuspect(now time.Time, name string, healthyOnly bool) bool {
-	if now.Before(c.suspectUntil[name]) {
-		return true
-	}
-	switch c.gossip.Lookup(now, name).State {
-	case gossiper.Suspect:
-		return true
-	case gossiper.Doubtful:
-		return healthyOnly
-	default:
-		return false
-	}
-}
-
 // isBarred reports whether target has itself ruled out requests at now: it has stated that it leaves, or its limit is used
 // up.
 func (c *chooser) isBarred(now time.Time, target tracker.Target) bool {
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphiremount.example/core/configurer"
+	"samphiremount.example/core/gossiper"
 	"samphiremount.example/core/keyer"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/quarantiner"
@@ -111,12 +112,14 @@
 	log := slog.New(slog.DiscardHandler)
 	credentials := messenger.NewCredentials("test", []byte("0123456789abcdef"))
 	pool := messenger.NewPool(credentials)
-	client := forwarder.NewClient(pool, new(expvar.Map), nil, log)
+	var gate *gatekeeper.Gatekeeper
+	gossip := gossiper.New(func(now time.Time) []gossiper.Verdict { return gate.Verdicts(now) })
+	client := forwarder.NewClient(pool, new(expvar.Map), gossip, log)
 	counts := new(expvar.Map)
 	mux := messenger.Mux{}
 	healthWatcher := watcher.New(pool, func() []string { return nil }, nil, log)
 	broadcast := func(string, quarantiner.Crash) {}
-	gate := gatekeeper.New(1, gatekeeper.DefaultProtocol{}, known, connector.New(counts), healthWatcher, counts, log, broadcast)
+	gate = gatekeeper.New(1, gatekeeper.DefaultProtocol{}, known, connector.New(counts), healthWatcher, counts, log, broadcast)
 	forwarder.NewServer(gate, client).Register(mux)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -159,8 +162,8 @@
 	limiter := &freeLimiter{}
 	entry := acceptor.New(acceptor.Dependencies{
 		Name: "node", Viewer: view, Client: client, Limiter: limiter, Retrier: retrier.NewWith(policy), Budget: budget,
-		HedgeAfter: 0.5,
-		Locality:   router.Locality{Region: "r", Centre: "c"}, Router: router.New(router.Locality{Region: "r", Centre: "c"}),
+		HedgeAfter: 0.5, Gossip: gossip,
+		Locality: router.Locality{Region: "r", Centre: "c"}, Router: router.New(router.Locality{Region: "r", Centre: "c"}),
 		Random: rand.New(rand.NewPCG(1, 2)), RouteLog: log, AdmitLog: log, Watcher: healthWatcher,
 	})
 	server := httptest.NewServer(entry.Handler())
