Choose the newest verdicts for messages at most every 50 ms

Seen by callers: nothing yet; found by reading. Each message sorted all verdicts that the node knows, up to 4,096, with the lock held that requests need to look one up. Messages grow with the requests and verdicts with the targets of the fleet, so the cost grew with their product.

Change: the choice of the newest verdicts of other gates is used for 50 ms. Those of the own gate are read for each message and come first, so that a new one leaves with the next answer.

--- a/core/gossiper/gossiper.go
+++ b/core/gossiper/gossiper.go
@@ -23,8 +23,11 @@
 )
 
 const (
-	// maxDigest is the number of verdicts in a message. It covers the targets of a service of 20 that are not healthy at a time.
+	// maxDigest is the number of verdicts in a message, of some 40 bytes each: fewer than the head of a request takes.
 	maxDigest = 8
+	// digestInterval is how long a choice of the newest verdicts is used. The choice looks at all verdicts, whose number grows
+	// with the targets of the fleet, while messages are sent at the rate of the requests.
+	digestInterval = 50 * time.Millisecond
 	// Lifetime and doubtfulLifetime are how long a verdict is valid. Gray failures last for seconds, while the next request
 	// that is served settles a doubt.
 	Lifetime         = 2500 * time.Millisecond
@@ -57,6 +60,9 @@
 
 	mu       sync.Mutex
 	verdicts map[string]Verdict
+	// newest are the newest verdicts as of chosenAt.
+	newest   []Verdict
+	chosenAt time.Time
 }
 
 // New returns a Gossiper without verdicts. It calls local for those of the node's own gate.
@@ -112,22 +118,37 @@
 	return v
 }
 
-// Digest returns the newest verdicts that are valid at now, for one message.
+// Digest returns verdicts that are valid at now for one message: those of the node's own gate, and the newest others as of the
+// last digestInterval.
 func (g *Gossiper) Digest(now time.Time) []Verdict {
 	if g == nil {
 		return nil
 	}
-	g.Record(now, g.local(now)...)
+	digest := g.local(now)
+	g.Record(now, digest...)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.verdicts) == 0 {
-		return nil
+	if now.Sub(g.chosenAt) >= digestInterval || now.Before(g.chosenAt) {
+		g.chooseNewest(now)
+	}
+	own := len(digest)
+	for _, v := range g.newest {
+		isOwn := slices.ContainsFunc(digest[:own], func(o Verdict) bool { return o.Target == v.Target })
+		if len(digest) < maxDigest && !isOwn && !v.expired(now) {
+			digest = append(digest, v)
+		}
 	}
+	return digest[:min(maxDigest, len(digest))]
+}
+
+// chooseNewest chooses the newest verdicts for the digests that follow. The caller holds the lock.
+func (g *Gossiper) chooseNewest(now time.Time) {
 	g.removeExpired(now)
-	digest := make([]Verdict, 0, len(g.verdicts))
+	g.newest = g.newest[:0]
 	for _, v := range g.verdicts {
-		digest = append(digest, v)
+		g.newest = append(g.newest, v)
 	}
-	slices.SortFunc(digest, func(a, b Verdict) int { return b.At.Compare(a.At) })
-	return digest[:min(maxDigest, len(digest))]
+	slices.SortFunc(g.newest, func(a, b Verdict) int { return b.At.Compare(a.At) })
+	g.newest = g.newest[:min(maxDigest, len(g.newest))]
+	g.chosenAt = now
 }
