Ask lenders that start once, not with each request for tokens

Seen by callers: nothing; found by reading. Seen by lenders: after a loss of power a node that had stayed up asked all of them ten times a second until one lent, and a node that knew one that lends asked the others before it each time. With hundreds of nodes that load comes when the lenders have just started.

Cause: to an ordinary message a lender answers when to ask again, 100 ms at most, and only to a probe from when on it lends. A node that had borrowed before did not probe the first lender, and kept the former time for all of them.

Change: the survey includes the first lender, and its earliest time is kept. That time is counted from the question, not from the answer: the node must not admit its part of the whole rate while the lender already lends to others.

--- a/node/pkg/limiter/limiter.go
+++ b/node/pkg/limiter/limiter.go
@@ -366,11 +366,13 @@
 		starting := reply.Reason == string(allocator.Starting)
 		lastReply = reply
 		if starting && i == 0 {
-			rest, found := l.surveyed(addresses[1:])
+			// The survey includes the first lender, since only a probe is answered with the time from which a lender lends.
+			// Until then neither it nor, if all start, any other is asked again.
+			found := l.survey(addresses)
 			if found.allStart {
-				return time.Time{}, reply, true
+				return time.Time{}, borrower.Reply{Reason: reply.Reason, RetryAt: found.until}, true
 			}
-			addresses = append(addresses[:1:1], rest...)
+			addresses = append(addresses[:1:1], first(addresses[1:], found.lending)...)
 		}
 		idle = idle && starting
 	}
--- a/node/pkg/limiter/order.go
+++ b/node/pkg/limiter/order.go
@@ -25,9 +25,8 @@
 }
 
 // order returns the addresses to ask for tokens of workspace. Lenders that failed to answer recently come last, and before
-// them those that do not lend yet. If
-// there are any, peers are asked too: right after the first lender, or before all lenders if each of them failed to
-// answer.
+// them those that do not lend yet. If any failed, peers are asked too: right after the first lender, or before all lenders
+// if each of them failed to answer.
 //
 // The peers are for nodes that are partitioned from all lenders for seconds while they still reach other nodes. The
 // fallback quotas, which divide the rate evenly, do not match what the callers of each node ask for.
--- a/node/pkg/limiter/start.go
+++ b/node/pkg/limiter/start.go
@@ -7,6 +7,7 @@
 
 	"samphiremount.example/core/allocator"
 	"samphiremount.example/core/borrower"
+	"samphiremount.example/core/timekeeper"
 )
 
 // survey is what lenders answer that are asked at once whether they lend yet. allStart is set if none does, and until is when
@@ -30,7 +31,10 @@
 	answers := make(chan answer, len(addresses))
 	for _, address := range addresses {
 		l.group.Go(func() error {
+			askedAt := timekeeper.Now()
 			reply, err := l.ask(context.Background(), address, borrower.Message{Probe: true})
+			// Counted from the question, since the lender lends to others while its answer is on its way.
+			reply.RetryAt = reply.RetryAt.Add(askedAt.Sub(timekeeper.Now()))
 			if err == nil && reply.Reason == string(allocator.Starting) {
 				l.recordStart(address, reply.RetryAt)
 			}
