State reasons, costs and gaps that a reading of the change found missing

Comments: what a bound or reserve follows from, or that it is chosen; when the pauses of trials double; what a hedge is. No code is changed.

--- a/core/breaker/breaker.go
+++ b/core/breaker/breaker.go
@@ -25,8 +25,8 @@
 	// for their own reasons.
 	canceledWeight = 0.5
 	// trialInterval is the minimum time between two trial requests to a suspect target, unless a request is served in
-	// between. It doubles with each trial that fails, up to maxTrialInterval: a gray failure lasts for seconds, and each
-	// trial costs a caller's request.
+	// between. It doubles with each request that starts while the target is suspect, up to maxTrialInterval, and is
+	// trialInterval again once one is served: a gray failure lasts for seconds, and each trial costs a caller's request.
 	trialInterval    = 700 * time.Millisecond
 	maxTrialInterval = time.Second
 
--- a/core/breaker/calls.go
+++ b/core/breaker/calls.go
@@ -6,7 +6,8 @@
 // the failure on.
 const callFailureWindow = 100 * time.Millisecond
 
-// maxFailedCalls bounds the failed calls that are remembered.
+// maxFailedCalls bounds the failed calls that are remembered: three times what a node sends in callFailureWindow at 209
+// requests/s, the size that the fleet is designed for.
 const maxFailedCalls = 64
 
 // Calls remembers the calls of a target that have failed, so that the failures which follow from them are not taken for the
--- a/core/breaker/trial_test.go
+++ b/core/breaker/trial_test.go
@@ -144,6 +144,7 @@
 	}{{4, 10}, {8, 30}, {17, 75}, {78, 450}, {200, 800}} {
 		got := replayFailing(c.targets, c.rate)
 		t.Logf("%d targets, %.0f/s: %+v", c.targets, c.rate, got)
+		// Two failed requests to notice, and five trials in 5 s, of which three quarters fail.
 		const failures = 20
 		assert.Assert(t, got.trials+got.others <= 6*failures, "%d targets: %+v", c.targets, got)
 	}
--- a/core/budgeter/ledger.go
+++ b/core/budgeter/ledger.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// Extra is an extra attempt of Service. Hedge is set if no attempt of its request has failed.
+// Extra is an extra attempt of Service. Hedge is set if it is to run beside an attempt that is only slow.
 type Extra struct {
 	Service string
 	Hedge   bool
@@ -78,7 +78,7 @@
 
 // The fractions of the most that a bucket holds which an extra attempt must leave: one of a service that makes calls in the
 // buckets of the called services, whose own retries cost less and save such an attempt; and a hedge in all buckets, since most
-// hedged requests would have been served.
+// hedged requests would have been served. The values are chosen, not derived.
 const (
 	callsReserve = 0.25
 	hedgeReserve = 0.5
--- a/core/granter/pool.go
+++ b/core/granter/pool.go
@@ -5,7 +5,8 @@
 const (
 	// PoolStep is the step, in bytes, in which an entry keeps more of a body than MaxReplayBytes.
 	PoolStep = 64 << 10
-	// maxPooledBytes bounds what all bodies of an entry have from its pool, and maxKeptBytes what one of them keeps.
+	// maxPooledBytes bounds what all bodies of an entry have from its pool. maxKeptBytes bounds what one of them keeps, so
+	// that it takes eight slow callers to leave the others without. Both are chosen to stay small in the memory of a VM.
 	maxPooledBytes = 8 << 20
 	maxKeptBytes   = 1 << 20
 )
--- a/node/pkg/acceptor/body.go
+++ b/node/pkg/acceptor/body.go
@@ -17,7 +17,8 @@
 
 var errBodyTooLarge = errors.New("the request body is longer than allowed")
 
-// readAheadBytes is what one read ahead of a body takes from its caller at most.
+// readAheadBytes is what one read ahead of a body takes from its caller at most. It is chosen: each withheld body has
+// such a buffer for as long as it waits.
 const readAheadBytes = 8 << 10
 
 // body lets several attempts read a caller's request body, one after another, as long as no more of it was read than it may
--- a/node/pkg/forwarder/gossip.go
+++ b/node/pkg/forwarder/gossip.go
@@ -29,7 +29,8 @@
 	return messages
 }
 
-// maxVerdicts and maxTargetBytes bound what is read from one message.
+// maxVerdicts and maxTargetBytes bound what is read from one message. maxVerdicts is twice what this version sends, so that a
+// later one may send more.
 const (
 	maxVerdicts    = 16
 	maxTargetBytes = 256
