--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -buildvcs=false -o target/review-cases review/cases/main.go review/cases/world.go review/cases/server.go review/cases/scenarios.go
+go build -buildvcs=false -o target/review-cases review/cases/main.go review/cases/world.go review/cases/server.go review/cases/scenarios.go review/cases/floor.go
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -20,7 +20,7 @@
 )
 
 // maxRun bounds a whole run.
-const maxRun = 110 * time.Second
+const maxRun = 117 * time.Second
 
 // scenario runs one case and returns the breaks of its rule that it saw. Without trouble it leaves out the disruption.
 type scenario func(w *world, trouble bool) (breaks int, err error)
@@ -30,6 +30,7 @@
 	"route-by-prefix":     routeByPrefix,
 	"drain-by-slow-body":  drainBySlowBody,
 	"drain-after-restart": drainAfterRestart,
+	"floor-after-stops":   floorAfterStops,
 }
 
 func main() {
--- a/review/cases/scenarios.go
+++ b/review/cases/scenarios.go
@@ -195,7 +195,7 @@
 	var content bytes.Buffer
 	_, err = content.ReadFrom(response.Body)
 	w.note("client: %s gets %d, signature %q", id, response.StatusCode, response.Header.Get("Instance-Stamp"))
-	return reply{response.StatusCode, response.Header.Get("Instance-Stamp"), content.String()}, err
+	return reply{m.address, response.StatusCode, response.Header.Get("Instance-Stamp"), content.String()}, err
 }
 
 // drainBySlowBody empties one of seven servers while clients on slow links send bodies that take some seconds to arrive.
--- a/review/cases/world.go
+++ b/review/cases/world.go
@@ -39,6 +39,7 @@
 	heartbeatInterval = 1500 * time.Millisecond
 	configApply       = 2500 * time.Millisecond
 	drainBound        = 2500 * time.Millisecond
+	floorFraction     = 0.7
 	stabilityWindow   = 3 * time.Second
 )
 
@@ -47,14 +48,21 @@
 	"quota_tolerance": "20", "quota_overage": "0.1", "quota_window_s": "5", "grace_period_s": "6",
 }
 
+// controls is the number of core machines.
+const controls = 3
+
 // world is a small deployment on loopback addresses.
 type world struct {
 	root    string
 	folder  string
 	network string
 	started time.Time
-	cores   []*machine
-	nodes   []*machine
+	// zones holds the zones over which the machines are spread.
+	zones []string
+	// leader is the address of the core machine that acknowledged the last change.
+	leader string
+	cores  []*machine
+	nodes  []*machine
 
 	mu      sync.Mutex
 	record  *os.File
@@ -89,7 +97,9 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{root: root, folder: folder, record: record, started: time.Now()}
+	w := &world{
+		root: root, folder: folder, record: record, started: time.Now(), zones: []string{"akl-a", "akl-b"},
+	}
 	for range 50 {
 		w.network = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		if w.networkIsFree() {
@@ -144,21 +154,28 @@
 	}
 }
 
-// build starts three core machines and a machine for each of services, in two zones, with a server of that service. It
-// returns once the first configuration is acknowledged and each node is ready.
+// build starts the core machines and a machine for each of services, with a server of that service. It returns once the first
+// configuration is acknowledged and each node is ready.
 func (w *world) build(configuration map[string]any, services ...string) error {
-	for i := range 3 {
+	zone := func(i int) string { return w.zones[i%len(w.zones)] }
+	for i := range controls {
 		w.cores = append(w.cores, &machine{
-			name: fmt.Sprint("core-", i+1), role: "control", address: fmt.Sprintf("%s.%d", w.network, i+1), zone: fmt.Sprint("akl-", "ab"[i%2:i%2+1]),
+			name: fmt.Sprint("core-", i+1), role: "control", address: fmt.Sprintf("%s.%d", w.network, i+1), zone: zone(i),
 		})
 	}
 	for i, service := range services {
 		w.nodes = append(w.nodes, &machine{
-			name: fmt.Sprint("sidecar-", i+1), role: "node", address: fmt.Sprintf("%s.%d", w.network, i+11), zone: fmt.Sprint("akl-", "ab"[i%2:i%2+1]),
-			service: service,
+			name: fmt.Sprint("sidecar-", i+1), role: "node", address: fmt.Sprintf("%s.%d", w.network, i+11), zone: zone(i), service: service,
 		})
 	}
-	for _, m := range append(append([]*machine(nil), w.cores...), w.nodes...) {
+	for _, m := range w.cores {
+		if err := w.start(m, true); err != nil {
+			return err
+		}
+	}
+	// All machines start within 0.3 s of each other, the core machines first.
+	time.Sleep(200 * time.Millisecond)
+	for _, m := range w.nodes {
 		if err := w.start(m, true); err != nil {
 			return err
 		}
@@ -215,8 +232,9 @@
 	for _, core := range w.cores {
 		seeds = append(seeds, core.at(portControl))
 	}
+	region, _, _ := strings.Cut(m.zone, "-")
 	values := map[string]string{
-		"node_name": m.name, "region": "akl", "zone": m.zone, "service": m.service, "ip_address": m.address,
+		"node_name": m.name, "region": region, "zone": m.zone, "service": m.service, "ip_address": m.address,
 		"listen_addresses.outbound": m.at(portOutbound), "listen_addresses.inbound": m.at(portInbound),
 		"listen_addresses.ready": m.at(portReady), "listen_addresses.control_plane": m.at(portControl),
 		"internal_port_range.0": portFleet, "internal_port_range.1": "7795", "seed_nodes": strings.Join(seeds, ","),
@@ -246,6 +264,23 @@
 	return m.process.Start()
 }
 
+// restart stops the process of m as the platform does and starts it again.
+func (w *world) restart(m *machine) error {
+	w.note("SIGTERM to %s", m.name)
+	began := time.Now()
+	if err := m.process.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	if err := m.process.Wait(); err != nil {
+		return err
+	}
+	w.note("%s ended after %.3f s", m.name, time.Since(began).Seconds())
+	_ = m.output.Close()
+	time.Sleep(300 * time.Millisecond)
+	return w.start(m, false)
+}
+
+// kill ends the process of m at once.
 func (w *world) kill(m *machine) {
 	if m.process == nil || m.process.Process == nil {
 		return
@@ -281,7 +316,8 @@
 				continue
 			}
 			if got.status == http.StatusOK {
-				w.note("operator: acknowledged by way of %s", core.name)
+				w.leader = got.from
+				w.note("operator: acknowledged by %s, by way of %s", w.leader, core.name)
 				return nil
 			}
 			if got.status < http.StatusInternalServerError {
@@ -292,8 +328,9 @@
 	return errors.New("the change was not acknowledged")
 }
 
-// reply is an answer with its body.
+// reply is an answer with its body. from is the address of the machine that gave it, after redirects.
 type reply struct {
+	from   string
 	status int
 	stamp  string
 	body   string
@@ -323,5 +360,5 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	content, err := io.ReadAll(response.Body)
-	return reply{response.StatusCode, response.Header.Get("Instance-Stamp"), string(content)}, err
+	return reply{response.Request.URL.Hostname(), response.StatusCode, response.Header.Get("Instance-Stamp"), string(content)}, err
 }
