--- a/review/cases/scenarios.go
+++ b/review/cases/scenarios.go
@@ -200,7 +200,7 @@
 
 // drainBySlowBody empties one of seven servers while clients on slow links send bodies that take some seconds to arrive.
 func drainBySlowBody(w *world, trouble bool) (int, error) {
-	err := w.build(configuration(3, route("r-book", "/pufi791/", "unsafe", "bookings", 10), route("r-view", "/lohu930/", "safe", "bookings", 2)),
+	err := w.build(configuration(3, route("r-book", "/pufi791/", "unsafe", "bookings", 6), route("r-view", "/lohu930/", "safe", "bookings", 2)),
 		"bookings", "bookings", "bookings", "bookings", "bookings", "bookings", "bookings", "catalogue")
 	if err != nil {
 		return 0, err
@@ -209,16 +209,16 @@
 		return 0, err
 	}
 	for _, s := range w.servers {
-		s.work = 2 * time.Second
+		s.work = 1500 * time.Millisecond
 	}
 	leaving := w.servers[0]
 	var group sync.WaitGroup
 	var ids []string
-	for i := range 28 {
+	for i := range 42 {
 		id := newID()
 		ids = append(ids, id)
 		group.Go(func() {
-			_, _ = w.sendSlowly(w.nodes[i%len(w.nodes)], id, "/pufi791/12", []byte(strings.Repeat("x", 1000)), 4500*time.Millisecond, 10*time.Second)
+			_, _ = w.sendSlowly(w.nodes[i%len(w.nodes)], id, "/pufi791/12", []byte(strings.Repeat("x", 1000)), 3800*time.Millisecond, 6*time.Second)
 		})
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -231,7 +231,7 @@
 		}
 		acknowledged = at
 		group.Go(func() {
-			time.Sleep(drainBound + 2500*time.Millisecond)
+			time.Sleep(drainBound + 1200*time.Millisecond)
 			_, _ = leaving.leave()
 			w.note("server %s exits", leaving.instance)
 			leaving.stop()
