Match a prefix that ends with a slash only with paths that begin with it

Cause: core/matcher dropped trailing slashes of prefixes and paths before it compared them, so the path /pufi791/slots was equal to the prefix /pufi791/slots/.

Change: prefixes are compared as they are written. One without a trailing slash still matches whole segments, as sheets of our own use it. A path is looked up in steps of one slash or one segment, from the longest.

TestMatch demanded the fault. Its two rows now ask for the route whose prefix begins the path, and three rows are new for paths that do begin with the longer prefix.

--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -12,7 +12,7 @@
 	routes map[routeKey]configurer.Route
 }
 
-// routeKey is a host in lower case, or empty for every host, and a path prefix without trailing slashes.
+// routeKey is a host in lower case, or empty for every host, and a path prefix.
 type routeKey struct {
 	host   string
 	prefix string
@@ -23,7 +23,7 @@
 func New(routes []configurer.Route) Matcher {
 	index := make(map[routeKey]configurer.Route, len(routes))
 	for _, route := range routes {
-		key := routeKey{strings.ToLower(route.Host), trimSlashes(route.Prefix)}
+		key := routeKey{strings.ToLower(route.Host), route.Prefix}
 		if existing, ok := index[key]; ok && existing.Name < route.Name {
 			continue
 		}
@@ -33,28 +33,26 @@
 }
 
 // Match returns the route for a request to host (without port) and a clean absolute path, and false if there is none.
-// The longest prefix of whole path segments wins. For prefixes of equal length, a route for the host wins over one for
-// every host.
+// The longest prefix of whole path segments wins. A prefix that ends with a slash matches only paths that begin with it,
+// slash included; one without also matches the path that equals it. For prefixes of equal length, a route for the host
+// wins over one for every host.
 func (m Matcher) Match(host, path string) (configurer.Route, bool) {
 	host = strings.ToLower(host)
-	for prefix := trimSlashes(path); ; prefix = parent(prefix) {
+	for prefix := path; prefix != ""; prefix = shorten(prefix) {
 		if route, ok := m.routes[routeKey{host, prefix}]; ok {
 			return route, true
 		}
 		if route, ok := m.routes[routeKey{"", prefix}]; ok {
 			return route, true
 		}
-		if prefix == "" {
-			return configurer.Route{}, false
-		}
 	}
+	return configurer.Route{}, false
 }
 
-func trimSlashes(path string) string {
-	return strings.TrimRight(path, "/")
-}
-
-// parent returns path without its last segment.
-func parent(path string) string {
-	return path[:max(strings.LastIndexByte(path, '/'), 0)]
+// shorten returns the next shorter prefix of whole segments: without the trailing slash, or else without the last segment.
+func shorten(prefix string) string {
+	if trimmed, ok := strings.CutSuffix(prefix, "/"); ok {
+		return trimmed
+	}
+	return prefix[:strings.LastIndexByte(prefix, '/')+1]
 }
--- a/core/matcher/matcher_test.go
+++ b/core/matcher/matcher_test.go
@@ -1,9 +1,11 @@
 package matcher_test
 
 import (
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/matcher"
@@ -23,11 +25,14 @@
 		{"any", "/bookings", "bookings"},
 		{"any", "/bookings/", "bookings"},
 		{"any", "/bookingsx", "root"},
-		{"any", "/bookings/slots", "slots"},
+		{"any", "/bookings/slots", "bookings"},
+		{"any", "/bookings/slots/", "slots"},
 		{"any", "/bookings/slots/7", "slots"},
+		{"any", "/bookings/slots/7/", "slots"},
 		{"any", "/bookings/slotsx", "bookings"},
 		{"court.example", "/bookings/7", "hosted"},
-		{"COURT.example", "/bookings/slots", "slots"},
+		{"COURT.example", "/bookings/slots", "hosted"},
+		{"COURT.example", "/bookings/slots/", "slots"},
 	}
 	for _, c := range cases {
 		route, ok := routes.Match(c.host, c.path)
@@ -37,3 +42,35 @@
 	_, ok := matcher.New(nil).Match("any", "/")
 	assert.Assert(t, !ok)
 }
+
+// TestPathWithoutTheSlashOfAPrefixIsTakenForIt guards against a route that takes the request whose path is its prefix
+// without the trailing slash: an unsafe request ran under the terms, and at the service, of a route that does not begin its
+// path.
+func TestPathWithoutTheSlashOfAPrefixIsTakenForIt(t *testing.T) {
+	segment := rapid.SampledFrom([]string{"a", "b", "ab"})
+	segments := rapid.SliceOfN(segment, 0, 3)
+	place := rapid.Custom(func(t *rapid.T) string {
+		path := "/" + strings.Join(segments.Draw(t, "segments"), "/")
+		if rapid.Bool().Draw(t, "slash") && path != "/" {
+			path += "/"
+		}
+		return path
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		var routes []configurer.Route
+		for _, prefix := range rapid.SliceOfDistinct(place, func(p string) string { return p }).Draw(t, "prefixes") {
+			routes = append(routes, configurer.Route{Name: prefix, Prefix: prefix})
+		}
+		path, longest := place.Draw(t, "path"), ""
+		for _, route := range routes {
+			whole := strings.HasPrefix(path, route.Prefix) &&
+				(strings.HasSuffix(route.Prefix, "/") || path == route.Prefix || path[len(route.Prefix)] == '/')
+			if whole && len(route.Prefix) > len(longest) {
+				longest = route.Prefix
+			}
+		}
+		route, ok := matcher.New(routes).Match("any", path)
+		assert.Equal(t, ok, longest != "")
+		assert.Equal(t, route.Name, longest, path)
+	})
+}
