Compare the path of a request as it was sent with the prefixes of routes

What callers could see: an unsafe request whose path contains an encoded slash, such as POST /pufi791/slots%2F7, was repeated under the terms of a safe route /pufi791/slots/, or ran at that route's service. Its target gets the path as it was sent.

Cause: routes were matched on the decoded path of net/url.

Change: paths and prefixes are compared in the canonical form of RFC 3986, 6.2.2: characters that need no encoding are decoded, all others stay encoded. Empty and dot segments are looked for in the decoded path, as before.

--- a/core/matcher/matcher.go
+++ b/core/matcher/matcher.go
@@ -9,40 +9,46 @@
 
 // Matcher finds routes by host and longest path prefix. It is immutable.
 type Matcher struct {
-	routes map[routeKey]configurer.Route
+	routes map[Place]configurer.Route
 }
 
-// routeKey is a host in lower case, or empty for every host, and a path prefix.
-type routeKey struct {
+// Place is what the requests of a route are recognized by: a host in lower case, or empty for every host, and a path prefix
+// in canonical form. Of two routes with the same place one gets no requests.
+type Place struct {
 	host   string
 	prefix string
 }
 
-// New returns a Matcher for routes. Of routes with the same host and prefix, only the one with the smallest name is
-// used.
+// PlaceOf returns the place of route.
+func PlaceOf(route configurer.Route) Place {
+	return Place{strings.ToLower(route.Host), canonical(route.Prefix)}
+}
+
+// New returns a Matcher for routes. Of routes with the same place, only the one with the smallest name is used.
 func New(routes []configurer.Route) Matcher {
-	index := make(map[routeKey]configurer.Route, len(routes))
+	index := make(map[Place]configurer.Route, len(routes))
 	for _, route := range routes {
-		key := routeKey{strings.ToLower(route.Host), route.Prefix}
-		if existing, ok := index[key]; ok && existing.Name < route.Name {
+		place := PlaceOf(route)
+		if existing, ok := index[place]; ok && existing.Name < route.Name {
 			continue
 		}
-		index[key] = route
+		index[place] = route
 	}
 	return Matcher{routes: index}
 }
 
-// Match returns the route for a request to host (without port) and a clean absolute path, and false if there is none.
+// Match returns the route for a request to host (without port) and path, an absolute path as it was sent, still
+// percent-encoded. It returns false if there is none.
 // The longest prefix of whole path segments wins. A prefix that ends with a slash matches only paths that begin with it,
 // slash included; one without also matches the path that equals it. For prefixes of equal length, a route for the host
 // wins over one for every host.
 func (m Matcher) Match(host, path string) (configurer.Route, bool) {
 	host = strings.ToLower(host)
-	for prefix := path; prefix != ""; prefix = shorten(prefix) {
-		if route, ok := m.routes[routeKey{host, prefix}]; ok {
+	for prefix := canonical(path); prefix != ""; prefix = shorten(prefix) {
+		if route, ok := m.routes[Place{host, prefix}]; ok {
 			return route, true
 		}
-		if route, ok := m.routes[routeKey{"", prefix}]; ok {
+		if route, ok := m.routes[Place{"", prefix}]; ok {
 			return route, true
 		}
 	}
--- a/core/matcher/matcher_test.go
+++ b/core/matcher/matcher_test.go
@@ -43,6 +43,28 @@
 	assert.Assert(t, !ok)
 }
 
+// TestEncodedSlashIsTakenForTheEndOfASegment guards against a request that is served under the terms of a route which begins its
+// path only once that is decoded. The target gets the path as it was sent. RFC 3986, section 6.2.2, says which texts are the
+// same path.
+func TestEncodedSlashIsTakenForTheEndOfASegment(t *testing.T) {
+	routes := matcher.New([]configurer.Route{
+		{Name: "bookings", Prefix: "/bookings/"}, {Name: "slots", Prefix: "/bookings/slots/"}, {Name: "cafe", Prefix: "/caf\u00e9/%7e%2c/"},
+	})
+	for path, want := range map[string]string{
+		"/bookings/slots%2F7":   "bookings",
+		"/bookings%2fslots/7":   "",
+		"/bookings/%73lots/7":   "slots",
+		"/bookings/slots/%2F":   "slots",
+		"/%62ookings/%7":        "bookings",
+		"/caf%c3%A9/~%2C/7":     "cafe",
+		"/caf%C3%A9/~,/7":       "",
+		"/caf%25C3%25A9/~%2C/7": "",
+	} {
+		route, _ := routes.Match("any", path)
+		assert.Equal(t, route.Name, want, path)
+	}
+}
+
 // TestPathWithoutTheSlashOfAPrefixIsTakenForIt guards against a route that takes the request whose path is its prefix
 // without the trailing slash: an unsafe request ran under the terms, and at the service, of a route that does not begin its
 // path.
--- a/node/pkg/acceptor/acceptor.go
+++ b/node/pkg/acceptor/acceptor.go
@@ -53,7 +53,7 @@
 		return nil
 	}
 	answer, err := a.Serve(request.Context(), Call{
-		ID: id, Method: request.Method, Host: request.Host, Path: request.URL.Path, URI: request.URL.RequestURI(),
+		ID: id, Method: request.Method, Host: request.Host, Path: request.URL.EscapedPath(), URI: request.URL.RequestURI(),
 		Header: forwardHeader(request), Credentials: request.Header.Values("Authorization"),
 		Body: request.Body, Length: request.ContentLength, Trailer: request.Trailer,
 	})
--- a/node/pkg/acceptor/call.go
+++ b/node/pkg/acceptor/call.go
@@ -62,9 +62,9 @@
 }
 
 // Call is a caller's request, independent of the protocol by which it arrived. ID names it in logs and must be unique.
-// Header holds the headers of the caller that are sent to the target. Credentials holds the texts of the keys that came
-// with the request. Length is the body's length in bytes, or -1 if it is unknown. Trailer is filled in once the body
-// was read.
+// Path is percent-encoded, as the caller sent it. Header holds the headers of the caller that are sent to the target.
+// Credentials holds the texts of the keys that came with the request. Length is the body's length in bytes, or -1 if it is
+// unknown. Trailer is filled in once the body was read.
 type Call struct {
 	ID          string
 	Method      string
--- a/node/pkg/acceptor/header.go
+++ b/node/pkg/acceptor/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"path"
 	"slices"
 	"strings"
@@ -22,11 +23,15 @@
 	"Transfer-Encoding", "Upgrade",
 }
 
-// checkCall refuses a path with empty or dot segments, since the path that the route is matched on would differ from
-// the one that the target runs.
+// checkCall refuses a path with empty or dot segments, since a target may run another path than the one on which the route is
+// matched. Segments are those of the decoded path, as a target may decode it.
 func checkCall(call Call) error {
-	clean := path.Clean(call.Path)
-	if call.Path != clean && call.Path != clean+"/" {
+	decoded, err := url.PathUnescape(call.Path)
+	if err != nil {
+		return refuser.Refuse(refuser.RequestInvalid, "the path is malformed")
+	}
+	clean := path.Clean(decoded)
+	if decoded != clean && decoded != clean+"/" {
 		return refuser.Refuse(refuser.RequestInvalid, "the path has empty or dot segments")
 	}
 	return nil
