Keep departures of targets over a restart of their node

What callers saw: a server whose DELETE was acknowledged got requests again once its node had restarted and a heartbeat from before came late.

Cause: departures were kept in the memory of the node only. What other processes had of one was the absence of the target from the node's record, which the record of the next incarnation replaced. The same held for draining servers, after a restart and once their announcements had expired; and a departure was acknowledged before any other process had it.

Change: a node's record states the departures of the last minute. The record of a node that has started inherits those of the records that it replaces, at whoever holds them, and comes back to the node. A departure is acknowledged when the record comes back with it; else the answer is 503 after 0.7 s, and the target asks again. The target gets no requests from the first moment on, as before.

Changed tests: those of the registrar and the enroller read targets with the number of their announcement and take the record in place of a function; what they ask is the same.

--- a/core/registrar/registrar.go
+++ b/core/registrar/registrar.go
@@ -7,14 +7,16 @@
 	"slices"
 	"strings"
 	"time"
+
+	"samphiremount.example/core/tracker"
 )
 
 const (
 	// AnnouncementLifetime is the default time for which an announcement is valid. A target repeats its announcement
 	// several times within it.
 	AnnouncementLifetime = 3 * time.Second
-	// departureLifetime is how long a departure is kept, so that a late announcement does not add the target again.
-	departureLifetime = time.Minute
+	// DepartureLifetime is how long a departure is kept, so that a late announcement does not add the target again.
+	DepartureLifetime = time.Minute
 )
 
 // Announcement is the message with which a target registers itself. Address is the IP address and port of its HTTP
@@ -49,28 +51,27 @@
 	return a != other
 }
 
-// Registrar is the immutable set of announced targets. The zero value is empty.
+// Registrar is the immutable set of announced targets, and of departures. The zero value is empty.
 type Registrar struct {
-	lifetime time.Duration
-	entries  map[string]entry
+	lifetime   time.Duration
+	entries    map[string]entry
+	departures map[string]departure
 }
 
-// entry is the state of one target, valid until deadline. departed is set if the target has left. neverAnnounced is set
-// if it left before any announcement of it arrived. In that case only a bound on its start time is known: it is before
-// announcement.StartedAt.
+// entry is the state of one target, valid until deadline. changedBy is the sequence of the announcement that brought the
+// target into this state.
 type entry struct {
-	announcement   Announcement
-	deadline       time.Time
-	departed       bool
-	neverAnnounced bool
+	announcement Announcement
+	changedBy    uint64
+	deadline     time.Time
 }
 
-// supersedes reports whether announcement, which is of the same target, is outdated by e.
-func (e entry) supersedes(announcement Announcement) bool {
-	if e.neverAnnounced {
-		return announcement.StartedAt < e.announcement.StartedAt
-	}
-	return announcement.olderThan(e.announcement) || e.departed && announcement.StartedAt == e.announcement.StartedAt
+// departure is kept until deadline. address is that of the target, if it is known.
+type departure struct {
+	tracker.Departure
+
+	address  string
+	deadline time.Time
 }
 
 // New returns an empty set in which an announcement is valid for lifetime, or for AnnouncementLifetime if that is 0.
@@ -79,26 +80,39 @@
 }
 
 // With returns the set after an announcement at now, and whether anything but the deadline changed. An announcement
-// changes nothing if the set holds a newer state of the target or a target that started later at the same address.
+// changes nothing if the set holds a newer state of the target, its departure, or a target that started later at the same
+// address.
 func (r Registrar) With(now time.Time, announcement Announcement) (Registrar, bool) {
 	if r.supersedes(announcement) {
 		return r, false
 	}
 	old, ok := r.entries[announcement.Name]
+	changed := !ok || announcement.differs(old.announcement)
 	entries := make(map[string]entry, len(r.entries)+1)
 	for name, other := range r.entries {
 		if name == announcement.Name || !other.announcement.replacedBy(announcement) {
 			entries[name] = other
 		}
 	}
-	entries[announcement.Name] = entry{announcement: announcement, deadline: now.Add(cmp.Or(r.lifetime, AnnouncementLifetime))}
-	return Registrar{r.lifetime, entries}, !ok || old.departed || announcement.differs(old.announcement)
+	next := entry{announcement: announcement, changedBy: old.changedBy, deadline: now.Add(cmp.Or(r.lifetime, AnnouncementLifetime))}
+	if changed {
+		next.changedBy = announcement.Sequence
+	}
+	entries[announcement.Name] = next
+	r.entries = entries
+	if announcement.Leaving && next.changedBy > 0 {
+		began := tracker.Departure{Target: announcement.Name, StartedAt: announcement.StartedAt, Sequence: next.changedBy}
+		r = r.withDeparture(now, began, announcement.Address)
+	}
+	return r, changed
 }
 
 // supersedes reports whether announcement is outdated by what the set holds.
 func (r Registrar) supersedes(announcement Announcement) bool {
-	old, ok := r.entries[announcement.Name]
-	if ok && old.supersedes(announcement) {
+	if r.Departed(announcement) {
+		return true
+	}
+	if old, ok := r.entries[announcement.Name]; ok && announcement.olderThan(old.announcement) {
 		return true
 	}
 	for name, other := range r.entries {
@@ -106,61 +120,120 @@
 			return true
 		}
 	}
+	for name, other := range r.departures {
+		if name != announcement.Name && announcement.replacedBy(Announcement{Address: other.address, StartedAt: other.StartedAt}) {
+			return true
+		}
+	}
 	return false
 }
 
+// Departed reports whether the target had left, or had begun to leave, after it made announcement.
+func (r Registrar) Departed(announcement Announcement) bool {
+	departure, ok := r.departures[announcement.Name]
+	return ok && departure.Outdates(announcement.StartedAt, announcement.Sequence)
+}
+
 // WithDeparture returns the set after the target called name reported its departure at now, and whether that removed a
 // target from the set. If the set does not hold the target, the departure applies to every start of it before now.
 func (r Registrar) WithDeparture(now time.Time, name string) (Registrar, bool) {
+	left := tracker.Departure{Target: name, StartedAt: now.UnixMilli() - 1, Left: true}
 	old, ok := r.entries[name]
-	if old.departed {
+	if ok {
+		left.StartedAt = old.announcement.StartedAt
+	} else if r.departures[name].Left {
 		return r, false
 	}
-	departed := entry{announcement: old.announcement, deadline: now.Add(departureLifetime), departed: true}
-	if !ok {
-		departed.announcement = Announcement{Name: name, StartedAt: now.UnixMilli()}
-		departed.neverAnnounced = true
+	return r.withDeparture(now, left, old.announcement.Address), ok
+}
+
+// WithDepartures returns the set after departures were received at now that this process does not remember, and whether
+// that changed it.
+func (r Registrar) WithDepartures(now time.Time, departures []tracker.Departure) (Registrar, bool) {
+	changed := false
+	for _, received := range departures {
+		if known, ok := r.departures[received.Target]; !ok || !known.Includes(received) {
+			r, changed = r.withDeparture(now, received, ""), true
+		}
+	}
+	return r, changed
+}
+
+// withDeparture adds a departure, unless the set holds one that includes it, and removes the target if that outdates it.
+func (r Registrar) withDeparture(now time.Time, added tracker.Departure, address string) Registrar {
+	if known, ok := r.departures[added.Target]; ok && known.Includes(added) {
+		added, address = known.Departure, known.address
 	}
-	entries := make(map[string]entry, len(r.entries)+1)
-	maps.Copy(entries, r.entries)
-	entries[name] = departed
-	return Registrar{r.lifetime, entries}, ok
+	departures := make(map[string]departure, len(r.departures)+1)
+	maps.Copy(departures, r.departures)
+	departures[added.Target] = departure{added, address, now.Add(DepartureLifetime)}
+	r.departures = departures
+	if old, ok := r.entries[added.Target]; ok && added.Outdates(old.announcement.StartedAt, old.announcement.Sequence) {
+		r.entries = maps.Clone(r.entries)
+		delete(r.entries, added.Target)
+	}
+	return r
 }
 
-// WithoutExpired returns the set without the targets whose deadline has passed at now, and the names of those targets.
-// They include targets that departed more than departureLifetime ago.
-func (r Registrar) WithoutExpired(now time.Time) (Registrar, []string) {
-	var expired []string
+// WithoutExpired returns the set without the targets and departures whose deadline has passed at now, the names of those
+// targets, and whether any was removed.
+func (r Registrar) WithoutExpired(now time.Time) (next Registrar, targets []string, changed bool) {
+	entries := make(map[string]entry, len(r.entries))
 	for name, entry := range r.entries {
 		if now.After(entry.deadline) {
-			expired = append(expired, name)
+			targets = append(targets, name)
+			continue
 		}
+		entries[name] = entry
 	}
-	if len(expired) == 0 {
-		return r, nil
+	departures := make(map[string]departure, len(r.departures))
+	for name, departure := range r.departures {
+		if !now.After(departure.deadline) {
+			departures[name] = departure
+		}
 	}
-	slices.Sort(expired)
-	entries := maps.Clone(r.entries)
-	for _, name := range expired {
-		delete(entries, name)
+	if len(targets) == 0 && len(departures) == len(r.departures) {
+		return r, nil, false
 	}
-	return Registrar{r.lifetime, entries}, expired
+	slices.Sort(targets)
+	return Registrar{r.lifetime, entries, departures}, targets, true
 }
 
 // Announcement returns the last announcement of the target called name, or false if the target is unknown or departed.
 func (r Registrar) Announcement(name string) (Announcement, bool) {
 	entry, ok := r.entries[name]
-	return entry.announcement, ok && !entry.departed
+	return entry.announcement, ok
 }
 
-// Announcements returns the last announcements of all targets that have not departed, sorted by name.
-func (r Registrar) Announcements() []Announcement {
-	all := make([]Announcement, 0, len(r.entries))
+// Targets returns the targets that have not departed, sorted by name.
+func (r Registrar) Targets() []tracker.Target {
+	targets := make([]tracker.Target, 0, len(r.entries))
 	for _, entry := range r.entries {
-		if !entry.departed {
-			all = append(all, entry.announcement)
-		}
+		a := entry.announcement
+		targets = append(targets, tracker.Target{
+			Name: a.Name, Service: a.Service, Slots: a.Slots, Leaving: a.Leaving, StartedAt: a.StartedAt, Sequence: entry.changedBy,
+		})
+	}
+	slices.SortFunc(targets, func(a, b tracker.Target) int { return strings.Compare(a.Name, b.Name) })
+	return targets
+}
+
+// Departure returns the departure of the target called name, or false if there is none.
+func (r Registrar) Departure(name string) (tracker.Departure, bool) {
+	departure, ok := r.departures[name]
+	return departure.Departure, ok
+}
+
+// Departures returns the departures that other processes are to know, sorted by target: the last ones, if there are more
+// than tracker.MaxDepartures.
+func (r Registrar) Departures() []tracker.Departure {
+	kept := slices.SortedFunc(maps.Values(r.departures), func(a, b departure) int {
+		return cmp.Or(b.deadline.Compare(a.deadline), strings.Compare(a.Target, b.Target))
+	})
+	departures := make([]tracker.Departure, 0, len(kept))
+	for _, departure := range kept[:min(len(kept), tracker.MaxDepartures)] {
+		departures = append(departures, departure.Departure)
 	}
-	slices.SortFunc(all, func(a, b Announcement) int { return strings.Compare(a.Name, b.Name) })
-	return all
+	slices.SortFunc(departures, func(a, b tracker.Departure) int { return strings.Compare(a.Target, b.Target) })
+	return departures
 }
--- a/core/registrar/registrar_test.go
+++ b/core/registrar/registrar_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"samphiremount.example/core/registrar"
+	"samphiremount.example/core/tracker"
 )
 
 func TestAnnouncementsExpire(t *testing.T) {
@@ -20,12 +21,13 @@
 	assert.Assert(t, changed, "leaving is a change")
 
 	deadline := start.Add(time.Second + registrar.AnnouncementLifetime)
-	kept, expired := r.WithoutExpired(deadline)
-	assert.Equal(t, len(expired), 0)
-	assert.Equal(t, len(kept.Announcements()), 1)
-	kept, expired = r.WithoutExpired(deadline.Add(time.Nanosecond))
+	kept, expired, changed := r.WithoutExpired(deadline)
+	assert.Assert(t, len(expired) == 0 && !changed)
+	assert.Equal(t, len(kept.Targets()), 1)
+	kept, expired, changed = r.WithoutExpired(deadline.Add(time.Nanosecond))
+	assert.Assert(t, changed)
 	assert.DeepEqual(t, expired, []string{"a"})
-	assert.Equal(t, len(kept.Announcements()), 0)
+	assert.Equal(t, len(kept.Targets()), 0)
 	_, ok := r.Announcement("a")
 	assert.Assert(t, ok, "WithoutExpired changed its receiver")
 }
@@ -72,7 +74,7 @@
 	assert.Assert(t, changed)
 	_, ok := r.Announcement("a")
 	assert.Assert(t, !ok)
-	assert.Equal(t, len(r.Announcements()), 0)
+	assert.Equal(t, len(r.Targets()), 0)
 	r, changed = r.With(start, announced("a", 5, 4))
 	assert.Assert(t, !changed)
 	r, changed = r.With(start, announced("a", 6, 1))
@@ -89,7 +91,7 @@
 	assert.Assert(t, !changed)
 
 	// The departure is kept for longer than announcements, and does not block a later start of the target.
-	r, expired := r.WithoutExpired(start.Add(2 * registrar.AnnouncementLifetime))
+	r, expired, _ := r.WithoutExpired(start.Add(2 * registrar.AnnouncementLifetime))
 	assert.Equal(t, len(expired), 0)
 	_, changed = r.With(start.Add(2*registrar.AnnouncementLifetime), announced("a", 5, 4))
 	assert.Assert(t, !changed)
@@ -109,9 +111,53 @@
 		r, changed := r.With(start, odd)
 		assert.Assert(t, changed || name == "sequence", name)
 		r, _ = r.With(start.Add(50*time.Second), announced("a", 5, 4))
-		r, _ = r.WithoutExpired(start.Add(61 * time.Second))
+		r, _, _ = r.WithoutExpired(start.Add(61 * time.Second))
 		r, _ = r.With(start.Add(61*time.Second), announced("a", 5, 5))
 		held, ok := r.Announcement("a")
 		assert.Assert(t, ok && held.Sequence == 5, name)
 	}
 }
+
+// TestDepartureOutlastsItsTarget guards against late announcements of a target that was draining and is not announced any
+// more, and of one that started before it at the same address. The target itself may take draining back.
+func TestDepartureOutlastsItsTarget(t *testing.T) {
+	leaving := announced("a", 5, 4)
+	leaving.Leaving = true
+	r, _ := registrar.New(time.Second).With(start, announced("a", 5, 2))
+	r, _ = r.With(start, leaving)
+	assert.DeepEqual(t, r.Departures(), []tracker.Departure{{Target: "a", StartedAt: 5, Sequence: 4}})
+	again := announced("a", 5, 6)
+	again.Leaving = true
+	r, _ = r.With(start, again)
+	assert.DeepEqual(t, r.Departures(), []tracker.Departure{{Target: "a", StartedAt: 5, Sequence: 4}})
+
+	late := start.Add(registrar.DepartureLifetime)
+	expired, _, _ := r.WithoutExpired(late)
+	for name, late := range map[string]registrar.Announcement{
+		"from before": announced("a", 5, 3), "from an earlier start": announced("a", 4, 9), "at the same address": announced("b", 4, 9),
+	} {
+		_, changed := expired.With(start, late)
+		assert.Assert(t, !changed, name)
+	}
+	back, changed := expired.With(late, announced("a", 5, 7))
+	assert.Assert(t, changed)
+	assert.DeepEqual(t, back.Targets(), []tracker.Target{{Name: "a", Service: "s", Slots: 1, StartedAt: 5, Sequence: 7}})
+	expired, _, changed = expired.WithoutExpired(late.Add(time.Nanosecond))
+	assert.Assert(t, changed && len(expired.Departures()) == 0)
+}
+
+// TestDepartureThatIsReceivedLateRemovesItsTarget has a late announcement arrive before the departure that outdates it.
+func TestDepartureThatIsReceivedLateRemovesItsTarget(t *testing.T) {
+	for name, departure := range map[string]tracker.Departure{
+		"left": {Target: "a", StartedAt: 5, Left: true}, "draining": {Target: "a", StartedAt: 5, Sequence: 4},
+		"later start": {Target: "a", StartedAt: 6, Sequence: 1},
+	} {
+		r, _ := registrar.New(time.Minute).With(start, announced("a", 5, 3))
+		r, changed := r.WithDepartures(start, []tracker.Departure{departure})
+		assert.Assert(t, changed && len(r.Targets()) == 0, name)
+		_, changed = r.WithDepartures(start, []tracker.Departure{departure})
+		assert.Assert(t, !changed, name)
+		r, _ = r.With(start, announced("a", 7, 1))
+		assert.Equal(t, len(r.Targets()), 1, name)
+	}
+}
--- a/core/tracker/directory.go
+++ b/core/tracker/directory.go
@@ -19,14 +19,17 @@
 	Node   Node
 }
 
-// With returns the directory after it has merged the records that are newer than its own, and those newer records. The
-// result does not depend on the order in which records arrive.
+// With returns the directory after it has merged records, and the records that this has changed. A newer record replaces an
+// older one, except for the departures that it inherits. The result does not depend on the order in which records arrive.
 func (d Directory) With(records ...Node) (Directory, []Node) {
 	var changed []Node
 	nodes := d.nodes
 	for _, record := range records {
-		old, ok := nodes[record.Name]
-		if ok && !record.Newer(old) {
+		merged, isChange := record.withDepartures(nil), true
+		if old, ok := nodes[record.Name]; ok {
+			merged, isChange = old.mergedWith(record)
+		}
+		if !isChange {
 			continue
 		}
 		if len(changed) == 0 {
@@ -35,8 +38,8 @@
 		if nodes == nil {
 			nodes = make(map[string]Node)
 		}
-		nodes[record.Name] = record
-		changed = append(changed, record)
+		nodes[record.Name] = merged
+		changed = append(changed, merged)
 	}
 	if len(changed) == 0 {
 		return d, nil
--- a/node/pkg/enroller/enroller.go
+++ b/node/pkg/enroller/enroller.go
@@ -21,21 +21,34 @@
 const (
 	sweepInterval = 250 * time.Millisecond
 	maxBodyBytes  = 64 << 10
+	// storeTimeout bounds the wait of a target for the acknowledgement of its departure. Targets wait for a second.
+	storeTimeout = 700 * time.Millisecond
 )
 
+// ErrNotStored is returned for a departure that is in force here, but that no other process has: a restart of this node
+// would lose it.
+var ErrNotStored = errors.New("no other process has the departure yet")
+
+// Record is the record of this node that other processes have.
+type Record interface {
+	// SetTargets replaces the targets and departures in the record. It must not block.
+	SetTargets(targets []tracker.Target, departures []tracker.Departure)
+	// AwaitStored waits until another process holds departure. It returns an error if ctx ends before.
+	AwaitStored(ctx context.Context, departure tracker.Departure) error
+}
+
 // Enroller holds the announced targets and reports changes to them.
 type Enroller struct {
-	log      *slog.Logger
-	onChange func([]tracker.Target)
+	log    *slog.Logger
+	record Record
 
 	mu        sync.Mutex
 	registrar registrar.Registrar
 }
 
-// New returns an Enroller without targets. An announcement is valid for lifetime. After each change it calls onChange
-// with all targets; onChange must not block.
-func New(lifetime time.Duration, log *slog.Logger, onChange func([]tracker.Target)) *Enroller {
-	return &Enroller{log: log, onChange: onChange, registrar: registrar.New(lifetime)}
+// New returns an Enroller without targets, which keeps record up to date. An announcement is valid for lifetime.
+func New(lifetime time.Duration, log *slog.Logger, record Record) *Enroller {
+	return &Enroller{log: log, record: record, registrar: registrar.New(lifetime)}
 }
 
 // Handler returns the HTTP handler for targets: POST /targets accepts an announcement.
@@ -54,7 +67,7 @@
 	if err := json.Unmarshal(body, &announcement); err != nil {
 		return e.refuse(announcement, err)
 	}
-	if err := e.Announce(announcement); err != nil {
+	if err := e.Announce(c.Request().Context(), announcement); err != nil {
 		return e.refuse(announcement, err)
 	}
 	return c.NoContent(http.StatusNoContent)
@@ -62,54 +75,106 @@
 
 func (e *Enroller) refuse(announcement registrar.Announcement, err error) error {
 	e.log.Warn("announcement refused", "target", announcement.Name, "reason", err.Error())
-	return echo.NewHTTPError(http.StatusBadRequest, "the announcement is refused: "+err.Error())
+	status := http.StatusBadRequest
+	if errors.Is(err, ErrNotStored) {
+		status = http.StatusServiceUnavailable
+	}
+	return echo.NewHTTPError(status, "the announcement is refused: "+err.Error())
 }
 
-// Announce adds or updates a target. It returns an error if the target cannot be used (see Announcement.Check).
-func (e *Enroller) Announce(announcement registrar.Announcement) error {
+// Announce adds or updates a target. It returns an error if the target cannot be used (see Announcement.Check), and
+// ErrNotStored if it is leaving and no other process has that; it gets no requests then either.
+func (e *Enroller) Announce(ctx context.Context, announcement registrar.Announcement) error {
 	if err := announcement.Check(time.Now()); err != nil {
 		return errors.Wrap(err, "check announcement")
 	}
 	e.apply(announcement)
+	if !announcement.Leaving {
+		return nil
+	}
+	return e.awaitStored(ctx, announcement.Name)
+}
+
+// Leave removes the target with that name at once. Requests that it already runs continue. It returns ErrNotStored if no
+// other process has the departure.
+func (e *Enroller) Leave(ctx context.Context, name string) error {
+	e.leave(name)
+	return e.awaitStored(ctx, name)
+}
+
+// awaitStored waits until another process has the departure of the target called name, if it has one.
+func (e *Enroller) awaitStored(ctx context.Context, name string) error {
+	e.mu.Lock()
+	departure, ok := e.registrar.Departure(name)
+	e.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := e.record.AwaitStored(ctx, departure); err != nil {
+		e.log.Warn("departure not acknowledged", "target", name, "reason", err.Error())
+		return errors.Wrap(ErrNotStored, err.Error())
+	}
 	return nil
 }
 
-// Leave removes the target with that name at once. Requests that it already runs continue.
-func (e *Enroller) Leave(name string) {
+func (e *Enroller) leave(name string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	next, changed := e.registrar.WithDeparture(time.Now(), name)
+	before, _ := e.registrar.Departure(name)
+	next, removed := e.registrar.WithDeparture(time.Now(), name)
 	e.registrar = next
+	reason := "announced by the target"
+	if !removed {
+		reason = "the target is unknown or has already left"
+	}
+	e.log.Info("target left", "target", name, "removed", removed, "reason", reason)
+	if after, _ := next.Departure(name); after != before {
+		e.report()
+	}
+}
+
+// Inherit adds departures of targets of this VM that earlier incarnations of this node have reported.
+func (e *Enroller) Inherit(departures []tracker.Departure) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next, changed := e.registrar.WithDepartures(time.Now(), departures)
 	if !changed {
-		e.log.Info("departure recorded", "target", name, "reason", "the target is unknown or has already left")
 		return
 	}
-	e.log.Info("target left", "target", name, "reason", "announced by the target")
-	e.onChange(e.targets())
+	e.registrar = next
+	e.log.Info("departures inherited", "number", len(departures), "reason", "this node reported them before it restarted")
+	e.report()
 }
 
 // RecordLeaving removes the target of announcement, which has stated in an answer that it leaves, unless it has started
 // again since.
 func (e *Enroller) RecordLeaving(announcement registrar.Announcement) {
 	if held, ok := e.Announcement(announcement.Name); ok && held.StartedAt == announcement.StartedAt {
-		e.Leave(announcement.Name)
+		e.leave(announcement.Name)
 	}
 }
 
 func (e *Enroller) apply(announcement registrar.Announcement) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.registrar.Departed(announcement) {
+		e.log.Info("announcement ignored", "target", announcement.Name, "born", announcement.StartedAt,
+			"sequence", announcement.Sequence, "reason", "the target has left since")
+		return
+	}
 	next, changed := e.registrar.With(time.Now(), announcement)
 	e.registrar = next
 	if changed {
 		e.log.Info("target announced", "target", announcement.Name, "service", announcement.Service,
 			"slots", announcement.Slots, "leaving", announcement.Leaving, "born", announcement.StartedAt,
 			"sequence", announcement.Sequence)
-		e.onChange(e.targets())
+		e.report()
 	}
 }
 
-// Run removes targets whose announcements have expired, until ctx ends.
+// Run removes targets whose announcements have expired, and old departures, until ctx ends.
 func (e *Enroller) Run(ctx context.Context) error {
 	ticker.Every(ctx, sweepInterval, func(time.Time) { e.sweep() })
 	return nil
@@ -118,13 +183,13 @@
 func (e *Enroller) sweep() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	next, expired := e.registrar.WithoutExpired(time.Now())
+	next, expired, changed := e.registrar.WithoutExpired(time.Now())
 	e.registrar = next
 	for _, name := range expired {
 		e.log.Info("target removed", "target", name, "reason", "announcement expired")
 	}
-	if len(expired) > 0 {
-		e.onChange(e.targets())
+	if changed {
+		e.report()
 	}
 }
 
@@ -135,10 +200,7 @@
 	return e.registrar.Announcement(name)
 }
 
-func (e *Enroller) targets() []tracker.Target {
-	var targets []tracker.Target
-	for _, a := range e.registrar.Announcements() {
-		targets = append(targets, tracker.Target{Name: a.Name, Service: a.Service, Slots: a.Slots, Leaving: a.Leaving, StartedAt: a.StartedAt})
-	}
-	return targets
+// report must be called with mu held.
+func (e *Enroller) report() {
+	e.record.SetTargets(e.registrar.Targets(), e.registrar.Departures())
 }
--- a/node/pkg/enroller/enroller_test.go
+++ b/node/pkg/enroller/enroller_test.go
@@ -10,14 +10,16 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphiremount.example/core/registrar"
 	"samphiremount.example/core/tracker"
 	"samphiremount.example/node/pkg/enroller"
+	"samphiremount.example/node/pkg/reporter"
 )
 
 // TestOddAnnouncementsNameNoTarget covers announcements of other writers. The target that is known must stay as it is.
 func TestOddAnnouncementsNameNoTarget(t *testing.T) {
-	var reported []tracker.Target
-	e := enroller.New(time.Minute, slog.New(slog.DiscardHandler), func(targets []tracker.Target) { reported = targets })
+	record := reporter.New(tracker.Node{}, time.Time{})
+	e := enroller.New(time.Minute, slog.New(slog.DiscardHandler), record)
 	post := func(body string) int {
 		request := httptest.NewRequest(http.MethodPost, "/targets", strings.NewReader(body))
 		request.Header.Set("Content-Type", "application/json")
@@ -40,8 +42,39 @@
 		assert.Check(t, post(body) == http.StatusBadRequest, name)
 		assert.Check(t, post(strings.Replace(body, `"a"`, `"b"`, 1)) == http.StatusBadRequest, name)
 	}
-	assert.DeepEqual(t, reported, []tracker.Target{{Name: "a", Service: "s", Slots: 2, StartedAt: 5}})
+	assert.DeepEqual(t, record.Node().Targets, []tracker.Target{{Name: "a", Service: "s", Slots: 2, StartedAt: 5, Sequence: 3}})
 	assert.Equal(t, post(strings.Replace(good, `"sequence":3`, `"sequence":4`, 1)), http.StatusNoContent)
 	held, ok := e.Announcement("a")
 	assert.Assert(t, ok && held.Sequence == 4)
 }
+
+// TestDepartureThatARestartLosesIsAcknowledged guards against an acknowledged departure that nobody else has: a restart of the
+// node would forget it.
+func TestDepartureThatARestartLosesIsAcknowledged(t *testing.T) {
+	ready := registrar.Announcement{Name: "a", Service: "s", Address: "127.0.0.1:8080", Slots: 2, StartedAt: 5, Sequence: 3}
+	draining := ready
+	draining.Leaving, draining.Sequence = true, 4
+	for name, leave := range map[string]func(e *enroller.Enroller) error{
+		"draining": func(e *enroller.Enroller) error { return e.Announce(t.Context(), draining) },
+		"left":     func(e *enroller.Enroller) error { return e.Leave(t.Context(), "a") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			record := reporter.New(tracker.Node{}, time.Now().Add(time.Minute))
+			e := enroller.New(time.Minute, slog.New(slog.DiscardHandler), record)
+			assert.NilError(t, e.Announce(t.Context(), ready))
+			assert.ErrorIs(t, leave(e), enroller.ErrNotStored)
+			reported := record.Node()
+			assert.Equal(t, len(reported.Departures), 1, "a departure holds before it is acknowledged")
+
+			// The node starts again and receives its record of before. The heartbeat from before the departure comes late.
+			restarted := reporter.New(tracker.Node{}, time.Now().Add(time.Minute))
+			e = enroller.New(time.Minute, slog.New(slog.DiscardHandler), restarted)
+			restarted.RecordReceived(reported.Departures)
+			e.Inherit(reported.Departures)
+			assert.NilError(t, e.Announce(t.Context(), ready))
+			assert.Equal(t, len(restarted.Node().Targets), 0)
+			assert.NilError(t, leave(e))
+			assert.DeepEqual(t, restarted.Node().Departures, reported.Departures)
+		})
+	}
+}
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -22,6 +22,7 @@
 	"samphiremount.example/core/logger"
 	"samphiremount.example/core/messenger"
 	"samphiremount.example/core/quarantiner"
+	"samphiremount.example/core/registrar"
 	"samphiremount.example/core/resolver"
 	"samphiremount.example/core/retrier"
 	"samphiremount.example/core/router"
@@ -122,14 +123,27 @@
 		reporter: reporter.New(tracker.Node{
 			Name: options.Name, Region: options.Region, Centre: options.Centre, Incarnation: incarnation,
 			Address: options.Fleet, Entry: options.Entry,
-		}),
+		}, time.Now().Add(registrar.DepartureLifetime)),
 	}
+	n.Enroller = enroller.New(options.AnnouncementLifetime, n.log.Part("enroll"), n.reporter)
+	view.OnMerge = n.receiveOwnRecord
 	explainer.Register(n.mux, decisions)
 	n.assembleControl(hub, incarnation)
 	n.assembleRequests(incarnation)
 	return n
 }
 
+// receiveOwnRecord adopts the departures that other processes hold of this node, some of them perhaps from an earlier
+// incarnation.
+func (n *Node) receiveOwnRecord(changed []tracker.Node) {
+	for _, node := range changed {
+		if node.Name == n.options.Name {
+			n.reporter.RecordReceived(node.Departures)
+			n.Enroller.Inherit(node.Departures)
+		}
+	}
+}
+
 // retryBudget is the name under which one control process owns the retry budgets of all services.
 const retryBudget = "retries"
 
@@ -167,7 +181,6 @@
 
 // assembleRequests creates the components that handle requests.
 func (n *Node) assembleRequests(incarnation uint64) {
-	n.Enroller = enroller.New(n.options.AnnouncementLifetime, n.log.Part("enroll"), n.reporter.SetTargets)
 	counts := expvar.NewMap("gate")
 	n.connector = connector.New(counts)
 	var gate *gatekeeper.Gatekeeper
--- a/node/pkg/viewer/viewer.go
+++ b/node/pkg/viewer/viewer.go
@@ -45,7 +45,10 @@
 // Viewer provides the current View without locks for readers. The contacts are kept outside the View, because they
 // change every second and would require a new View each time.
 type Viewer struct {
-	hub    *synchronizer.Hub
+	hub *synchronizer.Hub
+	// OnMerge is called with the records that a merge has changed. It may be nil, and is set before the first merge.
+	OnMerge func(changed []tracker.Node)
+
 	mu     sync.Mutex
 	view   atomic.Pointer[View]
 	fencer atomic.Pointer[fencer.Fencer]
@@ -90,6 +93,14 @@
 
 // Merge implements synchronizer.Sink.
 func (v *Viewer) Merge(records ...tracker.Node) []tracker.Node {
+	changed := v.merge(records)
+	if len(changed) > 0 && v.OnMerge != nil {
+		v.OnMerge(changed)
+	}
+	return changed
+}
+
+func (v *Viewer) merge(records []tracker.Node) []tracker.Node {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	changed := v.hub.Merge(records...)
