Bound the lines of the head of a target's answer

What callers could see: their requests end with the process of a node whose memory a faulty target has used up, by a head of short header fields without end.

Change: a head may have 1,000 lines. The limit is that of the connection's reader, so what lies beyond is never parsed.

--- a/node/pkg/connector/conn.go
+++ b/node/pkg/connector/conn.go
@@ -2,8 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
-	"math"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -14,24 +14,29 @@
 
 const (
 	readBufferBytes = 4 << 10
-	maxHeadBytes    = 256 << 10
+	// maxHeadBytes and maxHeadLines bound the head of an answer. A header field takes far more memory than its bytes on the
+	// connection if it is short.
+	maxHeadBytes = 256 << 10
+	maxHeadLines = 1000
 )
 
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
 // conn is a connection to a target that carries one exchange at a time.
 type conn struct {
 	net.Conn
 
 	address   string
 	reader    *bufio.Reader
-	limited   *io.LimitedReader
+	limit     *headLimit
 	idleSince time.Time
 	reused    bool
 	written   atomic.Bool
 }
 
 func newConn(address string, inner net.Conn) *conn {
-	limited := &io.LimitedReader{R: inner, N: math.MaxInt64}
-	return &conn{Conn: inner, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
+	limit := &headLimit{source: inner}
+	return &conn{Conn: inner, address: address, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // Write implements io.Writer. It sets written before the kernel can have accepted a byte, and resets it only if the
@@ -45,11 +50,36 @@
 	return n, errors.Wrap(err, "write to target")
 }
 
-// limitHead bounds the bytes read until unlimit is called, so that a target can't exhaust memory with an endless
+// limitHead bounds the bytes and lines read until unlimit is called, so that a target can't exhaust memory with an endless
 // head.
-func (c *conn) limitHead() { c.limited.N = maxHeadBytes }
+func (c *conn) limitHead() {
+	c.limit.active, c.limit.bytes, c.limit.lines = true, maxHeadBytes, maxHeadLines
+}
+
+func (c *conn) unlimit() { c.limit.active = false }
+
+// headLimit reads from source. While it is active, reads fail once bytes or lines are used up.
+type headLimit struct {
+	source io.Reader
+	active bool
+	bytes  int
+	lines  int
+}
 
-func (c *conn) unlimit() { c.limited.N = math.MaxInt64 }
+// Read implements io.Reader.
+func (l *headLimit) Read(p []byte) (int, error) {
+	if !l.active {
+		return l.source.Read(p) //nolint:wrapcheck // io.EOF must stay as it is
+	}
+	if l.bytes <= 0 || l.lines <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(len(p), l.bytes)])
+	l.bytes -= n
+	// What follows the head in the same read is counted too. That matters only if the head is not complete.
+	l.lines -= bytes.Count(p[:n], []byte{'\n'})
+	return n, err //nolint:wrapcheck // io.EOF must stay as it is
+}
 
 // usable reports whether the peer has neither closed the idle connection nor sent anything on it. An answer that
 // arrives without a request belongs to an earlier request.
