Cut long values of log lines, and what a refusal quotes of an answer

What callers could see: their requests end with the process of a node that has run out of memory.

Cause: the error of a garbled answer quotes the line that was no answer, up to 256 KB of it and four times that where it is unprintable. It went into the refusal's detail, with that to the entry, and at both into a log line. A node keeps its newest lines about requests in memory (2,048 on the platform, 16,384 otherwise), and up to 4,096 lines wait for a slow output.

Change: a text or an error of more than 1 KB is cut before a line is written or kept, and before it becomes the detail of a refusal.

Evidence, red before: TestBytesOfATargetAreKeptInTheLog. 100 garbled answers kept 21.7 MB (status line), 21.6 MB (header line) and 82.9 MB (unprintable); 2 MB are allowed. Refusals had 205 and 819 KB. TestLongValuesAreCut.

--- a/core/logger/bounded_test.go
+++ b/core/logger/bounded_test.go
@@ -92,3 +92,16 @@
 	assert.Equal(t, strings.Count(out.String(), "\n"), 1)
 	assert.Assert(t, strings.Contains(out.String(), `msg="part: it failed" reason="step: cause"`), out.String())
 }
+
+// TestLongValuesAreCut guards against lines that hold whatever a caller or a target has sent.
+func TestLongValuesAreCut(t *testing.T) {
+	var out bytes.Buffer
+	long := strings.Repeat("x", 1<<20)
+	log := logger.New(&out, slog.LevelInfo).Part("gate")
+	log.Info("request refused", "request", "r", "detail", long, "reason", errors.New(long), "status", 7)
+	line := out.String()
+	assert.Assert(t, len(line) < 4<<10, "%d bytes", len(line))
+	assert.Assert(t, strings.Contains(line, `msg="gate: request refused" request=r detail="xxx`), "%.200s", line)
+	assert.Assert(t, strings.HasSuffix(line, "status=7\n"))
+	assert.Equal(t, strings.Count(line, "(1048576 bytes)"), 2)
+}
--- a/core/logger/logger.go
+++ b/core/logger/logger.go
@@ -44,7 +44,7 @@
 
 func (h prefixHandler) Handle(ctx context.Context, record slog.Record) error {
 	record.Message = h.prefix + record.Message
-	return h.Handler.Handle(ctx, record)
+	return h.Handler.Handle(ctx, shorten(record))
 }
 
 func (h prefixHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
--- a/node/pkg/gatekeeper/endless_test.go
+++ b/node/pkg/gatekeeper/endless_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"expvar"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -16,12 +18,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphiremount.example/core/logger"
 	"samphiremount.example/core/observer"
 	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/refuser"
 	"samphiremount.example/node/pkg/connector"
 	"samphiremount.example/node/pkg/forwarder"
 	"samphiremount.example/node/pkg/gatekeeper"
+	"samphiremount.example/node/pkg/recorder"
 )
 
 // recordingWatcher sends the results of attempts to a channel.
@@ -141,3 +145,51 @@
 		})
 	}
 }
+
+// TestBytesOfATargetAreKeptInTheLog guards against memory that grows with each garbled answer: the text of its error holds what the
+// target sent, and the lines about requests are kept for samphire explain.
+func TestBytesOfATargetAreKeptInTheLog(t *testing.T) {
+	const (
+		requests = 100
+		maxKept  = 2 << 20
+	)
+	for name, garbage := range map[string]string{
+		"status line": "HTTP/1.1 2" + strings.Repeat("0", 200<<10) + "\r\n\r\n",
+		"header line": "HTTP/1.1 200 OK\r\n" + strings.Repeat("x", 200<<10) + "\r\n\r\n",
+		"unprintable": strings.Repeat("\x00", 200<<10) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				assert.Check(t, err)
+				_, _ = io.WriteString(conn, garbage)
+				_ = conn.Close()
+			}))
+			defer target.Close()
+			known := targets{"a": {Name: "a", Service: "s", Address: target.Listener.Addr().String(), Slots: 1}}
+			decisions := recorder.New(2048)
+			log := logger.New(io.Discard, slog.LevelInfo).Wrap(decisions.Handler)
+			counts, watcher := new(expvar.Map), make(recordingWatcher, 2*requests)
+			gate := gatekeeper.New(7, decliningProtocol{}, known, connector.New(counts), watcher, counts, log.Part("gate"),
+				func(string, quarantiner.Crash) {})
+			before := heapInUse()
+			for i := range requests {
+				request := head(fmt.Sprint("r", i), "w")
+				_, err := gate.Run(t.Context(), request, http.NoBody)
+				assert.Assert(t, err != nil)
+				assert.Check(t, len(refuser.From(err).Detail) < 4<<10, "the refusal has %d bytes", len(refuser.From(err).Detail))
+			}
+			kept := heapInUse() - before
+			assert.Assert(t, kept < maxKept, "%d bytes are kept", kept)
+			assert.Assert(t, len(decisions.Decisions("r0")) > 0)
+		})
+	}
+}
+
+// heapInUse returns the bytes that are allocated after a garbage collection.
+func heapInUse() int64 {
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	return int64(memory.HeapAlloc)
+}
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -17,6 +17,7 @@
 	"samphiremount.example/core/budgeter"
 	"samphiremount.example/core/decliner"
 	"samphiremount.example/core/estimator"
+	"samphiremount.example/core/logger"
 	"samphiremount.example/core/observer"
 	"samphiremount.example/core/quarantiner"
 	"samphiremount.example/core/refuser"
@@ -334,7 +335,7 @@
 func toRefusal(ctx context.Context, err error) *refuser.Refusal {
 	var failure *connector.Failure
 	sent := !errors.As(err, &failure) || failure.Sent
-	refusal := &refuser.Refusal{Kind: refuser.TargetUnreachable, Outcome: refuser.NotRun{}, Detail: err.Error()}
+	refusal := &refuser.Refusal{Kind: refuser.TargetUnreachable, Outcome: refuser.NotRun{}, Detail: logger.Shorten(err.Error())}
 	if sent {
 		refusal.Kind, refusal.Outcome = refuser.OutcomeUnknown, refuser.Unknown{}
 	}
