Ask other gates for the contents that crash targets after a restart

What callers could see: a request that crashes the servers that run it, and was quarantined, crashes one more at gates that have restarted since; its service loses servers again.

Cause: crashes are told to the other gates of the service when they happen, and kept in memory.

The call is read only.

--- a/core/quarantiner/quarantiner.go
+++ b/core/quarantiner/quarantiner.go
@@ -94,6 +94,20 @@
 	return true
 }
 
+// Crashes returns the crashes that count at now, so that they can be recorded elsewhere.
+func (q *Quarantiner) Crashes(now time.Time) []Crash {
+	var crashes []Crash
+	for digest, found := range q.suspicions {
+		if !now.Before(found.until) {
+			continue
+		}
+		for _, id := range found.crashes {
+			crashes = append(crashes, Crash{ID: id, Digest: digest, Alone: found.alone})
+		}
+	}
+	return crashes
+}
+
 // ClearSuspicion ends the suspicion against a content after a request with it ran alone without a crash. A quarantine
 // stays.
 func (q *Quarantiner) ClearSuspicion(digest Digest) {
--- a/node/pkg/forwarder/forwarder_test.go
+++ b/node/pkg/forwarder/forwarder_test.go
@@ -68,6 +68,8 @@
 
 func (g *gate) RecordCrash(quarantiner.Crash) {}
 
+func (g *gate) Crashes() []quarantiner.Crash { return nil }
+
 func (g *gate) Clock() forwarder.Clock {
 	return forwarder.Clock{Incarnation: 7, Time: tombstoner.GateTime(time.Since(g.started).Milliseconds())}
 }
--- a/node/pkg/forwarder/frame.go
+++ b/node/pkg/forwarder/frame.go
@@ -9,13 +9,14 @@
 	"samphiremount.example/core/messenger"
 )
 
-// The calls between nodes. The clock call reads a gate's clock, the bury call requests a tombstone, and the crash
-// call reports a request content that crashed a target.
+// The calls between nodes. The clock call reads a gate's clock, the bury call requests a tombstone, the crash call reports
+// a request content that crashed a target, and the crashes call reads all that a gate knows of them.
 const (
 	callForward   = "carry"
 	callClock     = "clock"
 	callTombstone = "bury"
 	callCrash     = "crash"
+	callCrashes   = "crashes"
 )
 
 // frameKind is the first byte of each message.
--- a/node/pkg/forwarder/head.go
+++ b/node/pkg/forwarder/head.go
@@ -115,6 +115,8 @@
 	Look(identity tombstoner.Identity) tombstoner.State
 	// RecordCrash records a crash that another gate reported.
 	RecordCrash(crash quarantiner.Crash)
+	// Crashes returns the crashes that this gate knows, its own and those that others reported.
+	Crashes() []quarantiner.Crash
 	// Clock returns the current time of the gate's clock.
 	Clock() Clock
 }
--- a/node/pkg/forwarder/server.go
+++ b/node/pkg/forwarder/server.go
@@ -40,6 +40,7 @@
 	mux[callClock] = s.clock
 	mux[callTombstone] = s.placeTombstone
 	mux[callCrash] = s.crash
+	mux[callCrashes] = s.crashes
 }
 
 // Active returns the requests of other nodes in progress at now.
--- a/node/pkg/gatekeeper/crash.go
+++ b/node/pkg/gatekeeper/crash.go
@@ -122,6 +122,13 @@
 	}
 }
 
+// Crashes implements forwarder.Gate.
+func (g *Gatekeeper) Crashes() []quarantiner.Crash {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.quarantiner.Crashes(time.Now())
+}
+
 func (g *Gatekeeper) clearSuspicion(content content) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -96,13 +96,15 @@
 	pool        *messenger.Pool
 	reporter    *reporter.Reporter
 	connector   *connector.Connector
-	client      *synchronizer.Client
+	subscriber  *synchronizer.Client
 	prober      *prober.Prober
 	cacher      *cacher.Cacher
 	limiter     *limiter.Limiter
 	budget      *budgeter.Client
 	lender      *lender.Lender
 	watcher     *watcher.Watcher
+	gate        *gatekeeper.Gatekeeper
+	client      *forwarder.Client
 	forwarder   *forwarder.Server
 	plan        atomic.Pointer[stopper.Plan]
 	callers     *finisher.Finisher
@@ -169,7 +171,7 @@
 	if n.options.Data != "" {
 		n.cacher.Load(n.Viewer)
 	}
-	n.client = synchronizer.NewClient(n.pool, n.publishers(controls), n.Viewer, n.reporter, n.log.Part("subscribe"))
+	n.subscriber = synchronizer.NewClient(n.pool, n.publishers(controls), n.Viewer, n.reporter, n.log.Part("subscribe"))
 	n.watcher = watcher.New(n.pool, controls.Addresses, func() []tracker.Target { return n.reporter.Node().Targets }, n.log.Part("eject"))
 	n.lender = n.newLender(hub, controls)
 	n.budget = budgeter.NewClient(n.pool, func() (string, bool) { return controls.Owner(retryBudget) }, n.log.Part("budget"))
@@ -189,6 +191,7 @@
 	gate = gatekeeper.New(
 		incarnation, n.options.Protocol, n.Enroller, n.connector, n.watcher, counts, n.log.Part("gate"), n.crashBroadcaster(client),
 	)
+	n.gate, n.client = gate, client
 	n.forwarder = forwarder.NewServer(gate, client)
 	n.forwarder.Register(n.mux)
 	n.Acceptor = acceptor.New(acceptor.Dependencies{
@@ -301,15 +304,18 @@
 
 // crashBroadcaster returns a function that reports a crash to the other gates of a service.
 func (n *Node) crashBroadcaster(client *forwarder.Client) func(string, quarantiner.Crash) {
-	return func(service string, crash quarantiner.Crash) {
-		addresses := make(map[string]struct{})
-		for _, placement := range n.Viewer.View().Directory.Placements(service) {
-			if placement.Node.Name != n.options.Name {
-				addresses[placement.Node.Address] = struct{}{}
-			}
+	return func(service string, crash quarantiner.Crash) { client.BroadcastCrash(n.otherGates(service), crash) }
+}
+
+// otherGates returns the addresses of the other nodes that have targets of service.
+func (n *Node) otherGates(service string) []string {
+	addresses := make(map[string]struct{})
+	for _, placement := range n.Viewer.View().Directory.Placements(service) {
+		if placement.Node.Name != n.options.Name {
+			addresses[placement.Node.Address] = struct{}{}
 		}
-		client.BroadcastCrash(slices.Collect(maps.Keys(addresses)), crash)
 	}
+	return slices.Collect(maps.Keys(addresses))
 }
 
 // Ready reports whether the node can serve requests: it has a configuration and a directory, and is not stopping.
@@ -337,8 +343,8 @@
 	defer stopBackground()
 	group, background := errgroup.WithContext(background)
 	tasks := map[string]func(context.Context) error{
-		"local": local, "enroll": n.Enroller.Run, "connect": n.connector.Run, "subscribe": n.client.Run, "probe": n.prober.Run,
-		"admit": n.limiter.Run, "eject": n.watcher.Run, "budget": n.budget.Run,
+		"local": local, "enroll": n.Enroller.Run, "connect": n.connector.Run, "subscribe": n.subscriber.Run, "probe": n.prober.Run,
+		"crashes": n.learnCrashes, "admit": n.limiter.Run, "eject": n.watcher.Run, "budget": n.budget.Run,
 	}
 	if n.options.Data != "" {
 		tasks["keep"] = n.cacher.Run
