Look for further services of a node's targets once a second only

The node looked every 0.1 s for as long as it ran, which costs ten wake-ups a second on each VM. Now it does so only while a service has gates to be asked, and until it has a target.

--- a/node/pkg/starter/crashes.go
+++ b/node/pkg/starter/crashes.go
@@ -5,12 +5,12 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"samphiremount.example/core/ticker"
 )
 
 const (
+	// crashesInterval is the time between two questions, and serviceInterval between two looks for a new service.
 	crashesInterval = 100 * time.Millisecond
+	serviceInterval = time.Second
 	// crashesPeriod is how long after the first target of a service the other gates of the service are asked. In a fleet that
 	// starts they become known only then.
 	crashesPeriod = 5 * time.Second
@@ -28,19 +28,37 @@
 // them when it restarts.
 func (n *Node) learnCrashes(ctx context.Context) error {
 	queries := make(map[string]crashesQuery)
-	ticker.Every(ctx, crashesInterval, func(now time.Time) {
-		for _, target := range n.reporter.Node().Targets {
-			query, ok := queries[target.Service]
-			if !ok {
-				query.until = now.Add(crashesPeriod)
-			}
-			if now.Before(query.until) && len(query.answered) < maxCrashesGates {
-				query.answered = n.askForCrashes(ctx, target.Service, query.answered)
-			}
-			queries[target.Service] = query
+	pause := crashesInterval
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-time.After(pause):
+			pause = n.continueQueries(ctx, now, queries)
+		}
+	}
+}
+
+// continueQueries asks one gate of each service of which not enough have answered, and returns how long to wait until the next
+// time.
+func (n *Node) continueQueries(ctx context.Context, now time.Time, queries map[string]crashesQuery) time.Duration {
+	pause := serviceInterval
+	targets := n.reporter.Node().Targets
+	if len(targets) == 0 && len(queries) == 0 {
+		pause = crashesInterval
+	}
+	for _, target := range targets {
+		query, ok := queries[target.Service]
+		if !ok {
+			query.until = now.Add(crashesPeriod)
 		}
-	})
-	return nil
+		if now.Before(query.until) && len(query.answered) < maxCrashesGates {
+			query.answered = n.askForCrashes(ctx, target.Service, query.answered)
+			pause = crashesInterval
+		}
+		queries[target.Service] = query
+	}
+	return pause
 }
 
 // askForCrashes asks one gate of service that has not answered, and returns those that have.
