Let only the publisher with a node's newest record declare the node lost

Cause: a control process kept the deadline of a node that had moved to another one, and then marked the newest record of the node, which the other had published, as gone. Gone wins over an equal sequence number, and nothing refuted it.

Change: a publisher remembers the incarnation and the sequence of a node's last report to it. When the deadline passes and the directory has another record, the node has moved. A node whose own record comes back as gone raises its sequence.

--- a/core/synchronizer/server.go
+++ b/core/synchronizer/server.go
@@ -28,14 +28,14 @@
 	contactAge ContactAge
 	log        *slog.Logger
 
-	mu        sync.Mutex
-	applied   map[string]uint64
-	deadlines map[string]time.Time
+	mu       sync.Mutex
+	applied  map[string]uint64
+	presence *tracker.Presence
 }
 
 // NewServer returns a server that publishes hub and sends the result of age in every heartbeat.
 func NewServer(hub *Hub, age ContactAge, log *slog.Logger) *Server {
-	return &Server{hub: hub, contactAge: age, log: log, applied: make(map[string]uint64), deadlines: make(map[string]time.Time)}
+	return &Server{hub: hub, contactAge: age, log: log, applied: make(map[string]uint64), presence: tracker.NewPresence()}
 }
 
 // Register adds the handler of subscriptions to mux.
@@ -64,16 +64,15 @@
 func (s *Server) expireNodes(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for name, deadline := range s.deadlines {
-		if now.Before(deadline) {
-			continue
-		}
-		delete(s.deadlines, name)
+	lost, moved := s.presence.Expire(now, s.hub.Directory())
+	for _, name := range moved {
 		delete(s.applied, name)
-		node, _ := s.hub.Directory().Node(name)
-		node.Gone = true
+		s.log.Info("node moved", "node", name, "reason", "it reports to another process")
+	}
+	for _, node := range lost {
+		delete(s.applied, node.Name)
 		if len(s.hub.Merge(node)) > 0 {
-			s.log.Info("node lost", "node", name, "reason", "no report before the deadline")
+			s.log.Info("node lost", "node", node.Name, "reason", "no report before the deadline")
 		}
 	}
 }
@@ -146,7 +145,7 @@
 	node := *report.Node
 	s.mu.Lock()
 	s.applied[node.Name] = report.Version
-	s.deadlines[node.Name] = time.Now().Add(NodeLifetime)
+	s.presence.Record(node, time.Now().Add(NodeLifetime))
 	s.mu.Unlock()
 	s.merge(node)
 }
--- a/core/synchronizer/synchronizer_test.go
+++ b/core/synchronizer/synchronizer_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -104,13 +105,7 @@
 	s := &sink{Hub: synchronizer.NewHub(), t: t}
 	client := synchronizer.NewClient(messenger.NewPool(credentials), func() []string { return addresses }, s, reporter,
 		slog.New(slog.DiscardHandler))
-	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	group.Go(func() { _ = client.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		group.Wait()
-	})
+	runClient(t, client)
 	return s
 }
 
@@ -257,3 +252,61 @@
 	waitForVersion(t, early, 1)
 	waitForVersion(t, subscribe(t, first.address), 1)
 }
+
+// countingReporter reports a record whose sequence number grows with each connection.
+type countingReporter struct{ sequence atomic.Uint64 }
+
+func (r *countingReporter) Node() *tracker.Node {
+	return &tracker.Node{Name: "n", Incarnation: 1, Sequence: r.sequence.Load(), Targets: []tracker.Target{{Name: "t", Service: "s"}}}
+}
+
+func (*countingReporter) Changes() <-chan struct{} { return nil }
+
+func (r *countingReporter) Connected() { r.sequence.Add(1) }
+
+// TestNodeThatChangesPublisherIsLost guards against targets that get no requests any more after their node has moved from one
+// control process to another, since the first one declares it lost.
+func TestNodeThatChangesPublisherIsLost(t *testing.T) {
+	first, second := publish(t, synchronizer.NewHub(), "127.0.0.1:0"), publish(t, synchronizer.NewHub(), "127.0.0.1:0")
+	for _, pair := range [][2]*publisher{{first, second}, {second, first}} {
+		client := synchronizer.NewClient(messenger.NewPool(credentials), func() []string { return []string{pair[1].address} }, pair[0].hub, nil,
+			slog.New(slog.DiscardHandler))
+		runClient(t, client)
+	}
+	reporter := &countingReporter{}
+	connect := func(p *publisher) (stop func()) {
+		return runClient(t, synchronizer.NewClient(messenger.NewPool(credentials), func() []string { return []string{p.address} },
+			&sink{Hub: synchronizer.NewHub(), t: t}, reporter, slog.New(slog.DiscardHandler)))
+	}
+	isKnown := func(poll.LogT) poll.Result {
+		if len(first.hub.Directory().Placements("s")) == 1 && len(second.hub.Directory().Placements("s")) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the target is not known to both")
+	}
+	stop := connect(first)
+	poll.WaitOn(t, isKnown)
+	stop()
+	connect(second)
+	for deadline := time.Now().Add(synchronizer.NodeLifetime + 2*synchronizer.HeartbeatPeriod); time.Now().Before(deadline); {
+		for _, p := range []*publisher{first, second} {
+			node, _ := p.hub.Directory().Node("n")
+			assert.Assert(t, !node.Gone)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// runClient runs client until the returned function is called, or else until the end of the test.
+func runClient(t *testing.T, client *synchronizer.Client) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = client.Run(ctx) })
+	stop = sync.OnceFunc(func() {
+		cancel()
+		group.Wait()
+	})
+	t.Cleanup(stop)
+	return stop
+}
--- a/node/pkg/reporter/reporter.go
+++ b/node/pkg/reporter/reporter.go
@@ -58,6 +58,17 @@
 	r.update(func(*tracker.Node) {})
 }
 
+// Refute increments the sequence number if received is the present record of this node, but marked as gone. It reports whether
+// it did.
+func (r *Reporter) Refute(received tracker.Node) bool {
+	current := r.Node()
+	if !received.Gone || received.Incarnation != current.Incarnation || received.Sequence < current.Sequence {
+		return false
+	}
+	r.update(func(*tracker.Node) {})
+	return true
+}
+
 // SetTargets replaces the targets and the departures of this VM in the record.
 func (r *Reporter) SetTargets(targets []tracker.Target, departures []tracker.Departure) {
 	r.update(func(node *tracker.Node) { node.Targets, node.Departures = targets, departures })
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -136,12 +136,16 @@
 }
 
 // receiveOwnRecord adopts the departures that other processes hold of this node, some of them perhaps from an earlier
-// incarnation.
+// incarnation, and refutes the loss of the node.
 func (n *Node) receiveOwnRecord(changed []tracker.Node) {
 	for _, node := range changed {
-		if node.Name == n.options.Name {
-			n.reporter.RecordReceived(node.Departures)
-			n.Enroller.Inherit(node.Departures)
+		if node.Name != n.options.Name {
+			continue
+		}
+		n.reporter.RecordReceived(node.Departures)
+		n.Enroller.Inherit(node.Departures)
+		if n.reporter.Refute(node) {
+			n.log.Part("node").Warn("loss of this node refuted", "sequence", node.Sequence)
 		}
 	}
 }
