Look at the target again once a request has what it waited for

Cause: the gate looks at the target when a request arrives, then waits for its body, a grant and a slot, and sends it without another look.

Change: it looks again after the start is registered, and refuses the request as not run if the target is gone, leaving or started again. The entry tries another target, as after any refusal of this kind.

Streamed bodies and the waits of the entry were not looked at one by one.

--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -152,7 +152,7 @@
 		abort()
 		g.release(target.Name, alone)
 	})
-	if err := g.registerStart(ctx, head); err != nil {
+	if err := g.start(ctx, target, head); err != nil {
 		release()
 		return forwarder.Answer{}, err
 	}
@@ -196,6 +196,24 @@
 	}, nil
 }
 
+// start registers the start of the request. It refuses the request if the target has begun to leave while the request waited.
+func (g *Gatekeeper) start(ctx context.Context, target registrar.Announcement, head forwarder.Head) error {
+	if err := g.registerStart(ctx, head); err != nil {
+		return err
+	}
+	if g.takesRequests(target) {
+		return nil
+	}
+	g.registerFinish(head.AttemptID, false)
+	return refuser.Refuse(refuser.TargetUnknown, "the target began to leave while the request waited")
+}
+
+// takesRequests reports whether the start of the target that made announcement is neither gone nor leaving now.
+func (g *Gatekeeper) takesRequests(announcement registrar.Announcement) bool {
+	current, ok := g.targets.Announcement(announcement.Name)
+	return ok && !current.Leaving && current.StartedAt == announcement.StartedAt
+}
+
 // endedBy returns who ended a request that the gate did not answer: the entry, its deadline, or else the gate or target.
 func endedBy(ctx context.Context) string {
 	switch {
