Bound the memory of the heads of all callers' requests together

What callers could see: their requests end with the process of a node whose memory the heads of other callers have used up. A faulty target is a caller too, by the requests that it sends through its node.

Cause: each head was bounded to 64 KB on the connection, which short lines make 1 MB in memory, and the sum of all heads was not bounded.

Change: core/bounder counts the memory of a head as it is read, 128 bytes for a line beside its bytes, until its request has ended. One head may take 192 KB. 16 KB are free for each connection; what lies beyond shares 4 MB. A larger head is answered with 431, one for which no memory remains with 503: neither has run. The APIs of targets, operators and metrics have the same bound.

The reset that tells a caller of HTTP/1.0 of a cut answer asked for the type of the connection, which is another one now. It asks for its method.

--- a/core/starter/run.go
+++ b/core/starter/run.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"samphiremount.example/core/bounder"
 )
 
 // The limits of the head of a request to an API. maxHeadBytes is far below the default of net/http, since a short header
@@ -49,7 +51,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeadBytes}
 	group, running := errgroup.WithContext(ctx)
 	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(bounder.Bound(server, listener)); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve HTTP")
 		}
 		return nil
--- a/core/starter/run_test.go
+++ b/core/starter/run_test.go
@@ -65,7 +65,7 @@
 // lines until its connection is closed.
 func TestEndlessHeadsExhaustTheMemory(t *testing.T) {
 	const (
-		clients = 16
+		clients = 256
 		maxPeak = 16 << 20
 	)
 	head := []byte("GET / HTTP/1.1\r\nHost: h\r\n")
--- a/node/pkg/acceptor/endless_test.go
+++ b/node/pkg/acceptor/endless_test.go
@@ -29,9 +29,13 @@
 	})
 }
 
-// sendEndless writes start, and then what next returns, until the connection ends.
+// sendEndless writes start, and then what next returns, until the connection ends. If next is nil, it waits for the end.
 func sendEndless(conn net.Conn, start string, next func(i int) string) {
 	_, err := io.WriteString(conn, start)
+	if next == nil {
+		_, _ = io.Copy(io.Discard, conn)
+		return
+	}
 	for i := 0; err == nil; {
 		var b strings.Builder
 		for b.Len() < 4096 {
@@ -114,17 +118,26 @@
 }
 
 // TestEndlessRequestsExhaustTheMemory guards against the end of a node by callers that send bytes until it closes their
-// connections.
+// connections, or that send much and then wait.
 func TestEndlessRequestsExhaustTheMemory(t *testing.T) {
 	const (
 		line    = "POST /bookings HTTP/1.1\r\nHost: h\r\n"
 		chunked = "Transfer-Encoding: chunked\r\n\r\n"
+		body    = "Content-Length: 9223372036854775807\r\n\r\n"
 
-		callers  = 16
-		duration = 300 * time.Millisecond
-		maxPeak  = 32 << 20
-		maxKept  = 4 << 20
+		callers     = 16
+		manyCallers = 256
+		duration    = 300 * time.Millisecond
+		maxPeak     = 32 << 20
+		maxKept     = 4 << 20
 	)
+	fields := func(number int) string {
+		var b strings.Builder
+		for i := range number {
+			_, _ = fmt.Fprintf(&b, "%x:\r\n", i)
+		}
+		return b.String()
+	}
 	constant := func(text string) func(int) string { return func(int) string { return text } }
 	for name, test := range map[string]struct {
 		start string
@@ -139,13 +152,21 @@
 		"chunk extension":     {line + chunked + "1;", constant("a=b;")},
 		"chunks":              {line + chunked, constant("1\r\nx\r\n")},
 		"trailers":            {line + chunked + "0\r\n", func(i int) string { return fmt.Sprintf("%x:\r\n", i) }},
-		"body":                {line + "Content-Length: 9223372036854775807\r\n\r\n", constant("x")},
+		"body":                {line + body, constant("x")},
 		"requests at once":    {"", constant(line + "Content-Length: 0\r\n\r\n")},
 		"bytes after the end": {line + "Content-Length: 0\r\n\r\n", constant("x")},
+		// The heads of many callers at once are not complete, or belong to requests that do not end.
+		"large heads":            {line + fields(10_000), nil},
+		"large heads and bodies": {line + fields(1_000) + body, constant("x")},
 	} {
 		t.Run(name, func(t *testing.T) {
+			callers := callers
+			if strings.HasPrefix(name, "large heads") {
+				callers = manyCallers
+			}
 			f := newFleet(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) }))
 			heap := profiler.Watch(t)
+			start := strings.Replace(test.start, "Host: h", "Host: h\r\nAuthorization: Bearer "+f.key, 1)
 			var group errgroup.Group
 			for range callers {
 				group.Go(func() error {
@@ -155,7 +176,7 @@
 					}
 					defer func() { _ = conn.Close() }()
 					_ = conn.SetDeadline(time.Now().Add(duration))
-					sendEndless(conn, strings.Replace(test.start, "Host: h", "Host: h\r\nAuthorization: Bearer "+f.key, 1), test.next)
+					sendEndless(conn, start, test.next)
 					return nil
 				})
 			}
--- a/node/pkg/acceptor/fleet_test.go
+++ b/node/pkg/acceptor/fleet_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"samphiremount.example/core/bounder"
 	"samphiremount.example/core/configurer"
 	"samphiremount.example/core/gossiper"
 	"samphiremount.example/core/keyer"
@@ -168,6 +169,7 @@
 	})
 	server := httptest.NewUnstartedServer(entry.Handler())
 	server.Config.MaxHeaderBytes = acceptor.MaxHeadBytes
+	server.Listener = bounder.Bound(server.Config, server.Listener)
 	server.Start()
 	t.Cleanup(server.Close)
 	return &fleet{entry: server, acceptor: entry, view: view, key: key.Reveal(), limiter: limiter, stopGate: cancel}
--- a/node/pkg/acceptor/reply.go
+++ b/node/pkg/acceptor/reply.go
@@ -4,7 +4,6 @@
 	"io"
 	"maps"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -77,7 +76,7 @@
 	if err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/node/pkg/starter/callers.go
+++ b/node/pkg/starter/callers.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"samphiremount.example/core/bounder"
 	"samphiremount.example/node/pkg/acceptor"
 )
 
@@ -29,7 +30,7 @@
 	n.awaitView(ctx)
 	group, running := errgroup.WithContext(background)
 	group.Go(func() error {
-		err := server.Serve(listener)
+		err := server.Serve(bounder.Bound(server, listener))
 		if errors.Is(err, http.ErrServerClosed) || n.plan.Load() != nil && errors.Is(err, net.ErrClosed) {
 			return nil
 		}
