Let a node whose clock was set back be used after its restart

What callers saw: once a node had restarted after its clock was set back, its target got no request any more, for as long as the node ran. Requests that were sent to it were refused with an unknown outcome, so unsafe ones failed for good, and no departure of the target was acknowledged.

Cause: the incarnation of a node is the time of its start. Everyone kept the record of the earlier process, whose incarnation was later, and the gate refused requests that were meant for that incarnation.

Change: a node that receives a record of itself with a later incarnation, from its own address, continues as the one after it. The gate goes first. Attempts of the previous incarnation are forgotten, which promises nothing about them. Two processes with one address cannot both run, so they cannot outbid each other.

--- a/core/tombstoner/machine_test.go
+++ b/core/tombstoner/machine_test.go
@@ -151,6 +151,13 @@
 	*g = gate{incarnation: g.incarnation, tombstoner: tombstoner.New(g.incarnation, 6)}
 }
 
+// raise has a gate continue as a later incarnation, with what runs there.
+func (w *world) raise(t *rapid.T) {
+	g := &w.gates[rapid.IntRange(0, len(w.gates)-1).Draw(t, "gate")]
+	g.incarnation++
+	g.tombstoner.Raise(g.incarnation)
+}
+
 func (w *world) check(t *rapid.T) {
 	for request, runs := range w.runs {
 		if runs > 1 {
@@ -185,6 +192,7 @@
 			},
 			"bury":    w.placeTombstone,
 			"restart": w.restart,
+			"raise":   w.raise,
 			"time": func(t *rapid.T) {
 				g := &w.gates[rapid.IntRange(0, len(w.gates)-1).Draw(t, "gate")]
 				g.clock += tombstoner.GateTime(rapid.IntRange(1, 12_000).Draw(t, "passed"))
--- a/core/tombstoner/tombstoner.go
+++ b/core/tombstoner/tombstoner.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// Incarnation returns the incarnation of the identities that may start.
+func (t *Tombstoner) Incarnation() uint64 { return t.incarnation }
+
+// Raise replaces the incarnation by a later one. Identities of the previous one are Forgotten from now on, so nothing is
+// promised about those that have started.
+func (t *Tombstoner) Raise(incarnation uint64) { t.incarnation = max(t.incarnation, incarnation) }
+
 // Start decides at now whether identity may start. If so, it records the identity as started.
 func (t *Tombstoner) Start(now GateTime, identity Identity) Verdict {
 	t.expire(now)
--- a/node/pkg/gatekeeper/gatekeeper.go
+++ b/node/pkg/gatekeeper/gatekeeper.go
@@ -40,13 +40,12 @@
 
 // Gatekeeper runs requests on the targets of this VM.
 type Gatekeeper struct {
-	incarnation uint64
-	started     time.Time
-	targets     Targets
-	connector   *connector.Connector
-	watcher     Watcher
-	counts      *expvar.Map
-	log         *slog.Logger
+	started   time.Time
+	targets   Targets
+	connector *connector.Connector
+	watcher   Watcher
+	counts    *expvar.Map
+	log       *slog.Logger
 
 	mu         sync.Mutex
 	states     map[string]*targetState
@@ -70,7 +69,6 @@
 ) *Gatekeeper {
 	return &Gatekeeper{
 		protocol:       protocol,
-		incarnation:    incarnation,
 		started:        time.Now(),
 		targets:        targets,
 		connector:      connector,
@@ -87,7 +85,16 @@
 
 // Clock implements forwarder.Gate.
 func (g *Gatekeeper) Clock() forwarder.Clock {
-	return forwarder.Clock{Incarnation: g.incarnation, Time: g.gateTime()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return forwarder.Clock{Incarnation: g.tombstoner.Incarnation(), Time: g.gateTime()}
+}
+
+// RaiseIncarnation replaces the incarnation for which requests must be meant by a later one.
+func (g *Gatekeeper) RaiseIncarnation(incarnation uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tombstoner.Raise(incarnation)
 }
 
 func (g *Gatekeeper) gateTime() tombstoner.GateTime {
--- a/node/pkg/reporter/reporter.go
+++ b/node/pkg/reporter/reporter.go
@@ -69,6 +69,11 @@
 	return true
 }
 
+// RaiseIncarnation replaces the incarnation in the record by a later one.
+func (r *Reporter) RaiseIncarnation(incarnation uint64) {
+	r.update(func(node *tracker.Node) { node.Incarnation = max(node.Incarnation, incarnation) })
+}
+
 // SetTargets replaces the targets and the departures of this VM in the record.
 func (r *Reporter) SetTargets(targets []tracker.Target, departures []tracker.Departure) {
 	r.update(func(node *tracker.Node) { node.Targets, node.Departures = targets, departures })
--- a/node/pkg/starter/node.go
+++ b/node/pkg/starter/node.go
@@ -131,17 +131,21 @@
 	view.OnMerge = n.receiveOwnRecord
 	explainer.Register(n.mux, decisions)
 	n.assembleControl(hub, incarnation)
-	n.assembleRequests(incarnation)
+	n.assembleRequests(n.reporter.Node().Incarnation)
 	return n
 }
 
 // receiveOwnRecord adopts the departures that other processes hold of this node, some of them perhaps from an earlier
-// incarnation, and refutes the loss of the node.
+// incarnation, and refutes the loss of the node. An earlier process of this node may have had a clock that was ahead; this one
+// then continues as a later incarnation, since everyone ignores the record of an earlier one.
 func (n *Node) receiveOwnRecord(changed []tracker.Node) {
 	for _, node := range changed {
 		if node.Name != n.options.Name {
 			continue
 		}
+		if own := n.reporter.Node(); node.Incarnation > own.Incarnation && node.Address == own.Address {
+			n.raiseIncarnation(node.Incarnation + 1)
+		}
 		n.reporter.RecordReceived(node.Departures)
 		n.Enroller.Inherit(node.Departures)
 		if n.reporter.Refute(node) {
@@ -150,6 +154,16 @@
 	}
 }
 
+func (n *Node) raiseIncarnation(incarnation uint64) {
+	// The gate comes first: it refuses requests that are meant for an incarnation which it does not know.
+	if n.gate != nil {
+		n.gate.RaiseIncarnation(incarnation)
+	}
+	n.reporter.RaiseIncarnation(incarnation)
+	n.log.Part("node").Warn("incarnation raised", "incarnation", incarnation,
+		"reason", "an earlier process of this node had a later one")
+}
+
 // retryBudget is the name under which one control process owns the retry budgets of all services.
 const retryBudget = "retries"
 
