List that control takes nodes for lost that report to a peer

A node that could not reach control for a moment subscribes to another node, for 15 s to 45 s. Control does not learn of its reports meanwhile: it takes the node for lost, and has none of the departures that the peer acknowledges.

The tests of the synchronizer start publishers and clients with one function now.

--- a/core/synchronizer/synchronizer_test.go
+++ b/core/synchronizer/synchronizer_test.go
@@ -35,6 +35,20 @@
 
 // publishWith is publish with the age of the last contact with control.
 func publishWith(t *testing.T, hub *synchronizer.Hub, address string, age synchronizer.ContactAge) *publisher {
+	t.Helper()
+	p, server := publishAsPeer(t, hub, address, age)
+	stopServing, stopJudging := p.stop, run(t, server.Run)
+	p.stop = func() {
+		stopServing()
+		stopJudging()
+	}
+	return p
+}
+
+// publishAsPeer publishes hub as a node does, which judges no other nodes.
+func publishAsPeer(
+	t *testing.T, hub *synchronizer.Hub, address string, age synchronizer.ContactAge,
+) (*publisher, *synchronizer.Server) {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 	assert.NilError(t, err)
@@ -42,16 +56,10 @@
 	mux := messenger.Mux{}
 	server := synchronizer.NewServer(hub, age, log)
 	server.Register(mux)
-	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	group.Go(func() { _ = messenger.NewServer(credentials, mux, log).Serve(ctx, listener) })
-	group.Go(func() { _ = server.Run(ctx) })
-	stop := sync.OnceFunc(func() {
-		cancel()
-		group.Wait()
+	stop := run(t, func(ctx context.Context) error {
+		return messenger.NewServer(credentials, mux, log).Serve(ctx, listener)
 	})
-	t.Cleanup(stop)
-	return &publisher{hub, listener.Addr().String(), stop}
+	return &publisher{hub, listener.Addr().String(), stop}, server
 }
 
 // sink is a Hub that checks that its version never decreases, and counts the calls of RecordContact.
@@ -253,11 +261,25 @@
 	waitForVersion(t, subscribe(t, first.address), 1)
 }
 
-// countingReporter reports a record whose sequence number grows with each connection.
-type countingReporter struct{ sequence atomic.Uint64 }
+// countingReporter reports a record whose sequence number grows with each connection. Its target leaves if departed is set.
+type countingReporter struct {
+	sequence atomic.Uint64
+	departed atomic.Bool
+}
 
 func (r *countingReporter) Node() *tracker.Node {
-	return &tracker.Node{Name: "n", Incarnation: 1, Sequence: r.sequence.Load(), Targets: []tracker.Target{{Name: "t", Service: "s"}}}
+	node := &tracker.Node{Name: "n", Incarnation: 1, Sequence: r.sequence.Load()}
+	if r.departed.Load() {
+		node.Departures = []tracker.Departure{{Target: "t", Left: true}}
+	} else {
+		node.Targets = []tracker.Target{{Name: "t", Service: "s"}}
+	}
+	return node
+}
+
+func (r *countingReporter) depart() {
+	r.departed.Store(true)
+	r.sequence.Add(1)
 }
 
 func (*countingReporter) Changes() <-chan struct{} { return nil }
@@ -297,12 +319,69 @@
 	}
 }
 
+// TestNodeThatReportsToAPeerIsLost guards against targets that are taken for lost while their node is subscribed to another node,
+// because it could not reach control for a moment: the node stays with that peer for 15 s to 45 s.
+func TestNodeThatReportsToAPeerIsLost(t *testing.T) {
+	control, _, _ := reportToPeer(t)
+	for deadline := time.Now().Add(2 * synchronizer.NodeLifetime); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		node, _ := control.Directory().Node("n")
+		assert.Assert(t, !node.Gone)
+	}
+}
+
+// TestDepartureReportedToAPeerIsForgotten guards against an acknowledged departure that only the peer has to which its node is
+// subscribed: once the node has restarted and subscribed to control, a late announcement adds the target again.
+func TestDepartureReportedToAPeerIsForgotten(t *testing.T) {
+	control, reporter, received := reportToPeer(t)
+	reporter.depart()
+	hasDeparture := func(hub *synchronizer.Hub) func(poll.LogT) poll.Result {
+		return func(poll.LogT) poll.Result {
+			if node, _ := hub.Directory().Node("n"); len(node.Departures) == 1 {
+				return poll.Success()
+			}
+			return poll.Continue("the departure is not known")
+		}
+	}
+	poll.WaitOn(t, hasDeparture(received))
+	poll.WaitOn(t, hasDeparture(control), poll.WithTimeout(2*synchronizer.NodeLifetime))
+}
+
+// reportToPeer has a node report to control, and then to a peer that is subscribed to control. It returns what control holds, the
+// node's record, and what the node has received.
+func reportToPeer(t *testing.T) (control *synchronizer.Hub, reporter *countingReporter, received *synchronizer.Hub) {
+	t.Helper()
+	subscribe := func(hub *synchronizer.Hub, address string, reporter synchronizer.Reporter) (stop func()) {
+		return runClient(t, synchronizer.NewClient(messenger.NewPool(credentials), func() []string { return []string{address} }, hub,
+			reporter, slog.New(slog.DiscardHandler)))
+	}
+	publisher := publish(t, synchronizer.NewHub(), "127.0.0.1:0")
+	peer, _ := publishAsPeer(t, synchronizer.NewHub(), "127.0.0.1:0", func() time.Duration { return 0 })
+	subscribe(peer.hub, publisher.address, nil)
+	reporter, received = &countingReporter{}, synchronizer.NewHub()
+	stop := subscribe(received, publisher.address, reporter)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(publisher.hub.Directory().Placements("s")) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the target is not known to control")
+	})
+	stop()
+	subscribe(received, peer.address, reporter)
+	return publisher.hub, reporter, received
+}
+
 // runClient runs client until the returned function is called, or else until the end of the test.
 func runClient(t *testing.T, client *synchronizer.Client) (stop func()) {
+	t.Helper()
+	return run(t, client.Run)
+}
+
+// run runs task until the returned function is called, or else until the end of the test.
+func run(t *testing.T, task func(ctx context.Context) error) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
-	group.Go(func() { _ = client.Run(ctx) })
+	group.Go(func() { _ = task(ctx) })
 	stop = sync.OnceFunc(func() {
 		cancel()
 		group.Wait()
