Free the memory of a head and close its connection under one lock

A read that is in progress when another goroutine closes the connection could draw memory from the listener's for good, in the moment between the two steps. Found by reading, not seen.

--- a/core/bounder/bounder.go
+++ b/core/bounder/bounder.go
@@ -121,14 +121,19 @@
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.free()
+}
+
+// free frees the memory of the present request. The caller holds mu.
+func (c *conn) free() {
 	c.shared.Add(c.drawn)
 	c.drawn, c.head = 0, head{}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A read that is still in progress draws no memory any more.
 func (c *conn) Close() error {
-	c.endRequest()
 	c.mu.Lock()
+	c.free()
 	c.closed = true
 	c.mu.Unlock()
 	return c.TCPConn.Close() //nolint:wrapcheck // net/http must see its own errors
