--- a/core/bounder/bounder.go
+++ b/core/bounder/bounder.go
@@ -14,7 +14,8 @@
 // Sizes are in bytes of memory. net/http bounds the bytes of a head, but a header field takes fieldOverhead beside them.
 const (
 	fieldOverhead = 128
-	// maxHead bounds one head. Of the heads of one listener, what lies beyond ownMemory each shares sharedMemory.
+	// maxHead bounds one head: 64 KB in 1,000 lines. Of the heads of one listener, what lies beyond ownMemory each shares
+	// sharedMemory. Usual heads take less than ownMemory, so a sender of large ones cannot starve them.
 	maxHead      = 192 << 10
 	ownMemory    = 16 << 10
 	sharedMemory = 4 << 20
--- a/core/bounder/bounder_test.go
+++ b/core/bounder/bounder_test.go
@@ -81,7 +81,9 @@
 	assert.Equal(t, status, http.StatusOK)
 }
 
-func TestHeadsAreBounded(t *testing.T) {
+// TestProperHeadIsRefused guards against requests that are refused for the lines of their bodies, for a long field or for line ends
+// without a return, and against heads of too many fields that are taken.
+func TestProperHeadIsRefused(t *testing.T) {
 	for name, test := range map[string]struct {
 		request string
 		status  int
