--- a/review/fleet2/main.go
+++ b/review/fleet2/main.go
@@ -26,6 +26,7 @@
 	"crash-chunked": runCrashChunked,
 	"crash-begun":   runCrashBegun,
 	"path":          runPath,
+	"quota":         runQuota,
 }
 
 func main() { os.Exit(run()) }
