--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 for program in node control review2; do
 	[ -x "target/$program" ] || { echo "target/$program is not built" >&2; exit 2; }
 done
-exec target/review2 path review/7/record.txt
+exec target/review2 departure review/7/record.txt
--- a/review/fleet2/main.go
+++ b/review/fleet2/main.go
@@ -27,6 +27,7 @@
 	"crash-begun":   runCrashBegun,
 	"path":          runPath,
 	"quota":         runQuota,
+	"departure":     runDeparture,
 }
 
 func main() { os.Exit(run()) }
